--- /dev/null
+++ b/logic/host.go
@@ -0,0 +1,160 @@
+package logic
+
+// Micros is a time or a span in whole microseconds.
+type Micros = int64
+
+// Host carries out what a Router decides: today the simulator's adapter, later a gateway on sockets.
+// Every call is made from within a call to the Router and takes effect at that call's instant.
+type Host interface {
+	// Fetch asks a cache and names where it fills a miss from; source may be the cache itself for no fill.
+	// Rank 0 keeps nothing; oldest 0 stands for the object kind's own fresh time.
+	Fetch(lk *Lookup, to, source *Cache, rank int, how How, patience, oldest Micros)
+	// Cancel stops waiting for one send, numbered from 0 in the order of the lookup's sends.
+	Cancel(lk *Lookup, send int)
+	// Nack ends a lookup and tells its client that trying again is harmless, in retryIn if that is not 0.
+	Nack(lk *Lookup, retryIn Micros)
+	// Fail ends a lookup and promises nothing.
+	Fail(lk *Lookup)
+	// Wake asks for one call of Router.Woken with the same token.
+	Wake(in Micros, token int64)
+	// Subscribe asks for the list's changes from now on.
+	Subscribe(on bool)
+	// Log writes one line.
+	Log(line string)
+}
+
+// How says how a fetch treats a miss; the values may be added up.
+type How int
+
+const (
+	Join       How = 1 // wait for a fill that is under way
+	HeldOnly   How = 2 // the source gives only what it holds
+	SourceSkip How = 4 // the parent keeps no copy
+	Renew      How = 8 // serve an ageing copy and fetch it anew behind
+)
+
+// Ending tells how a send ended.
+type Ending int
+
+const (
+	Satisfied Ending = 1 + iota
+	Errored
+	TurnedAway
+	TimedOut
+	Unconnected
+	Reset
+	Cancelled
+	NeverSent
+	Missed
+)
+
+// NeverRan tells whether the ending proves that the send had no effect.
+func (e Ending) NeverRan() bool {
+	return e == TurnedAway || e == Unconnected || e == NeverSent || e == Missed
+}
+
+// Remark tells more about an ending, as far as the deployment's caches tell it.
+type Remark int
+
+const (
+	Untold Remark = iota
+	Hit
+	Filled
+	FilledFromOrigin
+	Joined
+	Aged
+	SourceRefused
+	SourceLost
+	SourceLacks
+	NoFillPlace
+	OriginFailed
+)
+
+// Effect tells what a repeat of a lookup does.
+type Effect int
+
+const (
+	Idempotent Effect = iota
+	Deduplicated
+	SideEffecting
+)
+
+// Circle is the set of caches that know each other's deduplicated lookups.
+type Circle int
+
+const (
+	Everywhere Circle = iota
+	SameZone
+	SameCell
+)
+
+// State of a cache in the list.
+type State int
+
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// ListKind tells what a list brings.
+type ListKind int
+
+const (
+	Changes ListKind = iota
+	FullList
+	CachedList
+	ListFailed
+)
+
+// Row is one line of the list of caches.
+type Row struct {
+	Cache      *Cache
+	Zone, Kind int
+	Cell       int
+	State      State
+	Weight     float64
+	Started    Micros // 0: long ago
+}
+
+// ObjectKind is a row of the table of what differs by object kind.
+type ObjectKind struct {
+	Budget      Micros  // latency budget
+	Stretch     float64 // the budget grows by this multiple of the lookup's own sending time
+	GiveUp      Micros  // the budget never passes this
+	Utility     float64
+	LateUtility float64 // the share paid past the budget
+	Effect      Effect
+	Circle      Circle
+	Memory      Micros // how long the circle knows a deduplicated lookup
+	Fresh       Micros // a copy is fresh for so long; 0: until purged
+	Grace       Micros // how much longer it may be served
+	AgedUtility float64
+	PassThrough bool // never kept, runs at the origin
+}
+
+// Charter is what a router is told at its start.
+type Charter struct {
+	Gateways        int   // routers in the whole deployment
+	Zone            int   // the router's own
+	Seats           []int // routers by zone
+	ParentKind      int   // -1: none
+	OriginKind      int
+	Joins           bool
+	FirstByteTold   bool // endings tell how long the source took to begin
+	Weighted        bool // the list's weights tell the size of a link, in transfers
+	FlowKB          float64
+	SendLimit       int
+	Cancelling      bool
+	MaxRetryIn      Micros // longest wait that clients heed; 0: they cannot be told
+	AsksForList     bool
+	ColdShare       float64
+	ColdFor         Micros
+	FallMultiple    float64
+	FallFor         Micros
+	ParentColdShare float64
+	ParentColdFor   Micros
+	ParentFall      float64
+	PurgeDone       Micros
+	Kinds           []ObjectKind
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,816 @@
+// Package logic decides for one router: which cache, which source of a fill, which rank, how long, what is
+// given up.
+//
+// The door (an adapter or a gateway) makes a Router with Start and caches with NewCache, and calls Listed,
+// Arrive, Ended, Departed, Purged and Woken as things happen, each with the time now. The Router answers
+// through Host, in host.go; plain types stand there and in state.go. One goroutine at a time; nothing is
+// shared.
+//
+// A lookup goes down the chain intake > copies > edge > parent > dispatch as the draft of a send. A stage
+// passes it on, keeps it (held) or ends it; how the send ended comes back through the same stages in
+// reverse.
+package logic
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+const (
+	ms     Micros = 1000
+	second        = 1000 * ms
+
+	sweepEvery    = 10 * ms
+	sweep, relist = 0, 1 // timers
+	// Ranks (LRU-SP): counts halve, the table is bounded, the top band holds size over count up to 2^topBand KB.
+	halveEvery = 60 * second
+	tableBound = 60000
+	topBand    = 6
+
+	halfLife    = 2 * second // of what is measured over time
+	overloadAt  = 40 * ms    // the oldest held lookup has waited this long: overload
+	crowdedAt   = 1.5        // hits take this multiple of their sending time: the link is crowded
+	firstLimit  = 16.0       // open sends at a cache before anything is known of it
+	roomToSpill = 0.7        // another cache takes a crowded one's lookup while under this part of its limit
+
+	trialEvery  = 1 * second // first pause before a trial of a cache or parent that is out, then doubled
+	trialAtMost = 4 * second
+	lagMultiple = 3.0 // a parent lags when its mean is above this multiple of the others' and lagFloor
+	lagFloor    = 250 * ms
+)
+
+// NewCache makes the cache that a name at the door stands for.
+func NewCache(name string) *Cache {
+	return &Cache{Name: name, hash: hashOf(name), limit: firstLimit, fills: firstLimit, Row: Row{State: Gone}}
+}
+
+// Over tells whether the lookup has had its final answer.
+func (lk *Lookup) Over() bool { return lk.over }
+
+// Start makes a router. The list follows by Listed.
+func Start(now Micros, seed uint64, its *Charter, host Host) *Router {
+	r := &Router{host: host, its: its, now: now, objects: map[string]*object{}, purged: map[int]Micros{}}
+	r.chance = mwc{uint32(seed) | 1, uint32(seed>>32)%698769068 + 1}
+	for _, k := range its.Kinds {
+		r.kinds = append(r.kinds, kind{ObjectKind: k})
+	}
+	r.halveAt = now + halveEvery
+	r.chain = []stage{
+		{(*Router).intake, (*Router).settle},
+		{(*Router).copies, nil},
+		{(*Router).edge, (*Router).edgeBack},
+		{(*Router).parent, (*Router).parentBack},
+		{(*Router).dispatch, (*Router).dispatchBack},
+	}
+	if its.AsksForList {
+		host.Subscribe(true)
+	}
+	host.Wake(sweepEvery, sweep)
+	return r
+}
+
+// Listed takes a list of caches or changes to it.
+func (r *Router) Listed(now Micros, what ListKind, rows []Row) {
+	r.now = now
+	if what == ListFailed {
+		r.host.Wake(trialEvery, relist)
+		return
+	}
+	named := map[*Cache]bool{}
+	for _, row := range rows {
+		c := row.Cache
+		if named[c] = true; !slices.Contains(r.caches, c) {
+			r.caches = append(r.caches, c)
+		}
+		if row.Started > c.Started {
+			r.startCold(c, row.Started)
+		}
+		c.Row = row
+	}
+	r.caches = slices.DeleteFunc(r.caches, func(c *Cache) bool {
+		if what != Changes && !named[c] {
+			c.State = Gone
+		}
+		return c.State == Gone
+	})
+	slices.SortFunc(r.caches, func(a, b *Cache) int { return cmp.Compare(a.hash, b.hash) })
+	r.edges, r.parents, r.origin = nil, nil, nil
+	for _, c := range r.caches {
+		switch {
+		case c.Kind == r.its.OriginKind:
+			r.origin = c
+		case c.Kind == r.its.ParentKind:
+			r.parents = append(r.parents, c)
+		case c.Zone == r.its.Zone:
+			r.edges = append(r.edges, c)
+		}
+	}
+	r.pump()
+}
+
+// Arrive takes a lookup; the door may drop it when it comes back over.
+func (r *Router) Arrive(now Micros, door string, kind int, name string, part, group int, kb float64,
+	deadline Micros, write bool) *Lookup {
+	r.now = now
+	k := &r.kinds[kind]
+	lk := &Lookup{Door: door, kind: k, group: group, write: write || k.PassThrough, kb: kb,
+		arrived: now, deadline: deadline}
+	if r.its.FlowKB > 0 {
+		lk.work = Micros(kb / r.its.FlowKB * float64(second))
+	}
+	lk.budget = now + min(k.Budget+Micros(k.Stretch*float64(lk.work)), k.GiveUp, deadline-now)
+	k.work.add(now, float64(lk.work))
+	k.n.add(now, 1)
+	lk.object, lk.count = r.tally(name, part)
+	r.route(lk)
+	return lk
+}
+
+// Ended takes the ending of a send; closed tells that the client has its answer or has gone.
+func (r *Router) Ended(now Micros, lk *Lookup, n int, e Ending, remark Remark, took, waited Micros,
+	closed bool) {
+	r.now = now
+	if n < 0 || n >= len(lk.sends) {
+		return
+	}
+	s := lk.sends[n]
+	if closed {
+		lk.over = true
+	}
+	got := &ending{e, remark, took, waited}
+	for i := len(r.chain) - 1; i >= 0; i-- {
+		if r.chain[i].back != nil {
+			r.chain[i].back(r, s, got)
+		}
+	}
+	r.pump()
+}
+
+// Departed takes word that the client has gone.
+func (r *Router) Departed(now Micros, lk *Lookup) {
+	r.now = now
+	r.finish(lk)
+	r.pump()
+}
+
+// Purged takes word of a purge of an object, or of a group where name is empty, made that long ago.
+func (r *Router) Purged(now Micros, name string, group int, ago Micros) {
+	r.now = now
+	if name == "" {
+		r.purged[group] = max(r.purged[group], now-ago)
+		return
+	}
+	o := r.named(name)
+	o.purge = max(o.purge, now-ago)
+}
+
+// Knows tells whether the charter has a row for an object kind.
+func (r *Router) Knows(kind int) bool { return kind >= 0 && kind < len(r.kinds) }
+
+// Woken is called when a timer comes due.
+func (r *Router) Woken(now Micros, token int64) {
+	r.now = now
+	if token == relist {
+		r.host.Subscribe(true)
+		return
+	}
+	r.host.Wake(sweepEvery, sweep)
+	r.findSilent()
+	r.pump()
+	if now >= r.halveAt || r.tallies > tableBound {
+		r.halve()
+	}
+}
+
+// route sends a lookup down the chain.
+func (r *Router) route(lk *Lookup) {
+	s := &Send{lk: lk, n: len(lk.sends)}
+	for _, st := range r.chain {
+		switch st.down(r, s) {
+		case keep:
+			r.held = append(r.held, lk)
+			return
+		case end:
+			return
+		}
+	}
+}
+
+// intake ends what no send can help any more.
+func (r *Router) intake(s *Send) verdict {
+	lk := s.lk
+	if len(lk.sends) >= r.its.SendLimit || lk.deadline-r.now <= max(lk.work, 0) {
+		r.giveUp(lk)
+		return end
+	}
+	if r.now < lk.notBefore {
+		return keep
+	}
+	return pass
+}
+
+// settle decides what follows an ending: nothing, another send, or a final answer.
+func (r *Router) settle(s *Send, got *ending) {
+	lk := s.lk
+	if !got.end.NeverRan() && lk.ranTo == nil {
+		lk.ranAt, lk.ranTo = s.at, s.to
+	}
+	switch {
+	case got.end == Satisfied || lk.over:
+		r.finish(lk)
+	case lk.open > 0:
+	case lk.ranTo != nil && lk.kind.Effect == SideEffecting:
+		r.giveUp(lk)
+	default:
+		r.route(lk)
+	}
+}
+
+// copies settles rank, age and manner: every fill is kept, ranked by size over count; purges bound the age.
+func (r *Router) copies(s *Send) verdict {
+	lk := s.lk
+	if lk.write {
+		return pass
+	}
+	s.rank = r.rank(lk)
+	if r.its.Joins && !lk.noJoin {
+		s.how |= Join
+	}
+	if lk.kind.Fresh > 0 {
+		s.how |= Renew
+	}
+	// Guards rule 5: heeded at once, not only after the grace, and kept until no older copy can be left.
+	at := max(lk.object.purge, r.purged[lk.group])
+	if at > 0 && r.now < at+r.its.PurgeDone+second {
+		s.oldest = max(ms, r.now-at)
+		if lk.kind.Fresh > 0 {
+			s.oldest = min(s.oldest, lk.kind.Fresh)
+		}
+	}
+	return pass
+}
+
+// rank is LRU-SP's group by log2 of size over recent count, folded into three.
+func (r *Router) rank(lk *Lookup) int {
+	switch n := *lk.count; {
+	case n < 2:
+		return 1
+	case math.Floor(math.Log2(max(lk.kb, 1)/n)) <= topBand:
+		return 3
+	}
+	return 2
+}
+
+// edge picks the first cache in the object's hash order that is up and has room; the next ones stand in for
+// a home that is out, full, crowded or still warming.
+func (r *Router) edge(s *Send) verdict {
+	lk, wait, crowded := s.lk, false, false
+	for _, c := range r.order(lk.object.hash, r.edges) {
+		room := c.limit
+		if crowded {
+			room *= roomToSpill
+		}
+		switch {
+		case c.State != Ready || slices.Contains(lk.avoid, c) || !r.mayRepeat(lk, c):
+		case c.out && (c.trial != nil || r.now < c.nextAt || lk.work > 2*r.meanWork()):
+		case c.fullTill > r.now || !r.warmEnough(c, lk.object.hash) || !r.afford(c, lk.kind.mean(r.now)):
+			wait = true
+		case float64(c.open) >= room:
+			crowded, wait = true, true
+		default:
+			s.to, s.edgeTrial = c, c.out
+			return pass
+		}
+	}
+	if wait {
+		return keep
+	}
+	r.giveUp(lk)
+	return end
+}
+
+func (r *Router) edgeBack(s *Send, got *ending) {
+	c, lk := s.to, s.lk
+	c.open--
+	switch {
+	case got.end == Satisfied || got.end == Missed || got.remark >= SourceRefused:
+		r.hear(c, s)
+		if got.remark == Hit || got.remark == Aged {
+			c.took.add(r.now, float64(got.took))
+			c.ideal.add(r.now, float64(lk.work+30*ms))
+		}
+		r.retune(c)
+	case got.end == TurnedAway && lk.missed == c:
+		c.heard = r.now // it took the look, so the fill was turned away
+	case got.end == TurnedAway:
+		c.heard = r.now
+		c.fullTill = r.now + 50*ms
+		lk.avoid = append(lk.avoid, c)
+	case got.end == Unconnected || got.end == Reset:
+		c.died = true
+		lk.avoid = append(lk.avoid, c)
+		r.strike(c, 2, "unreachable")
+	case got.end == Cancelled && s.edgeTrial:
+		r.strike(c, 1, "trial failed")
+	}
+	if c.trial == s {
+		c.trial = nil
+	}
+}
+
+// retune moves a cache's limit of open sends: down while its hits are slow, up while it is full and they are
+// not.
+func (r *Router) retune(c *Cache) {
+	if r.now < c.limitAt+200*ms {
+		return
+	}
+	c.limitAt = r.now
+	ideal := c.ideal.read(r.now)
+	stretch := c.took.read(r.now) / max(ideal, 1)
+	switch {
+	case ideal > float64(100*ms) && stretch > crowdedAt:
+		c.limit = max(2, min(c.limit, float64(c.open)+2)*0.9)
+	case float64(c.open) >= c.limit*roomToSpill:
+		c.limit *= 1.1
+	}
+}
+
+// parent names the source: the object's home among all listed parents, or the next that is up. While fills
+// at the cache are pressed (slow, or without places) a lookup first looks there without a fill, so that hits
+// go on; those that miss are held and filled a few at a time, most utility for their work first.
+func (r *Router) parent(s *Send) verdict {
+	lk := s.lk
+	if s.to.pressedTill > r.now && !lk.write {
+		if lk.missed != s.to {
+			s.source = s.to
+			return pass
+		}
+		if r.fillsOpen(s.to) >= s.to.fills {
+			return keep
+		}
+	}
+	for _, p := range r.order(lk.object.hash, r.parents) {
+		switch {
+		case p.State != Ready || slices.Contains(lk.avoid, p):
+		case p.out && (p.trial != nil || r.now < p.nextAt || lk.work > 2*r.meanWork() || len(lk.sends) > 0):
+		case !r.afford(p, float64(lk.work)):
+		default:
+			s.source, s.sourceTrial = p, p.out
+			return pass
+		}
+	}
+	s.source = r.origin
+	if r.origin == nil || r.origin.State != Ready {
+		s.source = s.to
+	}
+	return pass
+}
+
+// fillsOpen counts the sends at a cache that are fills: known to be, or too long out for a hit.
+func (r *Router) fillsOpen(c *Cache) (n float64) {
+	for _, s := range r.open {
+		if s.to == c && s.source != c && (s.lk.missed == c || r.now-s.at > 50*ms+2*s.lk.work) {
+			n++
+		}
+	}
+	return n
+}
+
+// press notes that fills at a cache are too many for what is behind them.
+func (r *Router) press(c *Cache) {
+	if r.now >= c.fillsAt+200*ms {
+		c.fillsAt = r.now
+		c.fills = max(1, 0.9*min(c.fills, r.fillsOpen(c)))
+	}
+	if c.pressedTill < r.now {
+		r.log("%s fills pressed, limit %.1f", c.Name, c.fills)
+	}
+	c.pressedTill = r.now + 2*second
+}
+
+func (r *Router) parentBack(s *Send, got *ending) {
+	p, lk, c := s.source, s.lk, s.to
+	filled := got.remark == Filled || got.remark == FilledFromOrigin
+	switch {
+	case p == c && got.end == Missed:
+		lk.missed = c
+		return
+	case p == c:
+		return
+	case got.remark >= NoFillPlace || filled && r.now > lk.budget, got.end == TurnedAway && lk.missed == c:
+		r.press(c)
+	case filled && c.pressedTill > r.now:
+		c.fills += 2 / c.fills
+	}
+	if got.end == TurnedAway {
+		lk.notBefore = r.now + 30*ms
+	}
+	if p == r.origin {
+		return
+	}
+	if got.remark == Hit || got.remark == Aged {
+		p.tokens += s.owed // no fill reached it
+	}
+	switch {
+	case got.end == Satisfied && filled:
+		r.hear(p, s)
+		p.borne.add(r.now, float64(lk.work))
+		r.timeParent(p, s, got)
+	case got.remark == SourceRefused || got.remark == SourceLost:
+		p.died = p.died || got.remark == SourceLost
+		lk.avoid, lk.noJoin = append(lk.avoid, p), true
+		r.strike(p, 3, "fills fail")
+	case got.end == TurnedAway && got.remark == Untold || got.end == Missed:
+		// Where only hits are told it may be the cache or the parent: the next send changes both.
+		lk.avoid, lk.noJoin = append(lk.avoid, p), true
+	case got.end == Cancelled && s.sourceTrial:
+		lk.avoid, lk.noJoin = append(lk.avoid, p), true
+		r.strike(p, 1, "trial failed")
+	case got.end == Cancelled && p.out:
+		lk.noJoin = true
+	}
+	if p.trial == s {
+		p.trial = nil
+	}
+}
+
+// timeParent keeps the ten recent times of a parent and puts it out when their mean is far above the
+// others'.
+func (r *Router) timeParent(p *Cache, s *Send, got *ending) {
+	took, over := float64(got.took), max(s.lk.kb, 1)
+	if r.its.FirstByteTold {
+		took, over = float64(got.waited), 1
+	}
+	i := p.recents % len(p.recentN)
+	p.recentTook[i], p.recentN[i] = took, over
+	p.recents++
+	if p.recents < len(p.recentN) || p.out {
+		return
+	}
+	mine, others, n := p.mean(), 0.0, 0.0
+	for _, o := range r.parents {
+		if o != p && o.recents > 0 {
+			others, n = others+o.mean(), n+1
+		}
+	}
+	if n == 0 {
+		return // all others are unheard and count as average
+	}
+	others /= n
+	if mine > lagMultiple*others && (!r.its.FirstByteTold || mine > others+float64(lagFloor)) {
+		p.died = false
+		r.putOut(p, fmt.Sprintf("lags, mean %.0f against %.0f", mine, others))
+	}
+}
+
+func (c *Cache) mean() float64 {
+	took, n := 0.0, 0.0
+	for i := range c.recentN {
+		took, n = took+c.recentTook[i], n+c.recentN[i]
+	}
+	return took / max(n, 1)
+}
+
+// dispatch sends the draft.
+func (r *Router) dispatch(s *Send) verdict {
+	lk, c := s.lk, s.to
+	s.at = r.now
+	if s.edgeTrial {
+		c.trial = s
+	}
+	if s.sourceTrial {
+		s.source.trial = s
+	}
+	c.tokens -= lk.kind.mean(r.now)
+	if s.source != c {
+		s.owed = float64(lk.work)
+		s.source.tokens -= s.owed
+	}
+	slack := 100*ms + 3*Micros(r.overhead.read(r.now)/max(r.done.read(r.now), 1))
+	stretch := max(1, c.took.read(r.now)/max(c.ideal.read(r.now), float64(ms)))
+	s.overdue = r.now + min(max(slack, 150*ms), 600*ms) + Micros(2*min(stretch, 3)*float64(lk.work))
+	lk.sends = append(lk.sends, s)
+	lk.open++
+	c.open++
+	r.open = append(r.open, s)
+	patience := lk.deadline - r.now
+	if !r.its.Cancelling {
+		patience = min(patience, 2*(s.overdue-r.now))
+	}
+	r.host.Fetch(lk, c, s.source, s.rank, s.how, patience, s.oldest)
+	return pass
+}
+
+func (r *Router) dispatchBack(s *Send, got *ending) {
+	s.lk.open--
+	r.open = slices.DeleteFunc(r.open, func(o *Send) bool { return o == s })
+	if got.end == Satisfied {
+		s.to.borne.add(r.now, float64(s.lk.work))
+		r.overhead.add(r.now, float64(max(0, got.took-s.lk.work)))
+		r.done.add(r.now, 1)
+	}
+}
+
+// findSilent tells a silent cache or parent from a slow one: sends are overdue, others are heard, it is not.
+func (r *Router) findSilent() {
+	for _, c := range r.caches {
+		c.mute = 0
+	}
+	newest := Micros(0)
+	for _, p := range r.parents {
+		newest = max(newest, p.heard)
+	}
+	for _, s := range r.open {
+		if r.now < s.overdue {
+			continue
+		}
+		if s.to.heard < s.at {
+			s.to.mute++
+		} else if p := s.source; p.Kind == r.its.ParentKind && p.heard < s.at && newest >= s.at &&
+			r.now > s.overdue+200*ms {
+			p.mute++
+		}
+	}
+	for _, c := range r.caches {
+		if c.mute >= 2 && !c.out && (c.mute >= 3 || c.Kind != r.its.ParentKind) {
+			c.died = c.Kind == r.its.ParentKind
+			r.putOut(c, fmt.Sprintf("silent, %d overdue", c.mute))
+		}
+	}
+	for _, s := range r.open {
+		lk, left := s.lk, s.lk.deadline-r.now
+		stuck := s.edgeTrial || s.sourceTrial || s.to.out && s.to.heard < s.at ||
+			s.source.out && s.source.heard < s.at
+		if stuck && r.now >= s.overdue && left > lk.work && len(lk.sends) < r.its.SendLimit &&
+			lk.kind.Effect == Idempotent {
+			r.cancel(s)
+		}
+	}
+}
+
+// cancel stops waiting for a send; what follows is decided when its ending comes.
+func (r *Router) cancel(s *Send) {
+	if !s.cancelled && r.its.Cancelling {
+		s.cancelled = true
+		r.host.Cancel(s.lk, s.n)
+	}
+}
+
+// pump sends on held lookups, most utility for their work first, and gives up at once those past helping: in
+// overload also those that the ones before them leave no time for.
+func (r *Router) pump() {
+	held, oldest, ahead, rate := r.held, Micros(0), 0.0, 0.0
+	r.held = nil
+	for _, lk := range held {
+		oldest = max(oldest, r.now-lk.arrived)
+	}
+	if !r.overload && oldest > overloadAt || r.overload && oldest < overloadAt/4 {
+		r.overload = !r.overload
+		r.log("overload %v: oldest of %d held waited %d us", r.overload, len(held), oldest)
+	}
+	for _, c := range r.edges {
+		rate += c.borne.rate(r.now)
+	}
+	slices.SortStableFunc(held, func(a, b *Lookup) int { return cmp.Compare(b.density(), a.density()) })
+	for _, lk := range held {
+		slack := lk.budget - r.now - lk.work - 20*ms
+		if lk.over {
+			continue
+		}
+		if slack < 0 || r.overload && ahead > max(1, rate)*float64(slack) {
+			r.giveUp(lk)
+			continue
+		}
+		r.route(lk)
+		if lk.open == 0 {
+			ahead += float64(lk.work)
+		}
+	}
+}
+
+func (lk *Lookup) density() float64 { return lk.kind.Utility / float64(lk.work+10*ms) }
+
+// giveUp ends a lookup at once: a nack where the rule on repeats allows it, with a time to return, else a
+// failure.
+func (r *Router) giveUp(lk *Lookup) {
+	nack := lk.kind.Effect == Idempotent || lk.ranTo == nil && lk.open == 0 ||
+		lk.kind.Effect == Deduplicated && lk.kind.Circle == Everywhere
+	switch {
+	case lk.over:
+		return
+	case nack:
+		r.host.Nack(lk, r.its.MaxRetryIn)
+	default:
+		r.host.Fail(lk)
+	}
+	r.finish(lk)
+}
+
+// finish closes a lookup and stops what is still out for it.
+func (r *Router) finish(lk *Lookup) {
+	lk.over = true
+	for _, s := range r.open {
+		if s.lk == lk {
+			r.cancel(s)
+		}
+	}
+	r.held = slices.DeleteFunc(r.held, func(o *Lookup) bool { return o == lk })
+}
+
+// mayRepeat guards rule 2: where may a further send of this lookup go. There are never two out at once.
+func (r *Router) mayRepeat(lk *Lookup, to *Cache) bool {
+	k := lk.kind
+	switch {
+	case lk.open > 0:
+		return false
+	case lk.ranTo == nil || k.Effect == Idempotent:
+		return true
+	case k.Effect == SideEffecting || r.now > lk.ranAt+k.Memory-50*ms:
+		return false
+	}
+	at := lk.ranTo
+	return k.Circle == Everywhere || to.Zone == at.Zone && (k.Circle == SameZone || to.Cell == at.Cell)
+}
+
+// strike counts a failure; so many in a row put the cache out, a failed trial lengthens its pause.
+func (r *Router) strike(c *Cache, most int, why string) {
+	c.strikes++
+	if c.out {
+		c.pause = min(2*c.pause, trialAtMost)
+		c.nextAt = r.now + c.pause
+	} else if c.strikes >= most {
+		r.putOut(c, fmt.Sprintf("%s, %d in a row", why, c.strikes))
+	}
+}
+
+func (r *Router) putOut(c *Cache, why string) {
+	c.out, c.outAt, c.pause = true, r.now, trialEvery
+	c.nextAt = r.now + c.pause/2 + Micros(r.chance.next()%uint32(c.pause/2))
+	r.log("%s out: %s", c.Name, why)
+}
+
+// hear notes a good answer; a good trial brings a cache back, and one that died warms up as if started then.
+func (r *Router) hear(c *Cache, s *Send) {
+	c.heard, c.strikes = r.now, 0
+	if c.out && c.trial == s {
+		c.out, c.recents = false, 0
+		if c.coldFrom == 0 && c.died {
+			r.startCold(c, r.now)
+		}
+		r.log("%s back after %d us", c.Name, r.now-c.outAt)
+	}
+}
+
+// startCold begins a cache's warming: rule 4's budget holds until it is over.
+func (r *Router) startCold(c *Cache, at Micros) {
+	c.coldFrom, c.tokens, c.tokensAt = at, 0, r.now
+}
+
+// share is how much of its link a cold cache surely has by now; 1 once warm.
+func (r *Router) share(c *Cache) float64 {
+	from, span := r.its.ColdShare, r.its.ColdFor
+	if c.Kind == r.its.ParentKind {
+		from, span = r.its.ParentColdShare, r.its.ParentColdFor
+	}
+	if c.coldFrom == 0 || r.now >= c.coldFrom+span {
+		c.coldFrom = 0
+		return 1
+	}
+	return from + (1-from)*float64(max(0, r.now-c.coldFrom))/float64(span)
+}
+
+// warmEnough lets a warming cache's objects come home bit by bit, always the same ones first.
+func (r *Router) warmEnough(c *Cache, hash uint64) bool {
+	return c.coldFrom == 0 || float64(mix(hash, c.hash+1)>>40)/(1<<24) < r.share(c)
+}
+
+// afford guards rule 4: this router's part of what a cold cache can bear, as a bucket that bounds every
+// window. A link bears what is listed, else what warm ones of its kind carry for this router times the
+// routers; at the least one transfer.
+func (r *Router) afford(c *Cache, work float64) bool {
+	share := r.share(c)
+	if c.coldFrom == 0 {
+		return true
+	}
+	group, multiple, routers := r.edges, r.its.FallMultiple, r.its.Gateways
+	if c.Kind == r.its.ParentKind {
+		group, multiple = r.parents, r.its.ParentFall
+	} else if c.Zone < len(r.its.Seats) {
+		routers = r.its.Seats[c.Zone]
+	}
+	carried, n, part := 0.0, 0.0, 1/float64(max(routers, 1))
+	for _, o := range group {
+		if o.coldFrom == 0 && !o.out {
+			carried, n = carried+o.borne.rate(r.now), n+1
+		}
+	}
+	link := carried / max(n, 1) / part
+	if r.its.Weighted {
+		link = 0.8 * c.Weight
+	}
+	rate := share * max(1, link) * part
+	depth := rate * float64(max(r.its.FallFor, 100*ms)) * max(0.2, (multiple-1)/2)
+	c.tokens = min(depth, c.tokens+rate*float64(r.now-c.tokensAt))
+	c.tokensAt = r.now
+	return c.tokens >= work
+}
+
+// mean is the mean sending time of a kind: what the rule counts for a send to a cold cache.
+func (k *kind) mean(now Micros) float64 { return k.work.read(now) / max(k.n.read(now), 1e-3) }
+
+func (r *Router) meanWork() Micros {
+	work, n := 0.0, 1e-3
+	for i := range r.kinds {
+		work, n = work+r.kinds[i].work.read(r.now), n+r.kinds[i].n.read(r.now)
+	}
+	return Micros(work / n)
+}
+
+// order is the rendezvous order of caches for a hash: it moves only what a change of the list must move.
+func (r *Router) order(hash uint64, caches []*Cache) []*Cache {
+	far := func(c *Cache) float64 {
+		u := (float64(mix(hash, c.hash)>>11) + 0.5) / (1 << 53)
+		if r.its.Weighted && c.Weight > 0 {
+			return -math.Log(u) / c.Weight
+		}
+		return -math.Log(u)
+	}
+	order := slices.Clone(caches)
+	slices.SortStableFunc(order, func(a, b *Cache) int { return cmp.Compare(far(a), far(b)) })
+	return order
+}
+
+// named finds an object, or begins to know it.
+func (r *Router) named(name string) *object {
+	o := r.objects[name]
+	if o == nil {
+		o = &object{hash: hashOf(name), count: map[int]*float64{}}
+		r.objects[name] = o
+	}
+	return o
+}
+
+// tally counts a lookup of a part of an object in the bounded table.
+func (r *Router) tally(name string, part int) (*object, *float64) {
+	o := r.named(name)
+	if o.count[part] == nil {
+		o.count[part] = new(float64)
+		r.tallies++
+	}
+	*o.count[part]++
+	return o, o.count[part]
+}
+
+// halve ages the counts and drops what has none left.
+func (r *Router) halve() {
+	r.halveAt, r.tallies = r.now+halveEvery, 0
+	for name, o := range r.objects {
+		for part, n := range o.count {
+			if *n /= 2; *n < 1 {
+				delete(o.count, part)
+			}
+		}
+		if r.tallies += len(o.count); len(o.count) == 0 && r.now > o.purge+r.its.PurgeDone+second {
+			delete(r.objects, name)
+		}
+	}
+}
+
+func (r *Router) log(format string, a ...any) { r.host.Log(fmt.Sprintf(format, a...)) }
+
+func (s *sum) read(now Micros) float64 {
+	if now > s.at {
+		s.v *= math.Exp2(-float64(now-s.at) / float64(halfLife))
+		s.at = now
+	}
+	return s.v
+}
+
+func (s *sum) add(now Micros, v float64) { s.v = s.read(now) + v }
+
+// rate is the sum as an amount per microsecond.
+func (s *sum) rate(now Micros) float64 { return s.read(now) * math.Ln2 / float64(halfLife) }
+
+func (m *mwc) next() uint32 {
+	t := uint64(698769069)*uint64(m.x) + uint64(m.c)
+	m.x, m.c = uint32(t), uint32(t>>32)
+	return m.x
+}
+
+// hashOf and mix are the shared hash: the same at every router.
+func hashOf(name string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(name); i++ {
+		h = (h ^ uint64(name[i])) * 1099511628211
+	}
+	return mix(h, 0)
+}
+
+func mix(a, b uint64) uint64 {
+	z := a ^ b*0x9e3779b97f4a7c15
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,219 @@
+package logic
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+func TestOrdinaryPath(t *testing.T) {
+	t.Run("an object keeps its cache and its parent, is kept and joins", func(t *testing.T) {
+		f, _ := play(t, nil)
+		f.ask(0, "a")
+		first := f.last()
+		f.end(first, Satisfied, Filled, 120*ms)
+		f.ask(0, "a")
+		if again := f.last(); again.to != first.to || again.source != first.source || again.how&Join == 0 {
+			t.Fatalf("moved from %s to %s", first.to.Name, again.to.Name)
+		}
+		if first.rank != 1 || first.source.Kind != 1 {
+			t.Fatalf("rank %d by %s", first.rank, first.source.Name)
+		}
+	})
+	t.Run("ranks rise as size over count falls", func(t *testing.T) {
+		f, _ := play(t, nil)
+		var ranks []int
+		for range 3 {
+			f.askSized(0, "big", 1000)
+			ranks = append(ranks, f.last().rank)
+		}
+		for range 3 {
+			f.askSized(1, "small", 100)
+			ranks = append(ranks, f.last().rank)
+		}
+		if !slices.Equal(ranks, []int{1, 2, 2, 1, 3, 3}) {
+			t.Fatal(ranks)
+		}
+	})
+	t.Run("a list that loses a cache moves only its objects", func(t *testing.T) {
+		f, all := play(t, nil)
+		home := map[int]*Cache{}
+		for i := range 40 {
+			f.ask(1, fmt.Sprint(i))
+			home[i] = f.last().to
+			f.end(f.last(), Satisfied, Hit, 100*ms)
+		}
+		f.relist(all[0], Gone, 0)
+		for i := range 40 {
+			f.ask(1, fmt.Sprint(i))
+			if to := f.last().to; to == all[0] || home[i] != all[0] && to != home[i] {
+				t.Fatalf("object %d went from %s to %s", i, home[i].Name, to.Name)
+			}
+			f.end(f.last(), Satisfied, Hit, 100*ms)
+		}
+	})
+}
+
+func TestRules(t *testing.T) {
+	t.Run("a drain is heeded at once, for sends and for sources", func(t *testing.T) {
+		f, _ := play(t, nil)
+		f.ask(0, "a")
+		was := f.last()
+		f.relist(was.to, Draining, 0)
+		f.relist(was.source, Draining, 0)
+		f.ask(0, "a")
+		if now := f.last(); now.to == was.to || now.source == was.source || now.lk == was.lk {
+			t.Fatalf("still %s by %s", now.to.Name, now.source.Name)
+		}
+	})
+	t.Run("no copy older than a purge, and never 0", func(t *testing.T) {
+		f, _ := play(t, nil)
+		f.r.Purged(f.now, "", 3, 0)
+		f.ask(1, "a")
+		if got := f.last().oldest; got <= 0 || got > 10*ms {
+			t.Fatal(got)
+		}
+		f.end(f.last(), Satisfied, Filled, 100*ms)
+		f.pass(2 * second)
+		f.ask(1, "a")
+		if got := f.last().oldest; got != 2*second {
+			t.Fatal(got)
+		}
+	})
+	t.Run("a side-effecting lookup that may have run is failed, not repeated", func(t *testing.T) {
+		f, _ := play(t, func(c *Charter) { c.Kinds[0].Effect = SideEffecting })
+		f.ask(0, "a")
+		f.end(f.last(), TurnedAway, Untold, ms)
+		f.pass(100 * ms)
+		if len(f.sends) != 2 {
+			t.Fatalf("%d sends after one that never ran", len(f.sends))
+		}
+		f.end(f.last(), Reset, Untold, ms)
+		f.pass(100 * ms)
+		if len(f.sends) != 2 || len(f.said) != 1 || f.said[0][:4] != "fail" {
+			t.Fatal(len(f.sends), f.said)
+		}
+	})
+	t.Run("a deduplicated lookup stays in its circle", func(t *testing.T) {
+		f, _ := play(t, func(c *Charter) { c.Kinds[0].Effect, c.Kinds[0].Circle = Deduplicated, SameCell })
+		f.ask(0, "a")
+		f.end(f.last(), Reset, Untold, ms)
+		f.pass(100 * ms)
+		if len(f.sends) != 1 || f.said[0][:4] != "fail" {
+			t.Fatal(len(f.sends), f.said)
+		}
+	})
+	t.Run("a cold cache gets no more than its budget in any window", func(t *testing.T) {
+		f, all := play(t, nil)
+		f.relist(all[0], Ready, f.now)
+		sent := 0
+		for i := range 100 {
+			f.now += 10 * ms
+			f.ask(0, fmt.Sprint(i))
+			if len(f.sends) > 0 && f.last().to == all[0] {
+				sent++
+			}
+			if len(f.sends) > 0 {
+				f.end(f.last(), Satisfied, Hit, 100*ms)
+			}
+		}
+		if cap := 3; sent > cap { // 0.3 of one transfer twice over, by two routers, is 3 lookups of 100 ms a second
+			t.Fatalf("%d sends to a cold cache", sent)
+		}
+	})
+	t.Run("one final answer, and nothing after it", func(t *testing.T) {
+		f, _ := play(t, nil)
+		lk := f.ask(0, "a")
+		s := f.last()
+		f.r.Departed(f.now, lk)
+		f.end(s, Cancelled, Untold, ms)
+		f.pass(4 * second)
+		if len(f.sends) != 1 || len(f.said) != 1 || !lk.Over() {
+			t.Fatal(len(f.sends), f.said)
+		}
+	})
+	t.Run("a timeout at the deadline is answered at once", func(t *testing.T) {
+		f, _ := play(t, nil)
+		lk := f.ask(0, "a")
+		f.now += 3 * second
+		f.end(f.last(), TimedOut, Untold, 3*second)
+		if !lk.Over() || len(f.said) != 1 {
+			t.Fatal(f.said)
+		}
+	})
+}
+
+func TestFailures(t *testing.T) {
+	t.Run("a silent cache is left while others answer, and a trial brings it back", func(t *testing.T) {
+		f, all := play(t, nil)
+		for i := 0; !all[0].out && i < 200; i++ {
+			f.ask(0, fmt.Sprint(i))
+			if s := f.last(); s.to != all[0] {
+				f.end(s, Satisfied, Hit, 100*ms)
+			}
+			f.pass(20 * ms)
+		}
+		if !all[0].out {
+			t.Fatal("never left")
+		}
+		for i := 0; all[0].out && i < 400; i++ {
+			f.ask(1, fmt.Sprint("x", i))
+			f.end(f.last(), Satisfied, Hit, 100*ms)
+			f.pass(20 * ms)
+		}
+		if all[0].out {
+			t.Fatal("never back")
+		}
+	})
+	t.Run("a parent whose fills fail is skipped; with none up the origin serves", func(t *testing.T) {
+		f, all := play(t, nil)
+		for i := range 60 {
+			f.ask(0, fmt.Sprint(i))
+			for s := f.last(); !s.lk.Over(); s = f.last() {
+				if s.source.Kind == 2 {
+					f.end(s, Satisfied, FilledFromOrigin, 100*ms)
+					continue
+				}
+				f.end(s, TurnedAway, SourceLost, 10*ms)
+				f.pass(50 * ms)
+			}
+		}
+		if !all[3].out || !all[4].out {
+			t.Fatal("parents still in use")
+		}
+		if s := f.last(); s.source != all[5] {
+			t.Fatalf("filled by %s", s.source.Name)
+		}
+	})
+	t.Run("while fills have no places, hits go on and misses are filled a few at a time", func(t *testing.T) {
+		f, all := play(t, nil)
+		f.ask(0, "a")
+		f.end(f.last(), TurnedAway, NoFillPlace, ms)
+		f.pass(50 * ms)
+		for _, c := range all[:3] {
+			c.pressedTill = f.now + second
+			c.fills = 1
+		}
+		f.ask(0, "b")
+		look := f.last()
+		if look.source != look.to {
+			t.Fatalf("no look first but a fill by %s", look.source.Name)
+		}
+		f.end(look, Missed, Untold, ms)
+		if fill := f.last(); fill.lk != look.lk || fill.source == fill.to {
+			t.Fatal("the miss was not filled")
+		}
+		n := len(f.sends)
+		for i := range 20 {
+			f.ask(0, fmt.Sprint("c", i))
+			if s := f.last(); s.to == look.to && s.source == s.to {
+				f.end(s, Missed, Untold, ms)
+			}
+		}
+		for _, s := range f.sends[n:] {
+			if s.to == look.to && s.source != s.to {
+				t.Fatal("a second fill went to a cache without places")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/logic/state.go
@@ -0,0 +1,130 @@
+package logic
+
+// What the module remembers: plain types; all that is decided with them stands in logic.go.
+
+// Cache is a server in the list: an edge cache, a parent or the origin.
+type Cache struct {
+	Name string // the door's word for it
+	hash uint64
+	Row
+
+	out, died     bool   // gets nothing but trials; died: will be cold when it returns
+	outAt, nextAt Micros // since when; when the next trial may go
+	pause         Micros
+	trial         *Send
+	strikes       int    // failures in a row
+	heard         Micros // last good answer (of a parent: last good fill)
+	mute          int    // overdue sends since it was last heard, counted anew at each sweep
+	fullTill      Micros // turned something away: others first until then
+	coldFrom      Micros // start of its warming; 0 once warm
+	tokens        float64
+	tokensAt      Micros
+
+	open                int
+	limit               float64 // of open sends
+	fills               float64 // limit of open fills, heeded while pressed
+	pressedTill         Micros
+	limitAt, fillsAt    Micros
+	took, ideal         sum // of hits: time taken and time at full pace
+	borne               sum // sending time carried for this router
+	recents             int
+	recentTook, recentN [10]float64 // a parent's ten recent times, and what each is counted over
+}
+
+// Lookup is a client's request while this router owes it an answer.
+type Lookup struct {
+	Door             string // the door's word for it
+	kind             *kind
+	object           *object
+	count            *float64 // of its part
+	group            int
+	write            bool
+	kb               float64
+	work             Micros // its sending time at full pace
+	arrived          Micros
+	deadline, budget Micros // instants
+	notBefore        Micros // of its next send
+	sends            []*Send
+	open             int
+	avoid            []*Cache // caches and parents that failed it
+	noJoin           bool     // a fill it joined or began may be stuck
+	missed           *Cache   // looked there: it needs a fill
+	over             bool
+	ranAt            Micros // a send that may have run, and where
+	ranTo            *Cache
+}
+
+// Send is one send of a lookup, from draft to ending.
+type Send struct {
+	lk                     *Lookup
+	n                      int
+	to, source             *Cache
+	rank                   int
+	how                    How
+	oldest                 Micros
+	at, overdue            Micros
+	cancelled              bool
+	edgeTrial, sourceTrial bool
+	owed                   float64 // taken from the budget of a cold parent
+}
+
+type object struct {
+	hash  uint64
+	count map[int]*float64 // recent lookups by part
+	purge Micros
+}
+
+// kind is the table's row of an object kind and what was measured of it.
+type kind struct {
+	ObjectKind
+	work, n sum
+}
+
+type ending struct {
+	end          Ending
+	remark       Remark
+	took, waited Micros
+}
+
+type verdict int
+
+const (
+	pass verdict = iota
+	keep
+	end
+)
+
+type stage struct {
+	down func(*Router, *Send) verdict
+	back func(*Router, *Send, *ending)
+}
+
+// Router decides for one gateway.
+type Router struct {
+	host           Host
+	its            *Charter
+	now            Micros
+	chance         mwc
+	caches         []*Cache // in hash order; edges are those of the own location
+	edges, parents []*Cache
+	origin         *Cache
+	kinds          []kind
+	objects        map[string]*object
+	tallies        int
+	halveAt        Micros
+	purged         map[int]Micros // by group
+	open           []*Send
+	held           []*Lookup
+	overload       bool
+	overhead, done sum // time beyond sending time, of so many good answers
+	chain          []stage
+}
+
+// sum is a sum that halves every halfLife, brought up to date when read.
+type sum struct {
+	v  float64
+	at Micros
+}
+
+// mwc is a multiply-with-carry generator.
+type mwc struct{ x, c uint32 }
--- /dev/null
+++ b/simwire/charter.go
@@ -0,0 +1,115 @@
+package simwire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"foldslip/logic"
+)
+
+// readCharter turns the start message's text into a charter; unknown keys are skipped.
+func readCharter(text string) (*logic.Charter, error) {
+	var in struct {
+		Zone      int `json:"az"`
+		Balancers int
+		Discovery string
+		Weights   string
+		Ceilings  struct {
+			Cancelling    bool
+			RetryAfter    bool    `json:"retry_after"`
+			MaxRetryAfter float64 `json:"max_retry_after"`
+			TryLimit      int     `json:"try_limit"`
+		}
+		Rules struct {
+			Cold         float64
+			ColdFrom     float64 `json:"cold_from"`
+			Fall         float64
+			FallMultiple float64 `json:"fall_multiple"`
+		}
+		Classes []struct {
+			Aim        float64
+			AimStretch float64 `json:"aim_stretch"`
+			Deadline   float64
+			Effect     string
+			Group      string
+			LateWorth  float64 `json:"late_worth"`
+			Points     float64
+			Window     float64
+		}
+		Specifics struct {
+			Seats     []int     `json:"seats_by_zone"`
+			Parent    *int      `json:"parent_kind"`
+			Origin    *int      `json:"source_kind"`
+			Merges    bool      `json:"merges_fills"`
+			Tells     string    `json:"tells"`
+			Flow      float64   `json:"flow_kb_per_s"`
+			Fresh     []float64 `json:"max_age"`
+			Grace     []float64 `json:"grace_for"`
+			AgedWorth []float64 `json:"worth_when_old"`
+			PassOn    []bool    `json:"pass_on"`
+			StartsAt  float64   `json:"parent_starts_at"`
+			Ramp      float64   `json:"parent_ramp"`
+			BreaksAt  float64   `json:"parent_breaks_at"`
+			Cleared   float64   `json:"cleared_within"`
+		}
+	}
+	if err := json.Unmarshal([]byte(text), &in); err != nil {
+		return nil, fmt.Errorf("expected a JSON object of settings: %w", err)
+	}
+	if len(in.Classes) == 0 {
+		return nil, fmt.Errorf("classes is empty, expected one entry a class")
+	}
+	us := func(v float64) logic.Micros { return logic.Micros(v) }
+	x := in.Specifics
+	c := &logic.Charter{Gateways: in.Balancers, Zone: in.Zone, Seats: x.Seats, ParentKind: -1, OriginKind: -1,
+		Joins: x.Merges, FirstByteTold: x.Tells == "all", Weighted: in.Weights == "nominal",
+		FlowKB: x.Flow, SendLimit: in.Ceilings.TryLimit,
+		Cancelling:  in.Ceilings.Cancelling,
+		AsksForList: in.Discovery == "ask",
+		ColdShare:   in.Rules.ColdFrom, ColdFor: us(in.Rules.Cold),
+		FallMultiple: in.Rules.FallMultiple, FallFor: us(in.Rules.Fall), ParentColdShare: x.StartsAt,
+		ParentColdFor: us(x.Ramp), ParentFall: x.BreaksAt, PurgeDone: us(x.Cleared)}
+	if in.Ceilings.RetryAfter {
+		c.MaxRetryIn = us(in.Ceilings.MaxRetryAfter)
+	}
+	if x.Parent != nil {
+		c.ParentKind = *x.Parent
+	}
+	if x.Origin != nil {
+		c.OriginKind = *x.Origin
+	}
+	for i, k := range in.Classes {
+		row := logic.ObjectKind{Budget: us(k.Aim), Stretch: k.AimStretch, GiveUp: us(k.Deadline),
+			Utility: k.Points, LateUtility: k.LateWorth, Memory: us(k.Window), Fresh: us(at(x.Fresh, i)),
+			Grace: us(at(x.Grace, i)), AgedUtility: at(x.AgedWorth, i), PassThrough: at(x.PassOn, i)}
+		switch k.Effect {
+		case "idempotent", "":
+		case "deduplicated":
+			row.Effect = logic.Deduplicated
+		case "at_most_once":
+			row.Effect = logic.SideEffecting
+		default:
+			return nil, fmt.Errorf("classes: effect %q, expected idempotent, deduplicated or at_most_once", k.Effect)
+		}
+		switch k.Group {
+		case "all", "":
+		case "zone":
+			row.Circle = logic.SameZone
+		case "cell":
+			row.Circle = logic.SameCell
+		default:
+			return nil, fmt.Errorf("classes: group %q, expected all, zone or cell", k.Group)
+		}
+		c.Kinds = append(c.Kinds, row)
+	}
+	return c, nil
+}
+
+// at gives a list's value, or the zero value where the list is too short.
+func at[T any](list []T, i int) T {
+	var none T
+	if i < 0 || i >= len(list) {
+		return none
+	}
+	return list[i]
+}
