--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,7 +29,7 @@
 	tableBound = 60000
 	topBand    = 6
 
-	halfLife    = 2 * second // of what is measured over time
+	halfLife    = 1 * second // of what is measured over time
 	overloadAt  = 40 * ms    // the oldest held lookup has waited this long: overload
 	crowdedAt   = 1.5        // hits take this multiple of their sending time: the link is crowded
 	firstLimit  = 16.0       // open sends at a cache before anything is known of it
@@ -331,7 +331,7 @@
 	stretch := c.took.read(r.now) / max(ideal, 1)
 	switch {
 	case ideal > float64(100*ms) && stretch > crowdedAt:
-		c.limit = max(2, min(c.limit, float64(c.open)+2)*0.9)
+		c.limit = max(2, min(c.limit, float64(c.open)*crowdedAt/stretch+1))
 	case float64(c.open) >= c.limit*roomToSpill:
 		c.limit *= 1.1
 	}
@@ -382,7 +382,7 @@
 func (r *Router) press(c *Cache) {
 	if r.now >= c.fillsAt+200*ms {
 		c.fillsAt = r.now
-		c.fills = max(1, 0.9*min(c.fills, r.fillsOpen(c)))
+		c.fills = max(2, 0.8*min(c.fills, r.fillsOpen(c)+1))
 	}
 	if c.pressedTill < r.now {
 		r.log("%s fills pressed, limit %.1f", c.Name, c.fills)
@@ -399,10 +399,14 @@
 		return
 	case p == c:
 		return
-	case got.remark >= NoFillPlace || filled && r.now > lk.budget, got.end == TurnedAway && lk.missed == c:
+	case got.remark >= NoFillPlace, got.end == TurnedAway && lk.missed == c:
 		r.press(c)
-	case filled && c.pressedTill > r.now:
-		c.fills += 2 / c.fills
+	case filled:
+		if late := got.took > lk.kind.Budget+Micros(lk.kind.Stretch*float64(lk.work)); !late {
+			c.fills += 2 / c.fills
+		} else {
+			r.press(c)
+		}
 	}
 	if got.end == TurnedAway {
 		lk.notBefore = r.now + 30*ms
