--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,7 +31,7 @@
 
 	halfLife    = 1 * second // of what is measured over time
 	overloadAt  = 40 * ms    // the oldest held lookup has waited this long: overload
-	crowdedAt   = 1.5        // hits take this multiple of their sending time: the link is crowded
+	crowdedAt   = 0.35        // hits take this part of their latency budget: the link is crowded
 	firstLimit  = 16.0       // open sends at a cache before anything is known of it
 	roomToSpill = 0.7        // another cache takes a crowded one's lookup while under this part of its limit
 
@@ -120,7 +120,7 @@
 	if r.its.FlowKB > 0 {
 		lk.work = Micros(kb / r.its.FlowKB * float64(second))
 	}
-	lk.budget = now + min(k.Budget+Micros(k.Stretch*float64(lk.work)), k.GiveUp, deadline-now)
+	lk.budget = now + min(lk.span(), deadline-now)
 	k.work.add(now, float64(lk.work))
 	k.n.add(now, 1)
 	lk.object, lk.count = r.tally(name, part)
@@ -277,7 +277,7 @@
 		case c.out && (c.trial != nil || r.now < c.nextAt || lk.work > 2*r.meanWork()):
 		case c.fullTill > r.now || !r.warmEnough(c, lk.object.hash) || !r.afford(c, lk.kind.mean(r.now)):
 			wait = true
-		case float64(c.open) >= room:
+		case float64(c.open)-r.fillsOpen(c) >= room:
 			crowded, wait = true, true
 		default:
 			s.to, s.edgeTrial = c, c.out
@@ -299,7 +299,7 @@
 		r.hear(c, s)
 		if got.remark == Hit || got.remark == Aged {
 			c.took.add(r.now, float64(got.took))
-			c.ideal.add(r.now, float64(lk.work+30*ms))
+			c.ideal.add(r.now, float64(lk.span()))
 		}
 		r.retune(c)
 	case got.end == TurnedAway && lk.missed == c:
@@ -402,7 +402,7 @@
 	case got.remark >= NoFillPlace, got.end == TurnedAway && lk.missed == c:
 		r.press(c)
 	case filled:
-		if late := got.took > lk.kind.Budget+Micros(lk.kind.Stretch*float64(lk.work)); !late {
+		if got.took <= lk.span() {
 			c.fills += 2 / c.fills
 		} else {
 			r.press(c)
@@ -493,7 +493,7 @@
 		s.source.tokens -= s.owed
 	}
 	slack := 100*ms + 3*Micros(r.overhead.read(r.now)/max(r.done.read(r.now), 1))
-	stretch := max(1, c.took.read(r.now)/max(c.ideal.read(r.now), float64(ms)))
+	stretch := max(1, 2*c.took.read(r.now)/max(c.ideal.read(r.now), float64(ms)))
 	s.overdue = r.now + min(max(slack, 150*ms), 600*ms) + Micros(2*min(stretch, 3)*float64(lk.work))
 	lk.sends = append(lk.sends, s)
 	lk.open++
@@ -594,6 +594,11 @@
 	}
 }
 
+// span is the latency budget as a time to take.
+func (lk *Lookup) span() Micros {
+	return min(lk.kind.Budget+Micros(lk.kind.Stretch*float64(lk.work)), lk.kind.GiveUp)
+}
+
 func (lk *Lookup) density() float64 { return lk.kind.Utility / float64(lk.work+10*ms) }
 
 // giveUp ends a lookup at once: a nack where the rule on repeats allows it, with a time to return, else a
