--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,8 +31,9 @@
 
 	halfLife    = 1 * second // of what is measured over time
 	overloadAt  = 40 * ms    // the oldest held lookup has waited this long: overload
-	crowdedAt   = 0.35        // hits take this part of their latency budget: the link is crowded
+	crowdedAt   = 0.4        // hits take this part of their latency budget: the link is crowded
 	firstLimit  = 16.0       // open sends at a cache before anything is known of it
+	overduePart = 0.75       // a send is overdue after this part of its latency budget
 	roomToSpill = 0.7        // another cache takes a crowded one's lookup while under this part of its limit
 
 	trialEvery  = 1 * second // first pause before a trial of a cache or parent that is out, then doubled
@@ -107,7 +108,6 @@
 			r.edges = append(r.edges, c)
 		}
 	}
-	r.pump()
 }
 
 // Arrive takes a lookup; the door may drop it when it comes back over.
@@ -136,9 +136,7 @@
 		return
 	}
 	s := lk.sends[n]
-	if closed {
-		lk.over = true
-	}
+	lk.over = lk.over || closed
 	got := &ending{e, remark, took, waited}
 	for i := len(r.chain) - 1; i >= 0; i-- {
 		if r.chain[i].back != nil {
@@ -152,7 +150,6 @@
 func (r *Router) Departed(now Micros, lk *Lookup) {
 	r.now = now
 	r.finish(lk)
-	r.pump()
 }
 
 // Purged takes word of a purge of an object, or of a group where name is empty, made that long ago.
@@ -492,9 +489,7 @@
 		s.owed = float64(lk.work)
 		s.source.tokens -= s.owed
 	}
-	slack := 100*ms + 3*Micros(r.overhead.read(r.now)/max(r.done.read(r.now), 1))
-	stretch := max(1, 2*c.took.read(r.now)/max(c.ideal.read(r.now), float64(ms)))
-	s.overdue = r.now + min(max(slack, 150*ms), 600*ms) + Micros(2*min(stretch, 3)*float64(lk.work))
+	s.overdue = r.now + Micros(overduePart*float64(lk.span()))
 	lk.sends = append(lk.sends, s)
 	lk.open++
 	c.open++
@@ -512,8 +507,6 @@
 	r.open = slices.DeleteFunc(r.open, func(o *Send) bool { return o == s })
 	if got.end == Satisfied {
 		s.to.borne.add(r.now, float64(s.lk.work))
-		r.overhead.add(r.now, float64(max(0, got.took-s.lk.work)))
-		r.done.add(r.now, 1)
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -116,7 +116,6 @@
 	open           []*Send
 	held           []*Lookup
 	overload       bool
-	overhead, done sum // time beyond sending time, of so many good answers
 	chain          []stage
 }
 
