--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,8 @@
 	crowdedAt   = 0.4        // hits take this part of their latency budget: the link is crowded
 	firstLimit  = 16.0       // open sends at a cache before anything is known of it
 	overduePart = 0.75       // a send is overdue after this part of its latency budget
+	pressedFor  = 2 * second // after a fill came late or found no place
+	leastFills  = 2.0        // pressed fills are not cut under this many a cache of the location, by all routers
 	roomToSpill = 0.7        // another cache takes a crowded one's lookup while under this part of its limit
 
 	trialEvery  = 1 * second // first pause before a trial of a cache or parent that is out, then doubled
@@ -44,7 +46,7 @@
 
 // NewCache makes the cache that a name at the door stands for.
 func NewCache(name string) *Cache {
-	return &Cache{Name: name, hash: hashOf(name), limit: firstLimit, fills: firstLimit, Row: Row{State: Gone}}
+	return &Cache{Name: name, hash: hashOf(name), limit: firstLimit, Row: Row{State: Gone}}
 }
 
 // Over tells whether the lookup has had its final answer.
@@ -52,7 +54,7 @@
 
 // Start makes a router. The list follows by Listed.
 func Start(now Micros, seed uint64, its *Charter, host Host) *Router {
-	r := &Router{host: host, its: its, now: now, objects: map[string]*object{}, purged: map[int]Micros{}}
+	r := &Router{host: host, its: its, now: now, fills: firstLimit, objects: map[string]*object{}, purged: map[int]Micros{}}
 	r.chance = mwc{uint32(seed) | 1, uint32(seed>>32)%698769068 + 1}
 	for _, k := range its.Kinds {
 		r.kinds = append(r.kinds, kind{ObjectKind: k})
@@ -271,7 +273,7 @@
 		}
 		switch {
 		case c.State != Ready || slices.Contains(lk.avoid, c) || !r.mayRepeat(lk, c):
-		case c.out && (c.trial != nil || r.now < c.nextAt || lk.work > 2*r.meanWork()):
+		case c.out && (c.trial != nil || r.now < c.nextAt || float64(lk.work) > 1.5*lk.kind.mean(r.now)):
 		case c.fullTill > r.now || !r.warmEnough(c, lk.object.hash) || !r.afford(c, lk.kind.mean(r.now)):
 			wait = true
 		case float64(c.open)-r.fillsOpen(c) >= room:
@@ -328,7 +330,7 @@
 	stretch := c.took.read(r.now) / max(ideal, 1)
 	switch {
 	case ideal > float64(100*ms) && stretch > crowdedAt:
-		c.limit = max(2, min(c.limit, float64(c.open)*crowdedAt/stretch+1))
+		c.limit = max(1, 2/float64(max(r.seats(), 1)), min(c.limit, float64(c.open)*crowdedAt/stretch+1))
 	case float64(c.open) >= c.limit*roomToSpill:
 		c.limit *= 1.1
 	}
@@ -339,52 +341,61 @@
 // go on; those that miss are held and filled a few at a time, most utility for their work first.
 func (r *Router) parent(s *Send) verdict {
 	lk := s.lk
-	if s.to.pressedTill > r.now && !lk.write {
+	if r.pressedTill > r.now && !lk.write {
 		if lk.missed != s.to {
 			s.source = s.to
 			return pass
 		}
-		if r.fillsOpen(s.to) >= s.to.fills {
+		if r.fillsOpen(nil) >= r.fills {
 			return keep
 		}
 	}
 	for _, p := range r.order(lk.object.hash, r.parents) {
 		switch {
 		case p.State != Ready || slices.Contains(lk.avoid, p):
-		case p.out && (p.trial != nil || r.now < p.nextAt || lk.work > 2*r.meanWork() || len(lk.sends) > 0):
+		case p.out && (p.trial != nil || r.now < p.nextAt || float64(lk.work) > 1.5*lk.kind.mean(r.now) || len(lk.sends) > 0):
 		case !r.afford(p, float64(lk.work)):
 		default:
 			s.source, s.sourceTrial = p, p.out
 			return pass
 		}
 	}
-	s.source = r.origin
-	if r.origin == nil || r.origin.State != Ready {
+	if s.source = r.origin; r.origin == nil || r.origin.State != Ready {
 		s.source = s.to
 	}
 	return pass
 }
 
-// fillsOpen counts the sends at a cache that are fills: known to be, or too long out for a hit.
+// fillsOpen counts the sends that are fills, at one cache or with none named at all: known to be, or too long out
+// for a hit.
 func (r *Router) fillsOpen(c *Cache) (n float64) {
 	for _, s := range r.open {
-		if s.to == c && s.source != c && (s.lk.missed == c || r.now-s.at > 50*ms+2*s.lk.work) {
+		if (c == nil || s.to == c) && s.source != s.to && (s.lk.missed == s.to || r.now-s.at > 50*ms+2*s.lk.work) {
 			n++
 		}
 	}
 	return n
 }
 
-// press notes that fills at a cache are too many for what is behind them.
-func (r *Router) press(c *Cache) {
-	if r.now >= c.fillsAt+200*ms {
-		c.fillsAt = r.now
-		c.fills = max(2, 0.8*min(c.fills, r.fillsOpen(c)+1))
+// seats is how many routers share the location.
+func (r *Router) seats() int {
+	if r.its.Zone < len(r.its.Seats) {
+		return r.its.Seats[r.its.Zone]
 	}
-	if c.pressedTill < r.now {
-		r.log("%s fills pressed, limit %.1f", c.Name, c.fills)
+	return r.its.Gateways
+}
+
+// press notes that fills are too many for what is behind them.
+func (r *Router) press() {
+	if r.now >= r.fillsAt+200*ms {
+		r.fillsAt = r.now
+		least := max(1, leastFills*float64(len(r.edges))/float64(max(r.seats(), 1)))
+		r.fills = max(least, 0.9*min(r.fills, r.fillsOpen(nil)+1))
+	}
+	if r.pressedTill < r.now {
+		r.log("fills pressed, limit %.1f", r.fills)
 	}
-	c.pressedTill = r.now + 2*second
+	r.pressedTill = r.now + pressedFor
 }
 
 func (r *Router) parentBack(s *Send, got *ending) {
@@ -397,12 +408,12 @@
 	case p == c:
 		return
 	case got.remark >= NoFillPlace, got.end == TurnedAway && lk.missed == c:
-		r.press(c)
+		r.press()
 	case filled:
 		if got.took <= lk.span() {
-			c.fills += 2 / c.fills
+			r.fills += 2 / r.fills
 		} else {
-			r.press(c)
+			r.press()
 		}
 	}
 	if got.end == TurnedAway {
@@ -696,11 +707,9 @@
 	if c.coldFrom == 0 {
 		return true
 	}
-	group, multiple, routers := r.edges, r.its.FallMultiple, r.its.Gateways
+	group, multiple, routers := r.edges, r.its.FallMultiple, r.seats()
 	if c.Kind == r.its.ParentKind {
-		group, multiple = r.parents, r.its.ParentFall
-	} else if c.Zone < len(r.its.Seats) {
-		routers = r.its.Seats[c.Zone]
+		group, multiple, routers = r.parents, r.its.ParentFall, r.its.Gateways
 	}
 	carried, n, part := 0.0, 0.0, 1/float64(max(routers, 1))
 	for _, o := range group {
@@ -722,14 +731,6 @@
 // mean is the mean sending time of a kind: what the rule counts for a send to a cold cache.
 func (k *kind) mean(now Micros) float64 { return k.work.read(now) / max(k.n.read(now), 1e-3) }
 
-func (r *Router) meanWork() Micros {
-	work, n := 0.0, 1e-3
-	for i := range r.kinds {
-		work, n = work+r.kinds[i].work.read(r.now), n+r.kinds[i].n.read(r.now)
-	}
-	return Micros(work / n)
-}
-
 // order is the rendezvous order of caches for a hash: it moves only what a change of the list must move.
 func (r *Router) order(hash uint64, caches []*Cache) []*Cache {
 	far := func(c *Cache) float64 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -22,9 +22,7 @@
 
 	open                int
 	limit               float64 // of open sends
-	fills               float64 // limit of open fills, heeded while pressed
-	pressedTill         Micros
-	limitAt, fillsAt    Micros
+	limitAt             Micros
 	took, ideal         sum // of hits: time taken and time at full pace
 	borne               sum // sending time carried for this router
 	recents             int
@@ -116,6 +114,9 @@
 	open           []*Send
 	held           []*Lookup
 	overload       bool
+	fills          float64 // limit of open fills, heeded while pressed
+	fillsAt        Micros  // when it was last cut
+	pressedTill    Micros
 	chain          []stage
 }
 
