--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,9 +38,8 @@
 	leastFills  = 2.0        // pressed fills are not cut under this many a cache of the location, by all routers
 	roomToSpill = 0.7        // another cache takes a crowded one's lookup while under this part of its limit
 
-	trialEvery  = 1 * second // first pause before a trial of a cache or parent that is out, then doubled
-	trialAtMost = 4 * second
-	lagMultiple = 3.0 // a parent lags when its mean is above this multiple of the others' and lagFloor
+	trialEvery  = 1 * second // pause between trials of a cache or parent that is out
+	lagMultiple = 3.0        // a parent lags when its mean is above this multiple of the others' and lagFloor
 	lagFloor    = 250 * ms
 )
 
@@ -88,7 +87,7 @@
 			r.caches = append(r.caches, c)
 		}
 		if row.Started > c.Started {
-			r.startCold(c, row.Started)
+			c.coldFrom, c.tokens, c.tokensAt = row.Started, 0, now // its warming begins
 		}
 		c.Row = row
 	}
@@ -165,9 +164,6 @@
 	o.purge = max(o.purge, now-ago)
 }
 
-// Knows tells whether the charter has a row for an object kind.
-func (r *Router) Knows(kind int) bool { return kind >= 0 && kind < len(r.kinds) }
-
 // Woken is called when a timer comes due.
 func (r *Router) Woken(now Micros, token int64) {
 	r.now = now
@@ -176,6 +172,8 @@
 		return
 	}
 	r.host.Wake(sweepEvery, sweep)
+	r.carries(r.edges, &r.edgeCarries)
+	r.carries(r.parents, &r.parentCarries)
 	r.findSilent()
 	r.pump()
 	if now >= r.halveAt || r.tallies > tableBound {
@@ -233,7 +231,7 @@
 	if lk.write {
 		return pass
 	}
-	s.rank = r.rank(lk)
+	s.rank = lk.rank()
 	if r.its.Joins && !lk.noJoin {
 		s.how |= Join
 	}
@@ -252,7 +250,7 @@
 }
 
 // rank is LRU-SP's group by log2 of size over recent count, folded into three.
-func (r *Router) rank(lk *Lookup) int {
+func (lk *Lookup) rank() int {
 	switch n := *lk.count; {
 	case n < 2:
 		return 1
@@ -262,8 +260,8 @@
 	return 2
 }
 
-// edge picks the first cache in the object's hash order that is up and has room; the next ones stand in for
-// a home that is out, full, crowded or still warming.
+// edge picks the first cache in the object's hash order that is up and has room; the next ones stand in for a
+// home that is out, full, crowded or still warming.
 func (r *Router) edge(s *Send) verdict {
 	lk, wait, crowded := s.lk, false, false
 	for _, c := range r.order(lk.object.hash, r.edges) {
@@ -273,13 +271,13 @@
 		}
 		switch {
 		case c.State != Ready || slices.Contains(lk.avoid, c) || !r.mayRepeat(lk, c):
-		case c.out && (c.trial != nil || r.now < c.nextAt || float64(lk.work) > 1.5*lk.kind.mean(r.now)):
-		case c.fullTill > r.now || !r.warmEnough(c, lk.object.hash) || !r.afford(c, lk.kind.mean(r.now)):
+		case !r.trialDue(c, lk):
+		case !r.warmEnough(c, lk.object.hash) || !r.afford(c, lk.kind.mean(r.now)):
 			wait = true
 		case float64(c.open)-r.fillsOpen(c) >= room:
 			crowded, wait = true, true
 		default:
-			s.to, s.edgeTrial = c, c.out
+			s.to = c
 			return pass
 		}
 	}
@@ -301,17 +299,15 @@
 			c.ideal.add(r.now, float64(lk.span()))
 		}
 		r.retune(c)
-	case got.end == TurnedAway && lk.missed == c:
-		c.heard = r.now // it took the look, so the fill was turned away
 	case got.end == TurnedAway:
-		c.heard = r.now
-		c.fullTill = r.now + 50*ms
-		lk.avoid = append(lk.avoid, c)
+		if c.heard = r.now; lk.missed != c { // where it took the look, only the fill was turned away
+			lk.avoid = append(lk.avoid, c)
+		}
 	case got.end == Unconnected || got.end == Reset:
 		c.died = true
 		lk.avoid = append(lk.avoid, c)
 		r.strike(c, 2, "unreachable")
-	case got.end == Cancelled && s.edgeTrial:
+	case got.end == Cancelled && c.trial == s:
 		r.strike(c, 1, "trial failed")
 	}
 	if c.trial == s {
@@ -327,10 +323,10 @@
 	}
 	c.limitAt = r.now
 	ideal := c.ideal.read(r.now)
-	stretch := c.took.read(r.now) / max(ideal, 1)
+	part := c.took.read(r.now) / max(ideal, 1)
 	switch {
-	case ideal > float64(100*ms) && stretch > crowdedAt:
-		c.limit = max(1, 2/float64(max(r.seats(), 1)), min(c.limit, float64(c.open)*crowdedAt/stretch+1))
+	case ideal > float64(100*ms) && part > crowdedAt:
+		c.limit = max(1, 2/float64(max(r.seats(), 1)), min(c.limit, float64(c.open)*crowdedAt/part+1))
 	case float64(c.open) >= c.limit*roomToSpill:
 		c.limit *= 1.1
 	}
@@ -342,7 +338,7 @@
 func (r *Router) parent(s *Send) verdict {
 	lk := s.lk
 	if r.pressedTill > r.now && !lk.write {
-		if lk.missed != s.to {
+		if lk.missed == nil {
 			s.source = s.to
 			return pass
 		}
@@ -353,10 +349,10 @@
 	for _, p := range r.order(lk.object.hash, r.parents) {
 		switch {
 		case p.State != Ready || slices.Contains(lk.avoid, p):
-		case p.out && (p.trial != nil || r.now < p.nextAt || float64(lk.work) > 1.5*lk.kind.mean(r.now) || len(lk.sends) > 0):
+		case !r.trialDue(p, lk):
 		case !r.afford(p, float64(lk.work)):
 		default:
-			s.source, s.sourceTrial = p, p.out
+			s.source = p
 			return pass
 		}
 	}
@@ -370,13 +366,26 @@
 // for a hit.
 func (r *Router) fillsOpen(c *Cache) (n float64) {
 	for _, s := range r.open {
-		if (c == nil || s.to == c) && s.source != s.to && (s.lk.missed == s.to || r.now-s.at > 50*ms+2*s.lk.work) {
+		if (c == nil || s.to == c) && s.source != s.to && (s.lk.missed != nil || r.now-s.at > 50*ms+2*s.lk.work) {
 			n++
 		}
 	}
 	return n
 }
 
+// carries follows what a warm cache of a group bears for this router; while none is warm it stays.
+func (r *Router) carries(group []*Cache, mean *float64) {
+	carried, n := 0.0, 0.0
+	for _, c := range group {
+		if c.coldFrom == 0 && !c.out {
+			carried, n = carried+c.borne.rate(r.now), n+1
+		}
+	}
+	if n > 0 {
+		*mean += (carried/n - *mean) * float64(sweepEvery) / float64(2*second)
+	}
+}
+
 // seats is how many routers share the location.
 func (r *Router) seats() int {
 	if r.its.Zone < len(r.its.Seats) {
@@ -437,7 +446,7 @@
 	case got.end == TurnedAway && got.remark == Untold || got.end == Missed:
 		// Where only hits are told it may be the cache or the parent: the next send changes both.
 		lk.avoid, lk.noJoin = append(lk.avoid, p), true
-	case got.end == Cancelled && s.sourceTrial:
+	case got.end == Cancelled && p.trial == s:
 		lk.avoid, lk.noJoin = append(lk.avoid, p), true
 		r.strike(p, 1, "trial failed")
 	case got.end == Cancelled && p.out:
@@ -461,17 +470,14 @@
 	if p.recents < len(p.recentN) || p.out {
 		return
 	}
-	mine, others, n := p.mean(), 0.0, 0.0
+	mine, others, n := p.mean(), 0.0, 0.0 // the unheard count as average
 	for _, o := range r.parents {
 		if o != p && o.recents > 0 {
 			others, n = others+o.mean(), n+1
 		}
 	}
-	if n == 0 {
-		return // all others are unheard and count as average
-	}
-	others /= n
-	if mine > lagMultiple*others && (!r.its.FirstByteTold || mine > others+float64(lagFloor)) {
+	if others /= max(n, 1); n > 0 && mine > lagMultiple*others &&
+		(!r.its.FirstByteTold || mine > others+float64(lagFloor)) {
 		p.died = false
 		r.putOut(p, fmt.Sprintf("lags, mean %.0f against %.0f", mine, others))
 	}
@@ -489,10 +495,10 @@
 func (r *Router) dispatch(s *Send) verdict {
 	lk, c := s.lk, s.to
 	s.at = r.now
-	if s.edgeTrial {
+	if c.out {
 		c.trial = s
 	}
-	if s.sourceTrial {
+	if s.source.out {
 		s.source.trial = s
 	}
 	c.tokens -= lk.kind.mean(r.now)
@@ -505,11 +511,7 @@
 	lk.open++
 	c.open++
 	r.open = append(r.open, s)
-	patience := lk.deadline - r.now
-	if !r.its.Cancelling {
-		patience = min(patience, 2*(s.overdue-r.now))
-	}
-	r.host.Fetch(lk, c, s.source, s.rank, s.how, patience, s.oldest)
+	r.host.Fetch(lk, c, s.source, s.rank, s.how, lk.deadline-r.now, s.oldest)
 	return pass
 }
 
@@ -523,9 +525,6 @@
 
 // findSilent tells a silent cache or parent from a slow one: sends are overdue, others are heard, it is not.
 func (r *Router) findSilent() {
-	for _, c := range r.caches {
-		c.mute = 0
-	}
 	newest := Micros(0)
 	for _, p := range r.parents {
 		newest = max(newest, p.heard)
@@ -546,10 +545,11 @@
 			c.died = c.Kind == r.its.ParentKind
 			r.putOut(c, fmt.Sprintf("silent, %d overdue", c.mute))
 		}
+		c.mute = 0
 	}
 	for _, s := range r.open {
 		lk, left := s.lk, s.lk.deadline-r.now
-		stuck := s.edgeTrial || s.sourceTrial || s.to.out && s.to.heard < s.at ||
+		stuck := s.to.trial == s || s.source.trial == s || s.to.out && s.to.heard < s.at ||
 			s.source.out && s.source.heard < s.at
 		if stuck && r.now >= s.overdue && left > lk.work && len(lk.sends) < r.its.SendLimit &&
 			lk.kind.Effect == Idempotent {
@@ -569,7 +569,7 @@
 // pump sends on held lookups, most utility for their work first, and gives up at once those past helping: in
 // overload also those that the ones before them leave no time for.
 func (r *Router) pump() {
-	held, oldest, ahead, rate := r.held, Micros(0), 0.0, 0.0
+	held, oldest, ahead, rate := r.held, Micros(0), 0.0, r.edgeCarries*float64(len(r.edges))
 	r.held = nil
 	for _, lk := range held {
 		oldest = max(oldest, r.now-lk.arrived)
@@ -578,9 +578,6 @@
 		r.overload = !r.overload
 		r.log("overload %v: oldest of %d held waited %d us", r.overload, len(held), oldest)
 	}
-	for _, c := range r.edges {
-		rate += c.borne.rate(r.now)
-	}
 	slices.SortStableFunc(held, func(a, b *Lookup) int { return cmp.Compare(b.density(), a.density()) })
 	for _, lk := range held {
 		slack := lk.budget - r.now - lk.work - 20*ms
@@ -647,40 +644,38 @@
 	return k.Circle == Everywhere || to.Zone == at.Zone && (k.Circle == SameZone || to.Cell == at.Cell)
 }
 
-// strike counts a failure; so many in a row put the cache out, a failed trial lengthens its pause.
+// strike counts a failure; so many in a row put the cache out, a failed trial puts the next one off.
 func (r *Router) strike(c *Cache, most int, why string) {
-	c.strikes++
-	if c.out {
-		c.pause = min(2*c.pause, trialAtMost)
-		c.nextAt = r.now + c.pause
+	if c.strikes++; c.out {
+		c.nextAt = r.now + trialEvery
 	} else if c.strikes >= most {
 		r.putOut(c, fmt.Sprintf("%s, %d in a row", why, c.strikes))
 	}
 }
 
 func (r *Router) putOut(c *Cache, why string) {
-	c.out, c.outAt, c.pause = true, r.now, trialEvery
-	c.nextAt = r.now + c.pause/2 + Micros(r.chance.next()%uint32(c.pause/2))
+	c.out, c.outAt = true, r.now
+	c.nextAt = r.now + trialEvery/2 + Micros(r.chance.next()%uint32(trialEvery/2))
 	r.log("%s out: %s", c.Name, why)
 }
 
+// trialDue tells whether a cache may have the lookup: one that is out gets one at a time, of no unusual size.
+func (r *Router) trialDue(c *Cache, lk *Lookup) bool {
+	return !c.out || c.trial == nil && r.now >= c.nextAt && float64(lk.work) <= 1.5*lk.kind.mean(r.now)
+}
+
 // hear notes a good answer; a good trial brings a cache back, and one that died warms up as if started then.
 func (r *Router) hear(c *Cache, s *Send) {
 	c.heard, c.strikes = r.now, 0
 	if c.out && c.trial == s {
 		c.out, c.recents = false, 0
 		if c.coldFrom == 0 && c.died {
-			r.startCold(c, r.now)
+			c.coldFrom, c.tokens, c.tokensAt = r.now, 0, r.now
 		}
 		r.log("%s back after %d us", c.Name, r.now-c.outAt)
 	}
 }
 
-// startCold begins a cache's warming: rule 4's budget holds until it is over.
-func (r *Router) startCold(c *Cache, at Micros) {
-	c.coldFrom, c.tokens, c.tokensAt = at, 0, r.now
-}
-
 // share is how much of its link a cold cache surely has by now; 1 once warm.
 func (r *Router) share(c *Cache) float64 {
 	from, span := r.its.ColdShare, r.its.ColdFor
@@ -707,25 +702,28 @@
 	if c.coldFrom == 0 {
 		return true
 	}
-	group, multiple, routers := r.edges, r.its.FallMultiple, r.seats()
+	carried, multiple, routers := r.edgeCarries, r.its.FallMultiple, r.seats()
 	if c.Kind == r.its.ParentKind {
-		group, multiple, routers = r.parents, r.its.ParentFall, r.its.Gateways
-	}
-	carried, n, part := 0.0, 0.0, 1/float64(max(routers, 1))
-	for _, o := range group {
-		if o.coldFrom == 0 && !o.out {
-			carried, n = carried+o.borne.rate(r.now), n+1
-		}
+		carried, multiple, routers = r.parentCarries, r.its.ParentFall, r.its.Gateways
 	}
-	link := carried / max(n, 1) / part
+	part := 1 / float64(max(routers, 1))
+	link := carried / part
 	if r.its.Weighted {
 		link = 0.8 * c.Weight
 	}
 	rate := share * max(1, link) * part
-	depth := rate * float64(max(r.its.FallFor, 100*ms)) * max(0.2, (multiple-1)/2)
+	depth := rate * float64(max(r.its.FallFor, 100*ms)) * max(0.2, (multiple-1)*0.6)
 	c.tokens = min(depth, c.tokens+rate*float64(r.now-c.tokensAt))
 	c.tokensAt = r.now
-	return c.tokens >= work
+	if c.tokens < depth || c.tokens >= work {
+		return c.tokens >= work
+	}
+	// A full bucket too small for this lookup is staked on it, so that many routers together keep the mean.
+	lucky := float64(r.chance.next())/(1<<32) < depth/work
+	if c.tokens = 0; lucky {
+		c.tokens = work
+	}
+	return lucky
 }
 
 // mean is the mean sending time of a kind: what the rule counts for a send to a cold cache.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -215,4 +215,37 @@
 			}
 		}
 	})
+	t.Run("a lookup that missed looks no more, whatever its home", func(t *testing.T) {
+		f, all := play(t, nil)
+		f.ask(0, "a")
+		f.end(f.last(), TurnedAway, NoFillPlace, ms)
+		f.r.fills = 1
+		for i := range 4 {
+			f.ask(0, fmt.Sprint("c", i))
+			f.end(f.last(), Missed, Untold, ms)
+		}
+		n := len(f.sends)
+		f.relist(all[0], Draining, 0)
+		f.pass(50 * ms)
+		if len(f.sends) != n {
+			t.Fatalf("%d more sends", len(f.sends)-n)
+		}
+	})
+	t.Run("a bucket too small for any lookup is staked, and keeps its mean", func(t *testing.T) {
+		f, all := play(t, func(c *Charter) { c.Seats, c.Gateways = []int{20}, 20 })
+		f.relist(all[0], Ready, f.now)
+		sent := 0
+		for i := range 2000 {
+			f.now += 2 * ms
+			f.r.afford(all[0], float64(100*ms))
+			if i > 0 && f.r.afford(all[0], float64(100*ms)) {
+				all[0].tokens -= float64(100 * ms)
+				sent++
+			}
+		}
+		// 4 s at 0.2 to 0.52 of one transfer, a twentieth each: 0.7 lookups of 100 ms on the mean
+		if sent > 4 {
+			t.Fatalf("%d sends", sent)
+		}
+	})
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -10,12 +10,10 @@
 
 	out, died     bool   // gets nothing but trials; died: will be cold when it returns
 	outAt, nextAt Micros // since when; when the next trial may go
-	pause         Micros
 	trial         *Send
 	strikes       int    // failures in a row
 	heard         Micros // last good answer (of a parent: last good fill)
 	mute          int    // overdue sends since it was last heard, counted anew at each sweep
-	fullTill      Micros // turned something away: others first until then
 	coldFrom      Micros // start of its warming; 0 once warm
 	tokens        float64
 	tokensAt      Micros
@@ -23,7 +21,7 @@
 	open                int
 	limit               float64 // of open sends
 	limitAt             Micros
-	took, ideal         sum // of hits: time taken and time at full pace
+	took, ideal         sum // of hits: time taken, and their latency budgets
 	borne               sum // sending time carried for this router
 	recents             int
 	recentTook, recentN [10]float64 // a parent's ten recent times, and what each is counted over
@@ -54,16 +52,15 @@
 
 // Send is one send of a lookup, from draft to ending.
 type Send struct {
-	lk                     *Lookup
-	n                      int
-	to, source             *Cache
-	rank                   int
-	how                    How
-	oldest                 Micros
-	at, overdue            Micros
-	cancelled              bool
-	edgeTrial, sourceTrial bool
-	owed                   float64 // taken from the budget of a cold parent
+	lk          *Lookup
+	n           int
+	to, source  *Cache
+	rank        int
+	how         How
+	oldest      Micros
+	at, overdue Micros
+	cancelled   bool
+	owed        float64 // taken from the budget of a cold parent
 }
 
 type object struct {
@@ -114,6 +111,8 @@
 	open           []*Send
 	held           []*Lookup
 	overload       bool
+	edgeCarries    float64 // what a warm cache, a warm parent bears for this router, in transfers
+	parentCarries  float64
 	fills          float64 // limit of open fills, heeded while pressed
 	fillsAt        Micros  // when it was last cut
 	pressedTill    Micros
--- a/simwire/serve.go
+++ b/simwire/serve.go
@@ -15,6 +15,7 @@
 // gateway is one router and the ids that its door knows. Gateways share nothing.
 type gateway struct {
 	name    string
+	kinds   int // object kinds in its charter
 	router  *logic.Router
 	caches  map[string]*logic.Cache
 	lookups map[string]*pending
@@ -146,7 +147,7 @@
 		object, kb := f.optional("resource"), f.float("kb")
 		f.int("tenant")
 		part := f.int("piece")
-		if f.err == nil && !g.router.Knows(kind) {
+		if f.err == nil && kind >= g.kinds {
 			f.err = fmt.Errorf("ASK: profile %d, expected a place in classes", kind)
 		}
 		if f.err == nil && g.lookups[id] != nil {
@@ -238,7 +239,7 @@
 	if err != nil {
 		return fmt.Errorf("UP: boot_info: %w", err)
 	}
-	g := &gateway{name: name, caches: map[string]*logic.Cache{}, lookups: map[string]*pending{}, out: s.out}
+	g := &gateway{name: name, kinds: len(charter.Kinds), caches: map[string]*logic.Cache{}, lookups: map[string]*pending{}, out: s.out}
 	s.gateways[name] = g
 	g.guard(func() { g.router = logic.Start(s.now, seed, charter, g) })
 	return nil
