--- a/logic/logic.go
+++ b/logic/logic.go
@@ -270,7 +270,7 @@
 			room *= roomToSpill
 		}
 		switch {
-		case c.State != Ready || slices.Contains(lk.avoid, c) || !r.mayRepeat(lk, c):
+		case c.State != Ready || c == lk.failedAt || !r.mayRepeat(lk, c):
 		case !r.trialDue(c, lk):
 		case !r.warmEnough(c, lk.object.hash) || !r.afford(c, lk.kind.mean(r.now)):
 			wait = true
@@ -281,7 +281,8 @@
 			return pass
 		}
 	}
-	if wait {
+	if wait || lk.failedAt != nil {
+		lk.failedAt = nil // it may have room again
 		return keep
 	}
 	r.giveUp(lk)
@@ -301,11 +302,11 @@
 		r.retune(c)
 	case got.end == TurnedAway:
 		if c.heard = r.now; lk.missed != c { // where it took the look, only the fill was turned away
-			lk.avoid = append(lk.avoid, c)
+			lk.failedAt = c
 		}
 	case got.end == Unconnected || got.end == Reset:
 		c.died = true
-		lk.avoid = append(lk.avoid, c)
+		lk.failedAt = c
 		r.strike(c, 2, "unreachable")
 	case got.end == Cancelled && c.trial == s:
 		r.strike(c, 1, "trial failed")
@@ -348,7 +349,7 @@
 	}
 	for _, p := range r.order(lk.object.hash, r.parents) {
 		switch {
-		case p.State != Ready || slices.Contains(lk.avoid, p):
+		case p.State != Ready || p == lk.failedBy:
 		case !r.trialDue(p, lk):
 		case !r.afford(p, float64(lk.work)):
 		default:
@@ -441,13 +442,13 @@
 		r.timeParent(p, s, got)
 	case got.remark == SourceRefused || got.remark == SourceLost:
 		p.died = p.died || got.remark == SourceLost
-		lk.avoid, lk.noJoin = append(lk.avoid, p), true
+		lk.failedBy, lk.noJoin = p, true
 		r.strike(p, 3, "fills fail")
 	case got.end == TurnedAway && got.remark == Untold || got.end == Missed:
 		// Where only hits are told it may be the cache or the parent: the next send changes both.
-		lk.avoid, lk.noJoin = append(lk.avoid, p), true
+		lk.failedBy, lk.noJoin = p, true
 	case got.end == Cancelled && p.trial == s:
-		lk.avoid, lk.noJoin = append(lk.avoid, p), true
+		lk.failedBy, lk.noJoin = p, true
 		r.strike(p, 1, "trial failed")
 	case got.end == Cancelled && p.out:
 		lk.noJoin = true
--- a/logic/state.go
+++ b/logic/state.go
@@ -42,9 +42,10 @@
 	notBefore        Micros // of its next send
 	sends            []*Send
 	open             int
-	avoid            []*Cache // caches and parents that failed it
-	noJoin           bool     // a fill it joined or began may be stuck
-	missed           *Cache   // looked there: it needs a fill
+	failedAt         *Cache // the cache, and the parent, that failed it last
+	failedBy         *Cache
+	noJoin           bool   // a fill it joined or began may be stuck
+	missed           *Cache // looked there: it needs a fill
 	over             bool
 	ranAt            Micros // a send that may have run, and where
 	ranTo            *Cache
