--- a/logic/logic.go
+++ b/logic/logic.go
@@ -421,7 +421,7 @@
 		r.press()
 	case filled:
 		if got.took <= lk.span() {
-			r.fills += 0.25 / r.fills
+			r.fills += 2 / r.fills / float64(max(r.seats(), 1))
 		} else {
 			r.press()
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -260,4 +260,22 @@
 			t.Fatalf("%d sends", sent)
 		}
 	})
+	t.Run("routers of one location raise their fills by a part each, and cut them when late", func(t *testing.T) {
+		grown := map[int]float64{}
+		for _, seats := range []int{1, 4} {
+			f, _ := play(t, func(c *Charter) { c.Seats = []int{seats} })
+			f.ask(0, "a")
+			f.end(f.last(), Satisfied, Filled, 100*ms)
+			grown[seats] = f.r.fills - firstLimit
+			f.ask(0, "b")
+			f.now += 2 * second
+			f.end(f.last(), Satisfied, Filled, 2*second)
+			if f.r.fills >= firstLimit || f.r.pressedTill <= f.now {
+				t.Fatalf("a late fill left the limit at %.1f", f.r.fills)
+			}
+		}
+		if grown[4] <= 0 || grown[1] < 3.9*grown[4] {
+			t.Fatal(grown)
+		}
+	})
 }
