--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,6 +36,9 @@
 	overduePart = 0.75       // a send is overdue after this part of its latency budget
 	pressedFor  = 2 * second // after a fill came late or found no place
 	leastFills  = 2.0        // pressed fills are not cut under this many a cache of the location, by all routers
+	coldAfter   = 3 * second // a parent out for longer may have started anew
+	coldRate    = 1.4        // of what a cold cache bears at least; the rule counts a multiple of it
+	coldBurst   = 0.4        // of the rule's multiple above 1, at once
 	roomToSpill = 0.7        // another cache takes a crowded one's lookup while under this part of its limit
 
 	trialEvery  = 1 * second // pause between trials of a cache or parent that is out
@@ -53,12 +56,12 @@
 
 // Start makes a router. The list follows by Listed.
 func Start(now Micros, seed uint64, its *Charter, host Host) *Router {
-	r := &Router{host: host, its: its, now: now, fills: firstLimit, objects: map[string]*object{}, purged: map[int]Micros{}}
+	r := &Router{host: host, its: its, now: now, fills: firstLimit, halveAt: now + halveEvery,
+		objects: map[string]*object{}, purged: map[int]Micros{}}
 	r.chance = mwc{uint32(seed) | 1, uint32(seed>>32)%698769068 + 1}
 	for _, k := range its.Kinds {
 		r.kinds = append(r.kinds, kind{ObjectKind: k})
 	}
-	r.halveAt = now + halveEvery
 	r.chain = []stage{
 		{(*Router).intake, (*Router).settle},
 		{(*Router).copies, nil},
@@ -363,8 +366,8 @@
 	return pass
 }
 
-// fillsOpen counts the sends that are fills, at one cache or with none named at all: known to be, or too long out
-// for a hit.
+// fillsOpen counts the sends that are fills, at one cache or with none named at all: known to be so, or
+// too long out for a hit.
 func (r *Router) fillsOpen(c *Cache) (n float64) {
 	for _, s := range r.open {
 		if (c == nil || s.to == c) && s.source != s.to && (s.lk.missed != nil || r.now-s.at > 50*ms+2*s.lk.work) {
@@ -479,7 +482,6 @@
 	}
 	if others /= max(n, 1); n > 0 && mine > lagMultiple*others &&
 		(!r.its.FirstByteTold || mine > others+float64(lagFloor)) {
-		p.died = false
 		r.putOut(p, fmt.Sprintf("lags, mean %.0f against %.0f", mine, others))
 	}
 }
@@ -543,7 +545,6 @@
 	}
 	for _, c := range r.caches {
 		if c.mute >= 2 && !c.out && (c.mute >= 3 || c.Kind != r.its.ParentKind) {
-			c.died = c.Kind == r.its.ParentKind
 			r.putOut(c, fmt.Sprintf("silent, %d overdue", c.mute))
 		}
 		c.mute = 0
@@ -669,10 +670,10 @@
 func (r *Router) hear(c *Cache, s *Send) {
 	c.heard, c.strikes = r.now, 0
 	if c.out && c.trial == s {
-		c.out, c.recents = false, 0
-		if c.coldFrom == 0 && c.died {
+		if c.coldFrom == 0 && (c.died || c.Kind == r.its.ParentKind && r.now-c.outAt > coldAfter) {
 			c.coldFrom, c.tokens, c.tokensAt = r.now, 0, r.now
 		}
+		c.out, c.died, c.recents = false, false, 0
 		r.log("%s back after %d us", c.Name, r.now-c.outAt)
 	}
 }
@@ -712,8 +713,8 @@
 	if r.its.Weighted {
 		link = 0.8 * c.Weight
 	}
-	rate := share * max(1, link) * part
-	depth := rate * float64(max(r.its.FallFor, 100*ms)) * max(0.2, (multiple-1)*0.6)
+	rate := coldRate * share * max(1, link) * part
+	depth := rate * float64(max(r.its.FallFor, 100*ms)) * max(0.2, (multiple-1)*coldBurst)
 	c.tokens = min(depth, c.tokens+rate*float64(r.now-c.tokensAt))
 	c.tokensAt = r.now
 	if c.tokens < depth || c.tokens >= work {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -260,7 +260,7 @@
 			t.Fatalf("%d sends", sent)
 		}
 	})
-	t.Run("routers of one location raise their fills by a part each, and cut them when late", func(t *testing.T) {
+	t.Run("routers of one location raise fills by a part each, and cut them when late", func(t *testing.T) {
 		grown := map[int]float64{}
 		for _, seats := range []int{1, 4} {
 			f, _ := play(t, func(c *Charter) { c.Seats = []int{seats} })
@@ -278,4 +278,53 @@
 			t.Fatal(grown)
 		}
 	})
+	t.Run("a parent silent for long returns cold, after a short pause warm", func(t *testing.T) {
+		for _, away := range []Micros{second, 5 * second} {
+			f, all := play(t, nil)
+			f.r.putOut(all[3], "silent")
+			f.now += away
+			for i := 0; all[3].out && i < 20; i++ {
+				f.ask(0, fmt.Sprint(i))
+				f.end(f.last(), Satisfied, Filled, 100*ms)
+			}
+			if all[3].out || (all[3].coldFrom > 0) != (away > coldAfter) {
+				t.Fatalf("after %d: out %v, cold from %d", away, all[3].out, all[3].coldFrom)
+			}
+		}
+	})
+}
+
+func TestBareSettings(t *testing.T) {
+	for name, change := range map[string]func(*Charter){
+		"no flow, no sizes":  func(c *Charter) { c.FlowKB = 0 },
+		"no seats told":      func(c *Charter) { c.Seats, c.Gateways = nil, 0 },
+		"no parents":         func(c *Charter) { c.ParentKind = -1 },
+		"no rule figures":    func(c *Charter) { c.ColdFor, c.FallFor, c.FallMultiple, c.ColdShare = 0, 0, 0, 0 },
+		"absurd weights":     func(c *Charter) { c.Weighted = true },
+		"no joins, no hints": func(c *Charter) { c.Joins, c.FirstByteTold, c.MaxRetryIn = false, false, 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, all := play(t, change)
+			all[0].Weight = 0
+			f.relist(all[1], Ready, f.now)
+			for i := range 30 {
+				lk := f.askSized(i%2, fmt.Sprint(i), float64(i*50))
+				if s := f.last(); s.lk == lk {
+					f.end(s, []Ending{Satisfied, TurnedAway, Errored, Missed}[i%4], Untold, 0)
+				}
+				f.pass(20 * ms)
+			}
+			for range 20 { // whatever is still out runs into its deadline
+				for _, s := range f.sends {
+					if s.lk.sends[s.n] != nil && slices.Contains(f.r.open, s.lk.sends[s.n]) {
+						f.end(s, TimedOut, Untold, second)
+					}
+				}
+				f.pass(200 * ms)
+			}
+			if len(f.sends) < 30 || len(f.r.held) > 0 || len(f.r.open) > 0 {
+				t.Fatalf("%d sends, %d held, %d open", len(f.sends), len(f.r.held), len(f.r.open))
+			}
+		})
+	}
 }
--- a/simwire/serve.go
+++ b/simwire/serve.go
@@ -239,7 +239,8 @@
 	if err != nil {
 		return fmt.Errorf("UP: boot_info: %w", err)
 	}
-	g := &gateway{name: name, kinds: len(charter.Kinds), caches: map[string]*logic.Cache{}, lookups: map[string]*pending{}, out: s.out}
+	g := &gateway{name: name, kinds: len(charter.Kinds), out: s.out,
+		caches: map[string]*logic.Cache{}, lookups: map[string]*pending{}}
 	s.gateways[name] = g
 	g.guard(func() { g.router = logic.Start(s.now, seed, charter, g) })
 	return nil
