--- a/logic/logic.go
+++ b/logic/logic.go
@@ -526,7 +526,7 @@
 	}
 }
 
-// findSilent tells a silent cache or parent from a slow one: sends are overdue, others are heard, it is not.
+// findSilent tells a silent cache or parent from a slow one: three sends overdue, others heard, it is not.
 func (r *Router) findSilent() {
 	newest := Micros(0)
 	for _, p := range r.parents {
@@ -544,7 +544,7 @@
 		}
 	}
 	for _, c := range r.caches {
-		if c.mute >= 2 && !c.out && (c.mute >= 3 || c.Kind != r.its.ParentKind) {
+		if c.mute >= 3 && !c.out {
 			r.putOut(c, fmt.Sprintf("silent, %d overdue", c.mute))
 		}
 		c.mute = 0
