--- a/logic/logic.go
+++ b/logic/logic.go
@@ -341,12 +341,15 @@
 // go on; those that miss are held and filled a few at a time, most utility for their work first.
 func (r *Router) parent(s *Send) verdict {
 	lk := s.lk
-	if r.pressedTill > r.now && !lk.write {
+	pressed := r.pressedTill > r.now
+	if (pressed || s.to.mute > 0) && !lk.write {
 		if lk.missed == nil {
-			s.source = s.to
+			if s.source = s.to; !pressed {
+				s.how &^= Join // a quick miss shows that a cache with overdue fills is alive
+			}
 			return pass
 		}
-		if r.fillsOpen(nil) >= r.fills || r.now < r.nextFill {
+		if pressed && r.fillsOpen(nil) >= r.fills {
 			return keep
 		}
 	}
@@ -402,7 +405,7 @@
 func (r *Router) press() {
 	if r.now >= r.fillsAt+200*ms {
 		r.fillsAt = r.now
-		least := leastFills * float64(max(len(r.edges), 1)) / float64(max(r.seats(), 1))
+		least := max(1, leastFills*float64(len(r.edges))/float64(max(r.seats(), 1)))
 		r.fills = max(least, 0.9*min(r.fills, r.fillsOpen(nil)+1))
 	}
 	if r.pressedTill < r.now {
@@ -414,9 +417,6 @@
 func (r *Router) parentBack(s *Send, got *ending) {
 	p, lk, c := s.source, s.lk, s.to
 	filled := got.remark == Filled || got.remark == FilledFromOrigin
-	if p != c && r.fills < 1 { // many routers share a link that bears fewer fills than one each: take turns
-		r.nextFill = r.now + Micros(float64(got.took)*(1/r.fills-1))
-	}
 	switch {
 	case p == c && got.end == Missed:
 		lk.missed = c
@@ -427,7 +427,7 @@
 		r.press()
 	case filled:
 		if got.took <= lk.span() {
-			r.fills += 2 / r.fills / float64(max(r.seats()*r.seats(), 1)) // all together as one router would
+			r.fills += 2 / r.fills / float64(max(r.seats(), 1))
 		} else {
 			r.press()
 		}
@@ -529,9 +529,14 @@
 	}
 }
 
-// findSilent tells a silent cache or parent from a slow one: three sends overdue, others heard, it is not.
+// findSilent tells a silent cache or parent from a slow one. Late fills alone prove nothing against a cache: a
+// full link makes them so. While it owes one, lookups look first, and only looks left unanswered put it out.
+// A parent is out with three fills overdue while other parents are heard and owe far fewer.
 func (r *Router) findSilent() {
-	newest := Micros(0)
+	newest, mute := Micros(0), 0
+	for _, c := range r.caches {
+		c.mute, c.muteLooks = 0, 0
+	}
 	for _, p := range r.parents {
 		newest = max(newest, p.heard)
 	}
@@ -541,16 +546,20 @@
 		}
 		if s.to.heard < s.at {
 			s.to.mute++
+			if s.source == s.to || s.lk.write {
+				s.to.muteLooks++
+			}
 		} else if p := s.source; p.Kind == r.its.ParentKind && p.heard < s.at && newest >= s.at &&
 			r.now > s.overdue+200*ms {
 			p.mute++
+			mute++
 		}
 	}
 	for _, c := range r.caches {
-		if c.mute >= 3 && !c.out {
+		if !c.out && (c.Kind == r.its.ParentKind && c.mute >= 3 && 2*c.mute > mute ||
+			c.muteLooks > 0 && c.mute+c.muteLooks >= 4) {
 			r.putOut(c, fmt.Sprintf("silent, %d overdue", c.mute))
 		}
-		c.mute = 0
 	}
 	for _, s := range r.open {
 		lk, left := s.lk, s.lk.deadline-r.now
--- a/logic/state.go
+++ b/logic/state.go
@@ -14,6 +14,7 @@
 	strikes       int    // failures in a row
 	heard         Micros // last good answer (of a parent: last good fill)
 	mute          int    // overdue sends since it was last heard, counted anew at each sweep
+	muteLooks     int    // those among them that asked for no fill
 	coldFrom      Micros // start of its warming; 0 once warm
 	tokens        float64
 	tokensAt      Micros
@@ -116,7 +117,6 @@
 	parentCarries  float64
 	fills          float64 // limit of open fills, heeded while pressed
 	fillsAt        Micros  // when it was last cut
-	nextFill       Micros  // where the limit is under one: not before this
 	pressedTill    Micros
 	chain          []stage
 }
