--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,6 +33,7 @@
 	overloadAt  = 40 * ms    // the oldest held lookup has waited this long: overload
 	crowdedAt   = 0.4        // hits take this part of their latency budget: the link is crowded
 	firstLimit  = 16.0       // open sends at a cache before anything is known of it
+	leastSends  = 2.0        // a crowded cache is not cut under this many open sends, by all routers
 	overduePart = 0.75       // a send is overdue after this part of its latency budget
 	pressedFor  = 2 * second // after a fill came late or found no place
 	leastFills  = 2.0        // pressed fills are not cut under this many a cache of the location, by all routers
@@ -132,16 +133,17 @@
 	return lk
 }
 
-// Ended takes the ending of a send; closed tells that the client has its answer or has gone.
+// Ended takes the ending of a send; link is the reported load of the link that fills share, 0 where untold;
+// closed tells that the client has its answer or has gone.
 func (r *Router) Ended(now Micros, lk *Lookup, n int, e Ending, remark Remark, took, waited Micros,
-	closed bool) {
+	link float64, closed bool) {
 	r.now = now
 	if n < 0 || n >= len(lk.sends) {
 		return
 	}
 	s := lk.sends[n]
 	lk.over = lk.over || closed
-	got := &ending{e, remark, took, waited}
+	got := &ending{e, remark, took, waited, link}
 	for i := len(r.chain) - 1; i >= 0; i-- {
 		if r.chain[i].back != nil {
 			r.chain[i].back(r, s, got)
@@ -277,7 +279,7 @@
 		case !r.trialDue(c, lk):
 		case !r.warmEnough(c, lk.object.hash) || !r.afford(c, lk.kind.mean(r.now)):
 			wait = true
-		case float64(c.open)-r.fillsOpen(c) >= room:
+		case float64(c.open)-r.fillsOpen(c) >= room || r.now < c.pauseTill:
 			crowded, wait = true, true
 		default:
 			s.to = c
@@ -303,6 +305,9 @@
 			c.ideal.add(r.now, float64(lk.span()))
 		}
 		r.retune(c)
+		if c.limit < 1 { // many routers share a cache that bears less than one send of each: take turns
+			c.pauseTill = r.now + Micros(float64(got.took)*(1/c.limit-1))
+		}
 	case got.end == TurnedAway:
 		if c.heard = r.now; lk.missed != c { // where it took the look, only the fill was turned away
 			lk.failedAt = c
@@ -330,8 +335,8 @@
 	part := c.took.read(r.now) / max(ideal, 1)
 	switch {
 	case ideal > float64(100*ms) && part > crowdedAt:
-		c.limit = max(1, 2/float64(max(r.seats(), 1)), min(c.limit, float64(c.open)*crowdedAt/part+1))
-	case float64(c.open) >= c.limit*roomToSpill:
+		c.limit = max(leastSends/float64(max(r.seats(), 1)), min(c.limit, float64(c.open+1)*crowdedAt/part))
+	case float64(c.open+1) >= c.limit*roomToSpill:
 		c.limit *= 1.1
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -22,8 +22,9 @@
 	open                int
 	limit               float64 // of open sends
 	limitAt             Micros
-	took, ideal         sum // of hits: time taken, and their latency budgets
-	borne               sum // sending time carried for this router
+	pauseTill           Micros // where the limit is under one: nothing before this
+	took, ideal         sum    // of hits: time taken, and their latency budgets
+	borne               sum    // sending time carried for this router
 	recents             int
 	recentTook, recentN [10]float64 // a parent's ten recent times, and what each is counted over
 }
@@ -81,6 +82,7 @@
 	end          Ending
 	remark       Remark
 	took, waited Micros
+	link         float64 // load of the link that fills share, over what fits at full pace
 }
 
 type verdict int
