--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,7 +31,7 @@
 
 	halfLife    = 1 * second // of what is measured over time
 	overloadAt  = 40 * ms    // the oldest held lookup has waited this long: overload
-	crowdedAt   = 0.4        // hits use up this part of their latency budgets' slack: the cache is crowded
+	crowdedAt   = 0.45       // hits take this part of their latency budget: the cache is crowded
 	firstLimit  = 16.0       // open sends at a cache before anything is known of it
 	leastSends  = 2.0        // a crowded cache is not cut under this many open sends, by all routers
 	overduePart = 0.75       // a send is overdue after this part of its latency budget
@@ -304,8 +304,8 @@
 	case got.end == Satisfied || got.end == Missed || got.remark >= SourceRefused:
 		r.hear(c, s)
 		if got.remark == Hit || got.remark == Aged {
-			c.took.add(r.now, float64(max(0, got.took-lk.work)))
-			c.ideal.add(r.now, float64(lk.span()-lk.work))
+			c.took.add(r.now, float64(got.took))
+			c.ideal.add(r.now, float64(lk.span()))
 		}
 		r.retune(c)
 		if c.limit < 1 { // many routers share a cache that bears less than one send of each: take turns
@@ -334,10 +334,10 @@
 		return
 	}
 	c.limitAt = r.now
-	// A large hit takes long by itself, and one slow hit says little: slack is what counts, some is added.
-	part := c.took.read(r.now) / (max(c.ideal.read(r.now), 0) + float64(200*ms))
+	ideal := c.ideal.read(r.now)
+	part := c.took.read(r.now) / max(ideal, 1)
 	switch {
-	case part > crowdedAt:
+	case ideal > float64(100*ms) && part > crowdedAt:
 		c.limit = max(leastSends/float64(max(r.seats(), 1)), min(c.limit, float64(c.open+1)*crowdedAt/part))
 	case float64(c.open+1) >= c.limit*roomToSpill:
 		c.limit *= 1.1
