--- a/logic/logic.go
+++ b/logic/logic.go
@@ -357,7 +357,7 @@
 			}
 			return pass
 		}
-		if pressed && r.fillsOpen(nil) >= r.fills {
+		if pressed && (r.fillsOpen(nil) >= r.fills || r.now < r.nextFill) {
 			return keep
 		}
 	}
@@ -413,7 +413,7 @@
 func (r *Router) press() {
 	if r.now >= r.fillsAt+200*ms {
 		r.fillsAt = r.now
-		least := max(1, leastFills*float64(len(r.edges))/float64(max(r.seats(), 1)))
+		least := leastFills * float64(max(len(r.edges), 1)) / float64(max(r.seats(), 1))
 		r.fills = max(least, 0.9*min(r.fills, r.fillsOpen(nil)+1))
 	}
 	if r.pressedTill < r.now {
@@ -425,6 +425,9 @@
 func (r *Router) parentBack(s *Send, got *ending) {
 	p, lk, c := s.source, s.lk, s.to
 	filled := got.remark == Filled || got.remark == FilledFromOrigin
+	if p != c && r.fills < 1 { // many routers share a link that bears fewer fills than one each: take turns
+		r.nextFill = r.now + Micros(float64(got.took)*(1/r.fills-1))
+	}
 	switch {
 	case p == c && got.end == Missed:
 		lk.missed = c
@@ -435,7 +438,7 @@
 		r.press()
 	case filled:
 		if got.took <= lk.span() {
-			r.fills += 2 / r.fills / float64(max(r.seats(), 1))
+			r.fills += 2 / r.fills / float64(max(r.seats()*r.seats(), 1)) // all together as one router would
 		} else {
 			r.press()
 		}
