--- a/logic/logic.go
+++ b/logic/logic.go
@@ -437,6 +437,8 @@
 	case got.remark >= NoFillPlace, got.end == TurnedAway && lk.missed == c:
 		r.press()
 	case filled:
+		lk.kind.fillTook.add(r.now, float64(got.took))
+		lk.kind.fillWork.add(r.now, float64(lk.work))
 		if got.took <= lk.span() {
 			r.fills += 2 / r.fills / float64(max(r.seats()*r.seats(), 1)) // all together as one router would
 		} else {
@@ -605,7 +607,7 @@
 	}
 	slices.SortStableFunc(held, func(a, b *Lookup) int { return cmp.Compare(b.density(), a.density()) })
 	for _, lk := range held {
-		slack := lk.budget - r.now - lk.work - 20*ms
+		slack := lk.budget - r.now - 20*ms - lk.kind.expects(r.now, lk)
 		if lk.over {
 			continue
 		}
@@ -751,6 +753,16 @@
 	return lucky
 }
 
+// expects is how long the answer will take: the sending time for a hit, for a fill as much more as fills of
+// the kind took of late.
+func (k *kind) expects(now Micros, lk *Lookup) Micros {
+	if lk.missed == nil {
+		return lk.work
+	}
+	took, work := k.fillTook.read(now), k.fillWork.read(now)
+	return Micros(float64(lk.work) * max(1, (took+float64(100*ms))/(work+float64(100*ms))))
+}
+
 // mean is the mean sending time of a kind: what the rule counts for a send to a cold cache.
 func (k *kind) mean(now Micros) float64 { return k.work.read(now) / max(k.n.read(now), 1e-3) }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -75,7 +75,8 @@
 // kind is the table's row of an object kind and what was measured of it.
 type kind struct {
 	ObjectKind
-	work, n sum
+	work, n            sum
+	fillTook, fillWork sum // of satisfied fills
 }
 
 type ending struct {
