--- a/logic/fake_test.go
+++ b/logic/fake_test.go
@@ -72,7 +72,7 @@
 
 func (f *fake) askSized(kind int, object string, kb float64) *Lookup {
 	name := fmt.Sprint("lk", len(f.sends), "-", object, "-", f.now)
-	return f.r.Arrive(f.now, name, kind, object, 0, 3, kb, f.now+3*second, false)
+	return f.r.Arrive(f.now, name, kind, object, 0, 3, kb, f.now+3*second, false, false)
 }
 
 func (f *fake) last() sent { return f.sends[len(f.sends)-1] }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -117,10 +117,10 @@
 
 // Arrive takes a lookup; the door may drop it when it comes back over.
 func (r *Router) Arrive(now Micros, door string, kind int, name string, part, group int, kb float64,
-	deadline Micros, write bool) *Lookup {
+	deadline Micros, write, repeat bool) *Lookup {
 	r.now = now
 	k := &r.kinds[kind]
-	lk := &Lookup{Door: door, kind: k, group: group, write: write || k.PassThrough, kb: kb,
+	lk := &Lookup{Door: door, kind: k, group: group, write: write || k.PassThrough, repeat: repeat, kb: kb,
 		arrived: now, deadline: deadline}
 	if r.its.FlowKB > 0 {
 		lk.work = Micros(kb / r.its.FlowKB * float64(second))
@@ -627,7 +627,13 @@
 	return min(lk.kind.Budget+Micros(lk.kind.Stretch*float64(lk.work)), lk.kind.GiveUp)
 }
 
-func (lk *Lookup) density() float64 { return lk.kind.Utility / float64(lk.work+10*ms) }
+// density is utility for work; a client's repeat most likely comes too late for more than the late share.
+func (lk *Lookup) density() float64 {
+	if lk.repeat {
+		return lk.kind.Utility * lk.kind.LateUtility / float64(lk.work+10*ms)
+	}
+	return lk.kind.Utility / float64(lk.work+10*ms)
+}
 
 // giveUp ends a lookup at once: a nack where the rule on repeats allows it, with a time to return, else a
 // failure.
--- a/logic/state.go
+++ b/logic/state.go
@@ -36,7 +36,7 @@
 	object           *object
 	count            *float64 // of its part
 	group            int
-	write            bool
+	write, repeat    bool
 	kb               float64
 	work             Micros // its sending time at full pace
 	arrived          Micros
--- a/simwire/serve.go
+++ b/simwire/serve.go
@@ -144,7 +144,7 @@
 		id, write := f.text("job"), f.bool("mutates")
 		group, deadline := f.int("set_no"), f.micros("deadline")
 		kind := f.int("profile")
-		f.bool("repeat")
+		repeat := f.bool("repeat")
 		object, kb := f.optional("resource"), f.float("kb")
 		f.int("tenant")
 		part := f.int("piece")
@@ -157,7 +157,7 @@
 		return func() {
 			p := &pending{}
 			g.lookups[id] = p
-			p.lk = g.router.Arrive(now, id, kind, object, part, group, kb, deadline, write)
+			p.lk = g.router.Arrive(now, id, kind, object, part, group, kb, deadline, write, repeat)
 			g.drop(id, p)
 		}, f.done()
 	case "RESULT":
