--- a/logic/logic.go
+++ b/logic/logic.go
@@ -280,8 +280,8 @@
 		case !r.warmEnough(c, lk.object.hash) || !r.afford(c, lk.kind.mean(r.now)):
 			wait = true
 		case float64(c.open)-r.fillsOpen(c) >= room || r.now < c.pauseTill:
-			if crowded {
-				return keep // two homes are enough: a third would fill what they hold
+			if crowded && r.pressedTill > r.now {
+				return keep // where fills are short two homes are enough: a third would fill what they hold
 			}
 			crowded, wait = true, true
 		default:
