--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,7 +31,7 @@
 
 	halfLife    = 1 * second // of what is measured over time
 	overloadAt  = 40 * ms    // the oldest held lookup has waited this long: overload
-	crowdedAt   = 0.45       // hits take this part of their latency budget: the cache is crowded
+	crowdedAt   = 0.4        // hits take this part of their latency budget: the cache is crowded
 	firstLimit  = 16.0       // open sends at a cache before anything is known of it
 	leastSends  = 2.0        // a crowded cache is not cut under this many open sends, by all routers
 	overduePart = 0.75       // a send is overdue after this part of its latency budget
@@ -280,8 +280,8 @@
 		case !r.warmEnough(c, lk.object.hash) || !r.afford(c, lk.kind.mean(r.now)):
 			wait = true
 		case float64(c.open)-r.fillsOpen(c) >= room || r.now < c.pauseTill:
-			if crowded && r.pressedTill > r.now {
-				return keep // where fills are short two homes are enough: a third would fill what they hold
+			if crowded {
+				return keep // two homes are enough: a third would fill what they hold
 			}
 			crowded, wait = true, true
 		default:
