--- a/logic/fake_test.go
+++ b/logic/fake_test.go
@@ -13,7 +13,6 @@
 	sends []sent
 	said  []string
 	wakes int
-	link  float64 // load of the link in the next endings
 }
 
 type sent struct {
@@ -78,7 +77,7 @@
 func (f *fake) last() sent { return f.sends[len(f.sends)-1] }
 
 func (f *fake) end(s sent, e Ending, remark Remark, took Micros) {
-	f.r.Ended(f.now, s.lk, s.n, e, remark, took, took, f.link, e == Satisfied)
+	f.r.Ended(f.now, s.lk, s.n, e, remark, took, took, e == Satisfied)
 }
 
 // pass lets time go by in sweeps.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -133,17 +133,16 @@
 	return lk
 }
 
-// Ended takes the ending of a send; link is the reported load of the link that fills share, 0 where untold;
-// closed tells that the client has its answer or has gone.
+// Ended takes the ending of a send; closed tells that the client has its answer or has gone.
 func (r *Router) Ended(now Micros, lk *Lookup, n int, e Ending, remark Remark, took, waited Micros,
-	link float64, closed bool) {
+	closed bool) {
 	r.now = now
 	if n < 0 || n >= len(lk.sends) {
 		return
 	}
 	s := lk.sends[n]
 	lk.over = lk.over || closed
-	got := &ending{e, remark, took, waited, link}
+	got := &ending{e, remark, took, waited}
 	for i := len(r.chain) - 1; i >= 0; i-- {
 		if r.chain[i].back != nil {
 			r.chain[i].back(r, s, got)
--- a/logic/state.go
+++ b/logic/state.go
@@ -83,7 +83,6 @@
 	end          Ending
 	remark       Remark
 	took, waited Micros
-	link         float64 // load of the link that fills share, over what fits at full pace
 }
 
 type verdict int
--- a/simwire/charter.go
+++ b/simwire/charter.go
@@ -3,19 +3,16 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 
 	"foldslip/logic"
 )
 
-// readCharter turns the start message's text into a charter; unknown keys are skipped. With it comes the place
-// of the link's load in a load report, -1 where there is none.
-func readCharter(text string) (*logic.Charter, int, error) {
+// readCharter turns the start message's text into a charter; unknown keys are skipped.
+func readCharter(text string) (*logic.Charter, error) {
 	var in struct {
 		Zone      int `json:"az"`
 		Balancers int
 		Discovery string
-		LoadInfo  struct{ Fields []string } `json:"load_info"`
 		Weights   string
 		Ceilings  struct {
 			Cancelling    bool
@@ -57,10 +54,10 @@
 		}
 	}
 	if err := json.Unmarshal([]byte(text), &in); err != nil {
-		return nil, 0, fmt.Errorf("expected a JSON object of settings: %w", err)
+		return nil, fmt.Errorf("expected a JSON object of settings: %w", err)
 	}
 	if len(in.Classes) == 0 {
-		return nil, 0, fmt.Errorf("classes is empty, expected one entry a class")
+		return nil, fmt.Errorf("classes is empty, expected one entry a class")
 	}
 	us := func(v float64) logic.Micros { return logic.Micros(v) }
 	x := in.Specifics
@@ -92,7 +89,7 @@
 		case "at_most_once":
 			row.Effect = logic.SideEffecting
 		default:
-			return nil, 0, fmt.Errorf("classes: effect %q, expected idempotent, deduplicated or at_most_once", k.Effect)
+			return nil, fmt.Errorf("classes: effect %q, expected idempotent, deduplicated or at_most_once", k.Effect)
 		}
 		switch k.Group {
 		case "all", "":
@@ -101,11 +98,11 @@
 		case "cell":
 			row.Circle = logic.SameCell
 		default:
-			return nil, 0, fmt.Errorf("classes: group %q, expected all, zone or cell", k.Group)
+			return nil, fmt.Errorf("classes: group %q, expected all, zone or cell", k.Group)
 		}
 		c.Kinds = append(c.Kinds, row)
 	}
-	return c, slices.Index(in.LoadInfo.Fields, "x1"), nil
+	return c, nil
 }
 
 // at gives a list's value, or the zero value where the list is too short.
--- a/simwire/serve.go
+++ b/simwire/serve.go
@@ -16,7 +16,6 @@
 type gateway struct {
 	name    string
 	kinds   int // object kinds in its charter
-	linkAt  int // place of the link's load in a load report
 	router  *logic.Router
 	caches  map[string]*logic.Cache
 	lookups map[string]*pending
@@ -166,14 +165,14 @@
 		took, n := f.micros("took"), f.int("n")
 		waited, closed := f.micros("source_wait"), f.bool("terminal")
 		f.text("cache")
-		link := at(f.floats("usage"), g.linkAt)
+		f.floats("usage")
 		p := g.lookups[id]
 		if p == nil {
 			return nil, f.done()
 		}
 		return func() {
 			p.out--
-			g.router.Ended(now, p.lk, n, how, remark, took, waited, link, closed)
+			g.router.Ended(now, p.lk, n, how, remark, took, waited, closed)
 			g.drop(id, p)
 		}, f.done()
 	case "ABANDONED":
@@ -236,11 +235,11 @@
 	if f.err != nil {
 		return f.err
 	}
-	charter, linkAt, err := readCharter(info)
+	charter, err := readCharter(info)
 	if err != nil {
 		return fmt.Errorf("UP: boot_info: %w", err)
 	}
-	g := &gateway{name: name, kinds: len(charter.Kinds), linkAt: linkAt, out: s.out,
+	g := &gateway{name: name, kinds: len(charter.Kinds), out: s.out,
 		caches: map[string]*logic.Cache{}, lookups: map[string]*pending{}}
 	s.gateways[name] = g
 	g.guard(func() { g.router = logic.Start(s.now, seed, charter, g) })
