--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,6 +42,7 @@
 	coldBurst   = 0.4        // of the rule's multiple above 1, at once
 	roomToSpill = 0.7        // another cache takes a crowded one's lookup while under this part of its limit
 
+	recentTimes = 10         // of a parent, over which its mean is taken
 	trialEvery  = 1 * second // pause between trials of a cache or parent that is out
 	lagMultiple = 3.0        // a parent lags when its mean is above this multiple of the others' and lagFloor
 	lagFloor    = 250 * ms
@@ -215,6 +216,11 @@
 // settle decides what follows an ending: nothing, another send, or a final answer.
 func (r *Router) settle(s *Send, got *ending) {
 	lk := s.lk
+	for _, c := range []*Cache{s.to, s.source} {
+		if c.trial == s {
+			c.trial = nil
+		}
+	}
 	if !got.end.NeverRan() && lk.ranTo == nil {
 		lk.ranAt, lk.ranTo = s.at, s.to
 	}
@@ -307,9 +313,7 @@
 			c.ideal.add(r.now, float64(lk.span()))
 		}
 		r.retune(c)
-		if c.limit < 1 { // many routers share a cache that bears less than one send of each: take turns
-			c.pauseTill = r.now + Micros(float64(got.took)*(1/c.limit-1))
-		}
+		c.pauseTill = r.turn(c.limit, got.took)
 	case got.end == TurnedAway:
 		if c.heard = r.now; lk.missed != c { // where it took the look, only the fill was turned away
 			lk.failedAt = c
@@ -321,9 +325,6 @@
 	case got.end == Cancelled && c.trial == s:
 		r.strike(c, 1, "trial failed")
 	}
-	if c.trial == s {
-		c.trial = nil
-	}
 }
 
 // retune moves a cache's limit of open sends: down while its hits are slow, up while it is full and they are
@@ -337,7 +338,7 @@
 	part := c.took.read(r.now) / max(ideal, 1)
 	switch {
 	case ideal > float64(100*ms) && part > crowdedAt:
-		c.limit = max(leastSends/float64(max(r.seats(), 1)), min(c.limit, float64(c.open+1)*crowdedAt/part))
+		c.limit = max(leastSends/r.seats(), min(c.limit, float64(c.open+1)*crowdedAt/part))
 	case float64(c.open+1) >= c.limit*roomToSpill:
 		c.limit *= 1.1
 	}
@@ -401,18 +402,23 @@
 }
 
 // seats is how many routers share the location.
-func (r *Router) seats() int {
+func (r *Router) seats() float64 {
 	if r.its.Zone < len(r.its.Seats) {
-		return r.its.Seats[r.its.Zone]
+		return float64(max(r.its.Seats[r.its.Zone], 1))
 	}
-	return r.its.Gateways
+	return float64(max(r.its.Gateways, 1))
+}
+
+// turn is when the next may go where so many routers share a thing that the limit of each is under one.
+func (r *Router) turn(limit float64, took Micros) Micros {
+	return r.now + Micros(float64(took)*max(0, 1/limit-1))
 }
 
 // press notes that fills are too many for what is behind them.
 func (r *Router) press() {
 	if r.now >= r.fillsAt+200*ms {
 		r.fillsAt = r.now
-		least := leastFills * float64(max(len(r.edges), 1)) / float64(max(r.seats(), 1))
+		least := leastFills * float64(max(len(r.edges), 1)) / r.seats()
 		r.fills = max(least, 0.9*min(r.fills, r.fillsOpen(nil)+1))
 	}
 	if r.pressedTill < r.now {
@@ -424,22 +430,21 @@
 func (r *Router) parentBack(s *Send, got *ending) {
 	p, lk, c := s.source, s.lk, s.to
 	filled := got.remark == Filled || got.remark == FilledFromOrigin
-	if p != c && r.fills < 1 { // many routers share a link that bears fewer fills than one each: take turns
-		r.nextFill = r.now + Micros(float64(got.took)*(1/r.fills-1))
+	if p == c {
+		if got.end == Missed {
+			lk.missed = c
+		}
+		return
 	}
+	r.nextFill = r.turn(r.fills, got.took)
 	switch {
-	case p == c && got.end == Missed:
-		lk.missed = c
-		return
-	case p == c:
-		return
 	case got.remark >= NoFillPlace, got.end == TurnedAway && lk.missed == c:
 		r.press()
 	case filled:
 		lk.kind.fillTook.add(r.now, float64(got.took))
 		lk.kind.fillWork.add(r.now, float64(lk.work))
 		if got.took <= lk.span() {
-			r.fills += 2 / r.fills / float64(max(r.seats()*r.seats(), 1)) // all together as one router would
+			r.fills += 2 / r.fills / r.seats() / r.seats() // all together as one router would
 		} else {
 			r.press()
 		}
@@ -451,7 +456,7 @@
 		return
 	}
 	if got.remark == Hit || got.remark == Aged {
-		p.tokens += s.owed // no fill reached it
+		p.tokens += float64(lk.work) // no fill reached it
 	}
 	switch {
 	case got.end == Satisfied && filled:
@@ -460,19 +465,14 @@
 		r.timeParent(p, s, got)
 	case got.remark == SourceRefused || got.remark == SourceLost:
 		p.died = p.died || got.remark == SourceLost
-		lk.failedBy, lk.noJoin = p, true
 		r.strike(p, 3, "fills fail")
-	case got.end == TurnedAway && got.remark == Untold || got.end == Missed:
-		// Where only hits are told it may be the cache or the parent: the next send changes both.
 		lk.failedBy, lk.noJoin = p, true
-	case got.end == Cancelled && p.trial == s:
+	case got.end == TurnedAway && got.remark == Untold || got.end == Missed || got.end == Cancelled && p.out:
+		// Where only hits are told it may be the cache or the parent: the next send changes both.
 		lk.failedBy, lk.noJoin = p, true
-		r.strike(p, 1, "trial failed")
-	case got.end == Cancelled && p.out:
-		lk.noJoin = true
-	}
-	if p.trial == s {
-		p.trial = nil
+		if p.trial == s && got.end == Cancelled {
+			r.strike(p, 1, "trial failed")
+		}
 	}
 }
 
@@ -483,10 +483,10 @@
 	if r.its.FirstByteTold {
 		took, over = float64(got.waited), 1
 	}
-	i := p.recents % len(p.recentN)
+	i := p.recents % recentTimes
 	p.recentTook[i], p.recentN[i] = took, over
 	p.recents++
-	if p.recents < len(p.recentN) || p.out {
+	if p.recents < recentTimes || p.out {
 		return
 	}
 	mine, others, n := p.mean(), 0.0, 0.0 // the unheard count as average
@@ -513,16 +513,14 @@
 func (r *Router) dispatch(s *Send) verdict {
 	lk, c := s.lk, s.to
 	s.at = r.now
-	if c.out {
-		c.trial = s
-	}
-	if s.source.out {
-		s.source.trial = s
+	for _, t := range []*Cache{c, s.source} {
+		if t.out {
+			t.trial = s
+		}
 	}
 	c.tokens -= lk.kind.mean(r.now)
 	if s.source != c {
-		s.owed = float64(lk.work)
-		s.source.tokens -= s.owed
+		s.source.tokens -= float64(lk.work)
 	}
 	s.overdue = r.now + Micros(overduePart*float64(lk.span()))
 	lk.sends = append(lk.sends, s)
@@ -541,9 +539,9 @@
 	}
 }
 
-// findSilent tells a silent cache or parent from a slow one. Late fills alone prove nothing against a cache: a
-// full link makes them so. While it owes one, lookups look first, and only looks left unanswered put it out.
-// A parent is out with three fills overdue while other parents are heard and owe far fewer.
+// findSilent tells a silent cache or parent from a slow one. Late fills prove nothing against a cache, a full
+// link makes them so: while it owes one, lookups look first, and two looks left unanswered put it out. A
+// parent is out with three fills overdue while other parents are heard and owe fewer.
 func (r *Router) findSilent() {
 	newest, mute := Micros(0), 0
 	for _, c := range r.caches {
@@ -553,23 +551,20 @@
 		newest = max(newest, p.heard)
 	}
 	for _, s := range r.open {
-		if r.now < s.overdue {
-			continue
-		}
-		if s.to.heard < s.at {
+		p := s.source
+		switch {
+		case r.now < s.overdue:
+		case s.to.heard < s.at:
 			s.to.mute++
-			if s.source == s.to || s.lk.write {
+			if p == s.to || s.lk.write {
 				s.to.muteLooks++
 			}
-		} else if p := s.source; p.Kind == r.its.ParentKind && p.heard < s.at && newest >= s.at &&
-			r.now > s.overdue+200*ms {
-			p.mute++
-			mute++
+		case p.Kind == r.its.ParentKind && p.heard < s.at && newest >= s.at && r.now > s.overdue+200*ms:
+			p.mute, mute = p.mute+1, mute+1
 		}
 	}
 	for _, c := range r.caches {
-		if !c.out && (c.Kind == r.its.ParentKind && c.mute >= 3 && 2*c.mute > mute ||
-			c.muteLooks > 0 && c.mute+c.muteLooks >= 4) {
+		if !c.out && (c.muteLooks >= 2 || c.Kind == r.its.ParentKind && c.mute >= 3 && 2*c.mute > mute) {
 			r.putOut(c, fmt.Sprintf("silent, %d overdue", c.mute))
 		}
 	}
@@ -628,23 +623,20 @@
 
 // density is utility for work; a client's repeat most likely comes too late for more than the late share.
 func (lk *Lookup) density() float64 {
+	utility := lk.kind.Utility
 	if lk.repeat {
-		return lk.kind.Utility * lk.kind.LateUtility / float64(lk.work+10*ms)
+		utility *= lk.kind.LateUtility
 	}
-	return lk.kind.Utility / float64(lk.work+10*ms)
+	return utility / float64(lk.work+10*ms)
 }
 
 // giveUp ends a lookup at once: a nack where the rule on repeats allows it, with a time to return, else a
 // failure.
 func (r *Router) giveUp(lk *Lookup) {
-	nack := lk.kind.Effect == Idempotent || lk.ranTo == nil && lk.open == 0 ||
-		lk.kind.Effect == Deduplicated && lk.kind.Circle == Everywhere
-	switch {
-	case lk.over:
-		return
-	case nack:
+	if lk.kind.Effect == Idempotent || lk.ranTo == nil && lk.open == 0 ||
+		lk.kind.Effect == Deduplicated && lk.kind.Circle == Everywhere {
 		r.host.Nack(lk, r.its.MaxRetryIn)
-	default:
+	} else {
 		r.host.Fail(lk)
 	}
 	r.finish(lk)
@@ -663,17 +655,12 @@
 
 // mayRepeat guards rule 2: where may a further send of this lookup go. There are never two out at once.
 func (r *Router) mayRepeat(lk *Lookup, to *Cache) bool {
-	k := lk.kind
-	switch {
-	case lk.open > 0:
-		return false
-	case lk.ranTo == nil || k.Effect == Idempotent:
-		return true
-	case k.Effect == SideEffecting || r.now > lk.ranAt+k.Memory-50*ms:
-		return false
+	k, at := lk.kind, lk.ranTo
+	if lk.open > 0 || at == nil || k.Effect == Idempotent {
+		return lk.open == 0
 	}
-	at := lk.ranTo
-	return k.Circle == Everywhere || to.Zone == at.Zone && (k.Circle == SameZone || to.Cell == at.Cell)
+	return k.Effect == Deduplicated && r.now <= lk.ranAt+k.Memory-50*ms && (k.Circle == Everywhere ||
+		to.Zone == at.Zone && (k.Circle == SameZone || to.Cell == at.Cell))
 }
 
 // strike counts a failure; so many in a row put the cache out, a failed trial puts the next one off.
@@ -736,9 +723,9 @@
 	}
 	carried, multiple, routers := r.edgeCarries, r.its.FallMultiple, r.seats()
 	if c.Kind == r.its.ParentKind {
-		carried, multiple, routers = r.parentCarries, r.its.ParentFall, r.its.Gateways
+		carried, multiple, routers = r.parentCarries, r.its.ParentFall, float64(max(r.its.Gateways, 1))
 	}
-	part := 1 / float64(max(routers, 1))
+	part := 1 / routers
 	link := carried / part
 	if r.its.Weighted {
 		link = 0.8 * c.Weight
@@ -798,12 +785,13 @@
 // tally counts a lookup of a part of an object in the bounded table.
 func (r *Router) tally(name string, part int) (*object, *float64) {
 	o := r.named(name)
-	if o.count[part] == nil {
-		o.count[part] = new(float64)
-		r.tallies++
+	n := o.count[part]
+	if n == nil {
+		n = new(float64)
+		o.count[part], r.tallies = n, r.tallies+1
 	}
-	*o.count[part]++
-	return o, o.count[part]
+	*n++
+	return o, n
 }
 
 // halve ages the counts and drops what has none left.
--- a/logic/state.go
+++ b/logic/state.go
@@ -26,7 +26,7 @@
 	took, ideal         sum    // of hits: time taken, and their latency budgets
 	borne               sum    // sending time carried for this router
 	recents             int
-	recentTook, recentN [10]float64 // a parent's ten recent times, and what each is counted over
+	recentTook, recentN [recentTimes]float64 // a parent's recent times, and what each is counted over
 }
 
 // Lookup is a client's request while this router owes it an answer.
@@ -63,7 +63,6 @@
 	oldest      Micros
 	at, overdue Micros
 	cancelled   bool
-	owed        float64 // taken from the budget of a cold parent
 }
 
 type object struct {
