--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,8 +7,7 @@
 // shared.
 //
 // A lookup goes down the chain intake > copies > edge > parent > dispatch as the draft of a send. A stage
-// passes it on, keeps it (held) or ends it; how the send ended comes back through the same stages in
-// reverse.
+// passes it on, keeps it (held) or ends it; what comes back runs the same stages in reverse.
 package logic
 
 import (
@@ -33,10 +32,9 @@
 	overloadAt  = 40 * ms    // the oldest held lookup has waited this long: overload
 	crowdedAt   = 0.4        // hits take this part of their latency budget: the cache is crowded
 	firstLimit  = 16.0       // open sends at a cache before anything is known of it
-	leastSends  = 2.0        // a crowded cache is not cut under this many open sends, by all routers
 	overduePart = 0.75       // a send is overdue after this part of its latency budget
 	pressedFor  = 2 * second // after a fill came late or found no place
-	leastFills  = 2.0        // pressed fills are not cut under this many a cache of the location, by all routers
+	leastOpen   = 2.0        // open sends, and fills, at one cache by all routers are not cut under this
 	coldAfter   = 3 * second // a parent out for longer may have started anew
 	coldRate    = 1.4        // of what a cold cache bears at least; the rule counts a multiple of it
 	coldBurst   = 0.4        // of the rule's multiple above 1, at once
@@ -163,10 +161,9 @@
 	r.now = now
 	if name == "" {
 		r.purged[group] = max(r.purged[group], now-ago)
-		return
+	} else if o := r.named(name); o.purge < now-ago {
+		o.purge = now - ago
 	}
-	o := r.named(name)
-	o.purge = max(o.purge, now-ago)
 }
 
 // Woken is called when a timer comes due.
@@ -227,10 +224,9 @@
 	switch {
 	case got.end == Satisfied || lk.over:
 		r.finish(lk)
-	case lk.open > 0:
 	case lk.ranTo != nil && lk.kind.Effect == SideEffecting:
 		r.giveUp(lk)
-	default:
+	case lk.open == 0:
 		r.route(lk)
 	}
 }
@@ -270,25 +266,19 @@
 	return 2
 }
 
-// edge picks the first cache in the object's hash order that is up and has room; the next ones stand in for a
-// home that is out, full, crowded or still warming.
+// edge picks the first cache in the object's hash order that is up and has room for it.
 func (r *Router) edge(s *Send) verdict {
-	lk, wait, crowded := s.lk, false, false
+	lk, wait, part := s.lk, false, 1.0
 	for _, c := range r.order(lk.object.hash, r.edges) {
-		room := c.limit
-		if crowded {
-			room *= roomToSpill
-		}
 		switch {
-		case c.State != Ready || c == lk.failedAt || !r.mayRepeat(lk, c):
-		case !r.trialDue(c, lk):
+		case c.State != Ready || c == lk.failedAt || !r.mayRepeat(lk, c) || !r.trialDue(c, lk):
 		case !r.warmEnough(c, lk.object.hash) || !r.afford(c, lk.kind.mean(r.now)):
 			wait = true
-		case float64(c.open)-r.fillsOpen(c) >= room || r.now < c.pauseTill:
-			if crowded {
+		case float64(c.open)-r.fillsOpen(c) >= part*c.limit || r.now < c.pauseTill:
+			if part < 1 {
 				return keep // two homes are enough: a third would fill what they hold
 			}
-			crowded, wait = true, true
+			wait, part = true, roomToSpill
 		default:
 			s.to = c
 			return pass
@@ -327,26 +317,23 @@
 	}
 }
 
-// retune moves a cache's limit of open sends: down while its hits are slow, up while it is full and they are
-// not.
+// retune moves a cache's limit of open sends: down while its hits are slow, up while it is full.
 func (r *Router) retune(c *Cache) {
 	if r.now < c.limitAt+200*ms {
 		return
 	}
 	c.limitAt = r.now
-	ideal := c.ideal.read(r.now)
-	part := c.took.read(r.now) / max(ideal, 1)
+	part := c.took.read(r.now) / max(c.ideal.read(r.now), 1)
 	switch {
-	case ideal > float64(100*ms) && part > crowdedAt:
-		c.limit = max(leastSends/r.seats(), min(c.limit, float64(c.open+1)*crowdedAt/part))
+	case part > crowdedAt && c.ideal.v > float64(100*ms):
+		c.limit = max(leastOpen/r.seats(), min(c.limit, float64(c.open+1)*crowdedAt/part))
 	case float64(c.open+1) >= c.limit*roomToSpill:
 		c.limit *= 1.1
 	}
 }
 
 // parent names the source: the object's home among all listed parents, or the next that is up. While fills
-// at the cache are pressed (slow, or without places) a lookup first looks there without a fill, so that hits
-// go on; those that miss are held and filled a few at a time, most utility for their work first.
+// are pressed (slow, or without places) lookups look first, so that hits go on; misses fill a few at a time.
 func (r *Router) parent(s *Send) verdict {
 	lk := s.lk
 	pressed := r.pressedTill > r.now
@@ -363,22 +350,20 @@
 	}
 	for _, p := range r.order(lk.object.hash, r.parents) {
 		switch {
-		case p.State != Ready || p == lk.failedBy:
-		case !r.trialDue(p, lk):
+		case p.State != Ready || p == lk.failedBy || !r.trialDue(p, lk):
 		case !r.afford(p, float64(lk.work)):
 		default:
 			s.source = p
 			return pass
 		}
 	}
-	if s.source = r.origin; r.origin == nil || r.origin.State != Ready {
-		s.source = s.to
+	if s.source = s.to; r.origin != nil && r.origin.State == Ready {
+		s.source = r.origin
 	}
 	return pass
 }
 
-// fillsOpen counts the sends that are fills, at one cache or with none named at all: known to be so, or
-// too long out for a hit.
+// fillsOpen counts sends that are fills or too long out for a hit, at one cache or (nil) at all.
 func (r *Router) fillsOpen(c *Cache) (n float64) {
 	for _, s := range r.open {
 		if (c == nil || s.to == c) && s.source != s.to && (s.lk.missed != nil || r.now-s.at > 50*ms+2*s.lk.work) {
@@ -418,7 +403,7 @@
 func (r *Router) press() {
 	if r.now >= r.fillsAt+200*ms {
 		r.fillsAt = r.now
-		least := leastFills * float64(max(len(r.edges), 1)) / r.seats()
+		least := leastOpen * float64(max(len(r.edges), 1)) / r.seats()
 		r.fills = max(least, 0.9*min(r.fills, r.fillsOpen(nil)+1))
 	}
 	if r.pressedTill < r.now {
@@ -436,7 +421,7 @@
 		}
 		return
 	}
-	r.nextFill = r.turn(r.fills, got.took)
+	r.nextFill = r.turn(r.fills, min(got.took, lk.span()))
 	switch {
 	case got.remark >= NoFillPlace, got.end == TurnedAway && lk.missed == c:
 		r.press()
@@ -476,17 +461,14 @@
 	}
 }
 
-// timeParent keeps the ten recent times of a parent and puts it out when their mean is far above the
-// others'.
+// timeParent keeps the recent times of a parent and puts it out when their mean is far above the others'.
 func (r *Router) timeParent(p *Cache, s *Send, got *ending) {
-	took, over := float64(got.took), max(s.lk.kb, 1)
+	i := p.recents % recentTimes
+	p.recentTook[i], p.recentN[i] = float64(got.took), max(s.lk.kb, 1)
 	if r.its.FirstByteTold {
-		took, over = float64(got.waited), 1
+		p.recentTook[i], p.recentN[i] = float64(got.waited), 1
 	}
-	i := p.recents % recentTimes
-	p.recentTook[i], p.recentN[i] = took, over
-	p.recents++
-	if p.recents < recentTimes || p.out {
+	if p.recents++; p.recents < recentTimes || p.out {
 		return
 	}
 	mine, others, n := p.mean(), 0.0, 0.0 // the unheard count as average
@@ -569,10 +551,9 @@
 		}
 	}
 	for _, s := range r.open {
-		lk, left := s.lk, s.lk.deadline-r.now
-		stuck := s.to.trial == s || s.source.trial == s || s.to.out && s.to.heard < s.at ||
-			s.source.out && s.source.heard < s.at
-		if stuck && r.now >= s.overdue && left > lk.work && len(lk.sends) < r.its.SendLimit &&
+		lk := s.lk
+		stuck := s.to.out && s.to.heard < s.at || s.source.out && s.source.heard < s.at
+		if stuck && r.now >= s.overdue && lk.deadline-r.now > lk.work && len(lk.sends) < r.its.SendLimit &&
 			lk.kind.Effect == Idempotent {
 			r.cancel(s)
 		}
@@ -587,7 +568,7 @@
 	}
 }
 
-// pump sends on held lookups, most utility for their work first, and gives up at once those past helping: in
+// pump sends on held lookups, most utility for their work first, and gives up those past helping at once: in
 // overload also those that the ones before them leave no time for.
 func (r *Router) pump() {
 	held, oldest, ahead, rate := r.held, Micros(0), 0.0, r.edgeCarries*float64(len(r.edges))
@@ -602,15 +583,9 @@
 	slices.SortStableFunc(held, func(a, b *Lookup) int { return cmp.Compare(b.density(), a.density()) })
 	for _, lk := range held {
 		slack := lk.budget - r.now - 20*ms - lk.kind.expects(r.now, lk)
-		if lk.over {
-			continue
-		}
 		if slack < 0 || r.overload && ahead > max(1, rate)*float64(slack) {
 			r.giveUp(lk)
-			continue
-		}
-		r.route(lk)
-		if lk.open == 0 {
+		} else if r.route(lk); lk.open == 0 {
 			ahead += float64(lk.work)
 		}
 	}
@@ -630,8 +605,7 @@
 	return utility / float64(lk.work+10*ms)
 }
 
-// giveUp ends a lookup at once: a nack where the rule on repeats allows it, with a time to return, else a
-// failure.
+// giveUp ends a lookup at once: a nack where the rule on repeats allows it, else a failure.
 func (r *Router) giveUp(lk *Lookup) {
 	if lk.kind.Effect == Idempotent || lk.ranTo == nil && lk.open == 0 ||
 		lk.kind.Effect == Deduplicated && lk.kind.Circle == Everywhere {
@@ -713,9 +687,8 @@
 	return c.coldFrom == 0 || float64(mix(hash, c.hash+1)>>40)/(1<<24) < r.share(c)
 }
 
-// afford guards rule 4: this router's part of what a cold cache can bear, as a bucket that bounds every
-// window. A link bears what is listed, else what warm ones of its kind carry for this router times the
-// routers; at the least one transfer.
+// afford guards rule 4: this router's part of what a cold cache can bear, as a bucket that bounds any window.
+// A link bears what is listed, else what warm ones carry for this router times the routers, or one transfer.
 func (r *Router) afford(c *Cache, work float64) bool {
 	share := r.share(c)
 	if c.coldFrom == 0 {
