--- a/logic/logic.go
+++ b/logic/logic.go
@@ -525,12 +525,11 @@
 // link makes them so: while it owes one, lookups look first, and two looks left unanswered put it out. A
 // parent is out with three fills overdue while other parents are heard and owe fewer.
 func (r *Router) findSilent() {
-	newest, mute := Micros(0), 0
+	newest, mute := Micros(0), 0 // mute: fills that all parents owe
 	for _, c := range r.caches {
-		c.mute, c.muteLooks = 0, 0
-	}
-	for _, p := range r.parents {
-		newest = max(newest, p.heard)
+		if c.mute, c.muteLooks = 0, 0; c.Kind == r.its.ParentKind {
+			newest = max(newest, c.heard)
+		}
 	}
 	for _, s := range r.open {
 		p := s.source
@@ -541,12 +540,14 @@
 			if p == s.to || s.lk.write {
 				s.to.muteLooks++
 			}
-		case p.Kind == r.its.ParentKind && p.heard < s.at && newest >= s.at && r.now > s.overdue+200*ms:
-			p.mute, mute = p.mute+1, mute+1
+		case p.Kind == r.its.ParentKind && p.heard < s.at && r.now > s.overdue+200*ms:
+			if mute++; newest >= s.at {
+				p.mute++
+			}
 		}
 	}
 	for _, c := range r.caches {
-		if !c.out && (c.muteLooks >= 2 || c.Kind == r.its.ParentKind && c.mute >= 3 && 2*c.mute > mute) {
+		if !c.out && (c.muteLooks >= 2 || c.Kind == r.its.ParentKind && c.mute >= 3 && 3*c.mute > 2*mute) {
 			r.putOut(c, fmt.Sprintf("silent, %d overdue", c.mute))
 		}
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -151,7 +151,7 @@
 }
 
 func TestFailures(t *testing.T) {
-	t.Run("a silent cache is left while others answer, and a trial brings it back", func(t *testing.T) {
+	t.Run("a silent cache is left once looks go unanswered, and a trial brings it back", func(t *testing.T) {
 		f, all := play(t, nil)
 		for i := 0; !all[0].out && i < 200; i++ {
 			f.ask(0, fmt.Sprint(i))
@@ -172,6 +172,107 @@
 			t.Fatal("never back")
 		}
 	})
+	t.Run("late fills on a full link make lookups look first, not the cache silent", func(t *testing.T) {
+		f, all := play(t, nil)
+		looks := 0
+		for i := range 40 {
+			f.ask(0, fmt.Sprint(i))
+			if s := f.last(); s.source == s.to {
+				if s.how&Join != 0 {
+					t.Fatal("a look that may wait for a fill shows nothing")
+				}
+				looks++
+				f.end(s, Missed, Untold, ms) // its fill stays out, as the others
+			}
+			f.pass(50 * ms)
+		}
+		for _, c := range all {
+			if c.out || looks == 0 {
+				t.Fatalf("%s out %v after %d looks", c.Name, c.out, looks)
+			}
+		}
+	})
+	t.Run("a parent that owes fills is out only if the others owe few", func(t *testing.T) {
+		for _, alone := range []bool{true, false} {
+			f, all := play(t, nil)
+			for i := range 40 { // at first one parent answers; then, not alone, it owes as well
+				f.now += Micros(i/20) * ms
+				f.ask(0, fmt.Sprint(i))
+				if s := f.last(); s.source == all[4] && (alone || i < 20) {
+					f.end(s, Satisfied, Filled, 100*ms)
+				}
+			}
+			for range 60 { // the caches answer others
+				f.now += 20 * ms
+				for _, c := range all[:3] {
+					c.heard = f.now
+				}
+				f.r.Woken(f.now, sweep)
+			}
+			if all[3].out != alone {
+				t.Fatalf("alone %v: out %v", alone, all[3].out)
+			}
+		}
+	})
+	t.Run("a crowded home spills to the second in hash order, never to a third", func(t *testing.T) {
+		f, _ := play(t, nil)
+		order := f.r.order(hashOf("a"), f.r.edges)
+		order[0].limit, order[1].limit = 1, 1
+		for range 4 {
+			f.ask(0, "a")
+		}
+		if len(f.sends) != 2 || f.sends[0].to != order[0] || f.sends[1].to != order[1] {
+			t.Fatalf("%d sends, last to %s", len(f.sends), f.last().to.Name)
+		}
+	})
+	t.Run("many routers before one slow cache take turns, each under one open send", func(t *testing.T) {
+		f, _ := play(t, func(c *Charter) { c.Seats = []int{20} })
+		home := f.r.order(hashOf("a"), f.r.edges)[0]
+		for range 40 {
+			f.ask(0, "a")
+			if s := f.last(); s.to == home {
+				f.now += 2 * second
+				f.end(s, Satisfied, Hit, 2*second)
+				if home.limit < 0.9 && home.pauseTill <= f.now {
+					t.Fatalf("no pause at a limit of %.2f", home.limit)
+				}
+			}
+			f.pass(100 * ms)
+		}
+		if home.limit >= 1 || home.limit < leastOpen/20 {
+			t.Fatalf("limit %.2f", home.limit)
+		}
+		n := len(f.sends)
+		home.pauseTill = f.now + second
+		if f.ask(0, "a"); len(f.sends) > n && f.last().to == home {
+			t.Fatal("sent out of turn")
+		}
+	})
+	t.Run("a held miss is given up once fills of late take longer than it has left", func(t *testing.T) {
+		for _, took := range []Micros{100 * ms, 400 * ms} {
+			f, _ := play(t, nil)
+			for i := range 5 {
+				f.ask(0, fmt.Sprint("x", i))
+				f.end(f.last(), Satisfied, Filled, took)
+			}
+			f.end(f.sends[0], TurnedAway, NoFillPlace, ms)
+			f.r.fills, f.r.nextFill = 0, 0
+			lk := f.ask(0, "b")
+			f.end(f.last(), Missed, Untold, ms)
+			f.pass(250 * ms)
+			if lk.Over() != (took > 100*ms) {
+				t.Fatalf("fills of %d: over %v", took, lk.Over())
+			}
+		}
+	})
+	t.Run("a client's repeat waits behind a fresh lookup", func(t *testing.T) {
+		f, _ := play(t, func(c *Charter) { c.Kinds[0].LateUtility = 0.2 })
+		old := f.r.Arrive(f.now, "old", 0, "a", 0, 3, 100, f.now+3*second, false, true)
+		fresh := f.r.Arrive(f.now, "new", 0, "b", 0, 3, 100, f.now+3*second, false, false)
+		if old.density() >= fresh.density() {
+			t.Fatal(old.density(), fresh.density())
+		}
+	})
 	t.Run("a parent whose fills fail is skipped; with none up the origin serves", func(t *testing.T) {
 		f, all := play(t, nil)
 		for i := range 60 {
