--- a/logic/logic.go
+++ b/logic/logic.go
@@ -597,14 +597,13 @@
 	return min(lk.kind.Budget+Micros(lk.kind.Stretch*float64(lk.work)), lk.kind.GiveUp)
 }
 
-// density is utility for work, times lookups: what is asked for more will hit more. A client's repeat most
-// likely comes too late for more than the late share.
+// density is utility for work; a client's repeat most likely comes too late for more than the late share.
 func (lk *Lookup) density() float64 {
 	utility := lk.kind.Utility
 	if lk.repeat {
 		utility *= lk.kind.LateUtility
 	}
-	return utility * *lk.count / float64(lk.work+10*ms)
+	return utility / float64(lk.work+10*ms)
 }
 
 // giveUp ends a lookup at once: a nack where the rule on repeats allows it, else a failure.
