--- a/logic/logic.go
+++ b/logic/logic.go
@@ -403,7 +403,7 @@
 func (r *Router) press() {
 	if r.now >= r.fillsAt+200*ms {
 		r.fillsAt = r.now
-		least := leastOpen * float64(max(len(r.edges), 1)) / r.seats()
+		least := 2 * leastOpen * float64(max(len(r.edges), 1)) / r.seats()
 		r.fills = max(least, 0.9*min(r.fills, r.fillsOpen(nil)+1))
 	}
 	if r.pressedTill < r.now {
