--- a/logic/logic.go
+++ b/logic/logic.go
@@ -403,8 +403,8 @@
 func (r *Router) press() {
 	if r.now >= r.fillsAt+200*ms {
 		r.fillsAt = r.now
-		least := 2 * leastOpen * float64(max(len(r.edges), 1)) / r.seats()
-		r.fills = max(least, 0.9*min(r.fills, r.fillsOpen(nil)+1))
+		least := leastOpen * float64(max(len(r.edges), 1)) / r.seats()
+		r.fills = max(least, max(0.6, 1-0.1*r.seats())*min(r.fills, r.fillsOpen(nil)+1))
 	}
 	if r.pressedTill < r.now {
 		r.log("fills pressed, limit %.1f", r.fills)
@@ -429,7 +429,7 @@
 		lk.kind.fillTook.add(r.now, float64(got.took))
 		lk.kind.fillWork.add(r.now, float64(lk.work))
 		if got.took <= lk.span() {
-			r.fills += 2 / r.fills / r.seats() / r.seats() // all together as one router would
+			r.fills += 2 / r.fills / r.seats()
 		} else {
 			r.press()
 		}
