--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,7 +46,7 @@
 	lagFloor    = 250 * ms
 )
 
-// NewCache makes the cache that a name at the door stands for.
+// NewCache makes the cache for a name at the door.
 func NewCache(name string) *Cache {
 	return &Cache{Name: name, hash: hashOf(name), limit: firstLimit, Row: Row{State: Gone}}
 }
@@ -357,8 +357,8 @@
 			return pass
 		}
 	}
-	if s.source = s.to; r.origin != nil && r.origin.State == Ready {
-		s.source = r.origin
+	if s.source = r.origin; r.origin == nil || r.origin.State != Ready {
+		s.source = s.to
 	}
 	return pass
 }
@@ -403,8 +403,9 @@
 func (r *Router) press() {
 	if r.now >= r.fillsAt+200*ms {
 		r.fillsAt = r.now
-		least := leastOpen * float64(max(len(r.edges), 1)) / r.seats()
-		r.fills = max(least, max(0.6, 1-0.1*r.seats())*min(r.fills, r.fillsOpen(nil)+1))
+		share := leastOpen * float64(max(len(r.edges), 1)) / r.seats()
+		share += math.Sqrt(share) * (1 - 1/r.seats()) // not all routers are busy at once
+		r.fills = max(share, 0.9*min(r.fills, r.fillsOpen(nil)+1))
 	}
 	if r.pressedTill < r.now {
 		r.log("fills pressed, limit %.1f", r.fills)
@@ -429,7 +430,7 @@
 		lk.kind.fillTook.add(r.now, float64(got.took))
 		lk.kind.fillWork.add(r.now, float64(lk.work))
 		if got.took <= lk.span() {
-			r.fills += 2 / r.fills / r.seats()
+			r.fills += 2 / r.fills / r.seats() / r.seats() // all together as one router would
 		} else {
 			r.press()
 		}
@@ -719,8 +720,7 @@
 	return lucky
 }
 
-// expects is how long the answer will take: the sending time for a hit, for a fill as much more as fills of
-// the kind took of late.
+// expects is how long the answer will take: for a fill as much more than its sending time as fills of late.
 func (k *kind) expects(now Micros, lk *Lookup) Micros {
 	if lk.missed == nil {
 		return lk.work
