--- a/logic/logic.go
+++ b/logic/logic.go
@@ -241,16 +241,15 @@
 	if r.its.Joins && !lk.noJoin {
 		s.how |= Join
 	}
-	if lk.kind.Fresh > 0 {
-		s.how |= Renew
+	if s.oldest = lk.kind.Fresh; s.oldest > 0 {
+		if s.how |= Renew; r.pressedTill > r.now {
+			s.oldest += lk.kind.Grace // while fills are short an aged copy is better than none
+		}
 	}
 	// Guards rule 5: heeded at once, not only after the grace, and kept until no older copy can be left.
 	at := max(lk.object.purge, r.purged[lk.group])
-	if at > 0 && r.now < at+r.its.PurgeDone+second {
-		s.oldest = max(ms, r.now-at)
-		if lk.kind.Fresh > 0 {
-			s.oldest = min(s.oldest, lk.kind.Fresh)
-		}
+	if since := max(ms, r.now-at); at > 0 && since < r.its.PurgeDone+second && (s.oldest == 0 || since < s.oldest) {
+		s.oldest = since
 	}
 	return pass
 }
