--- a/logic/logic.go
+++ b/logic/logic.go
@@ -242,8 +242,8 @@
 		s.how |= Join
 	}
 	if s.oldest = lk.kind.Fresh; s.oldest > 0 {
-		if s.how |= Renew; r.pressedTill > r.now {
-			s.oldest += lk.kind.Grace // while fills are short an aged copy is better than none
+		if s.how |= Renew; lk.aged {
+			s.oldest += lk.kind.Grace
 		}
 	}
 	// Guards rule 5: heeded at once, not only after the grace, and kept until no older copy can be left.
@@ -336,8 +336,8 @@
 func (r *Router) parent(s *Send) verdict {
 	lk := s.lk
 	pressed := r.pressedTill > r.now
-	if (pressed || s.to.mute > 0) && !lk.write {
-		if lk.missed == nil {
+	if (pressed || s.to.mute > 0 || lk.aged) && !lk.write {
+		if lk.missed == nil || lk.aged {
 			if s.source = s.to; !pressed {
 				s.how &^= Join // a quick miss shows that a cache with overdue fills is alive
 			}
@@ -422,12 +422,14 @@
 		return
 	}
 	r.nextFill = r.turn(r.fills, min(got.took, lk.span()))
+	if got.took > lk.work && got.remark != Hit && got.remark != Aged && got.remark != Joined {
+		lk.kind.fillTook.add(r.now, float64(got.took))
+		lk.kind.fillWork.add(r.now, float64(lk.work))
+	}
 	switch {
 	case got.remark >= NoFillPlace, got.end == TurnedAway && lk.missed == c:
 		r.press()
 	case filled:
-		lk.kind.fillTook.add(r.now, float64(got.took))
-		lk.kind.fillWork.add(r.now, float64(lk.work))
 		if got.took <= lk.span() {
 			r.fills += 2 / r.fills / r.seats() / r.seats() // all together as one router would
 		} else {
@@ -585,7 +587,12 @@
 	for _, lk := range held {
 		slack := lk.budget - r.now - 20*ms - lk.kind.expects(r.now, lk)
 		if slack < 0 || r.overload && ahead > max(1, rate)*float64(slack) {
-			r.giveUp(lk)
+			if lk.aged || lk.missed == nil || lk.kind.Grace == 0 || len(lk.sends) >= r.its.SendLimit {
+				r.giveUp(lk)
+			} else {
+				lk.aged = true // an aged copy is better than none
+				r.route(lk)
+			}
 		} else if r.route(lk); lk.open == 0 {
 			ahead += float64(lk.work)
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -48,6 +48,7 @@
 	failedBy         *Cache
 	noJoin           bool   // a fill it joined or began may be stuck
 	missed           *Cache // looked there: it needs a fill
+	aged             bool   // past its time for a fill: a copy within its grace will do
 	over             bool
 	ranAt            Micros // a send that may have run, and where
 	ranTo            *Cache
