--- a/logic/logic.go
+++ b/logic/logic.go
@@ -224,7 +224,7 @@
 	switch {
 	case got.end == Satisfied || lk.over:
 		r.finish(lk)
-	case lk.ranTo != nil && lk.kind.Effect == SideEffecting:
+	case lk.ranTo != nil && lk.kind.Effect == SideEffecting || lk.aged:
 		r.giveUp(lk)
 	case lk.open == 0:
 		r.route(lk)
@@ -248,7 +248,8 @@
 	}
 	// Guards rule 5: heeded at once, not only after the grace, and kept until no older copy can be left.
 	at := max(lk.object.purge, r.purged[lk.group])
-	if since := max(ms, r.now-at); at > 0 && since < r.its.PurgeDone+second && (s.oldest == 0 || since < s.oldest) {
+	since := max(ms, r.now-at)
+	if at > 0 && since < r.its.PurgeDone+second && (s.oldest == 0 || since < s.oldest) {
 		s.oldest = since
 	}
 	return pass
@@ -422,14 +423,12 @@
 		return
 	}
 	r.nextFill = r.turn(r.fills, min(got.took, lk.span()))
-	if got.took > lk.work && got.remark != Hit && got.remark != Aged && got.remark != Joined {
-		lk.kind.fillTook.add(r.now, float64(got.took))
-		lk.kind.fillWork.add(r.now, float64(lk.work))
-	}
 	switch {
 	case got.remark >= NoFillPlace, got.end == TurnedAway && lk.missed == c:
 		r.press()
 	case filled:
+		lk.kind.fillTook.add(r.now, float64(got.took))
+		lk.kind.fillWork.add(r.now, float64(lk.work))
 		if got.took <= lk.span() {
 			r.fills += 2 / r.fills / r.seats() / r.seats() // all together as one router would
 		} else {
@@ -523,9 +522,8 @@
 	}
 }
 
-// findSilent tells a silent cache or parent from a slow one. Late fills prove nothing against a cache, a full
-// link makes them so: while it owes one, lookups look first, and two looks left unanswered put it out. A
-// parent is out with three fills overdue while other parents are heard and owe fewer.
+// findSilent tells silent from slow. A full link makes fills late: while a cache owes one lookups look first,
+// and two looks unanswered put it out; a parent three fills, while others are heard and owe few.
 func (r *Router) findSilent() {
 	newest, mute := Micros(0), 0 // mute: fills that all parents owe
 	for _, c := range r.caches {
@@ -571,8 +569,7 @@
 	}
 }
 
-// pump sends on held lookups, most utility for their work first, and gives up those past helping at once: in
-// overload also those that the ones before them leave no time for.
+// pump sends on held lookups, most utility for their work first, and gives up at once those past helping.
 func (r *Router) pump() {
 	held, oldest, ahead, rate := r.held, Micros(0), 0.0, r.edgeCarries*float64(len(r.edges))
 	r.held = nil
@@ -586,13 +583,10 @@
 	slices.SortStableFunc(held, func(a, b *Lookup) int { return cmp.Compare(b.density(), a.density()) })
 	for _, lk := range held {
 		slack := lk.budget - r.now - 20*ms - lk.kind.expects(r.now, lk)
-		if slack < 0 || r.overload && ahead > max(1, rate)*float64(slack) {
-			if lk.aged || lk.missed == nil || lk.kind.Grace == 0 || len(lk.sends) >= r.its.SendLimit {
-				r.giveUp(lk)
-			} else {
-				lk.aged = true // an aged copy is better than none
-				r.route(lk)
-			}
+		late := slack < 0 || r.overload && ahead > max(1, rate)*float64(slack)
+		// Guards against slow sources: before a miss is given up, a copy within its grace will do.
+		if lk.aged = late && !lk.aged && lk.missed != nil && lk.kind.Grace > 0; late && !lk.aged {
+			r.giveUp(lk)
 		} else if r.route(lk); lk.open == 0 {
 			ahead += float64(lk.work)
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -265,6 +265,30 @@
 			}
 		}
 	})
+	t.Run("before a miss is given up one look takes a copy within its grace, past no purge", func(t *testing.T) {
+		for _, purged := range []bool{false, true} {
+			f, _ := play(t, func(c *Charter) { c.Kinds[1].Grace = 20 * second })
+			x := f.ask(1, "x")
+			f.end(f.last(), TurnedAway, NoFillPlace, ms)
+			f.r.Departed(f.now, x)
+			f.r.fills = 0
+			if purged {
+				f.r.Purged(f.now, "", 3, 0)
+			}
+			lk := f.ask(1, "a")
+			f.end(f.last(), Missed, Untold, ms)
+			n := len(f.sends)
+			f.pass(600 * ms)
+			s := f.last()
+			if len(f.sends) != n+1 || s.lk != lk || s.source != s.to || purged && s.oldest > second ||
+				!purged && s.oldest != 28*second {
+				t.Fatalf("%d sends, the last for copies of %d", len(f.sends)-n, s.oldest)
+			}
+			if f.end(s, Missed, Untold, ms); !lk.Over() || len(f.sends) != n+1 {
+				t.Fatal("neither answered nor left alone")
+			}
+		}
+	})
 	t.Run("a client's repeat waits behind a fresh lookup", func(t *testing.T) {
 		f, _ := play(t, func(c *Charter) { c.Kinds[0].LateUtility = 0.2 })
 		old := f.r.Arrive(f.now, "old", 0, "a", 0, 3, 100, f.now+3*second, false, true)
