--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,7 +30,7 @@
 
 	halfLife    = 1 * second // of what is measured over time
 	overloadAt  = 40 * ms    // the oldest held lookup has waited this long: overload
-	crowdedAt   = 0.12       // hits use up this part of their latency budget's slack: the cache is crowded
+	crowdedAt   = 0.2        // hits use up this part of their latency budget's slack: the cache is crowded
 	firstLimit  = 16.0       // open sends at a cache before anything is known of it
 	overduePart = 0.75       // a send is overdue after this part of its latency budget
 	pressedFor  = 2 * second // after a fill came late or found no place
