--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,7 +30,7 @@
 
 	halfLife    = 1 * second // of what is measured over time
 	overloadAt  = 40 * ms    // the oldest held lookup has waited this long: overload
-	crowdedAt   = 0.2        // hits use up this part of their latency budget's slack: the cache is crowded
+	crowdedAt   = 0.4        // hits take this part of their latency budget: the cache is crowded
 	firstLimit  = 16.0       // open sends at a cache before anything is known of it
 	overduePart = 0.75       // a send is overdue after this part of its latency budget
 	pressedFor  = 2 * second // after a fill came late or found no place
@@ -299,8 +299,8 @@
 	case got.end == Satisfied || got.end == Missed || got.remark >= SourceRefused:
 		r.hear(c, s)
 		if got.remark == Hit || got.remark == Aged {
-			c.took.add(r.now, float64(max(0, got.took-lk.work)))
-			c.ideal.add(r.now, float64(lk.span()-lk.work))
+			c.took.add(r.now, float64(got.took))
+			c.ideal.add(r.now, float64(lk.span()))
 		}
 		r.retune(c)
 		c.pauseTill = r.turn(c.limit, got.took)
@@ -323,9 +323,10 @@
 		return
 	}
 	c.limitAt = r.now
-	part := c.took.read(r.now) / max(c.ideal.read(r.now), 1)
+	// One slow hit says little: some usual ones, at a quarter of their budgets, are added.
+	part := (c.took.read(r.now) + float64(100*ms)) / (c.ideal.read(r.now) + float64(400*ms))
 	switch {
-	case part > crowdedAt && c.ideal.v > float64(100*ms):
+	case part > crowdedAt:
 		c.limit = max(leastOpen/r.seats(), min(c.limit, float64(c.open+1)*crowdedAt/part))
 	case float64(c.open+1) >= c.limit*roomToSpill:
 		c.limit *= 1.1
