--- a/logic/logic.go
+++ b/logic/logic.go
@@ -323,8 +323,8 @@
 		return
 	}
 	c.limitAt = r.now
-	// One slow hit says little: some usual ones, at a quarter of their budgets, are added.
-	part := (c.took.read(r.now) + float64(100*ms)) / (c.ideal.read(r.now) + float64(400*ms))
+	// One slow hit says little: a usual one, at a quarter of its budget, is added.
+	part := (c.took.read(r.now) + float64(40*ms)) / (c.ideal.read(r.now) + float64(160*ms))
 	switch {
 	case part > crowdedAt:
 		c.limit = max(leastOpen/r.seats(), min(c.limit, float64(c.open+1)*crowdedAt/part))
