--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,9 +56,8 @@
 
 // Start makes a router. The list follows by Listed.
 func Start(now Micros, seed uint64, its *Charter, host Host) *Router {
-	r := &Router{host: host, its: its, now: now, fills: firstLimit, halveAt: now + halveEvery,
-		objects: map[string]*object{}, purged: map[int]Micros{}}
-	r.chance = mwc{uint32(seed) | 1, uint32(seed>>32)%698769068 + 1}
+	r := &Router{host: host, its: its, now: now, chance: mwc{uint32(seed) | 1, uint32(seed>>32)%698769068 + 1},
+		fills: firstLimit, halveAt: now + halveEvery, objects: map[string]*object{}, purged: map[int]Micros{}}
 	for _, k := range its.Kinds {
 		r.kinds = append(r.kinds, kind{ObjectKind: k})
 	}
