--- a/logic/logic.go
+++ b/logic/logic.go
@@ -430,7 +430,7 @@
 		lk.kind.fillTook.add(r.now, float64(got.took))
 		lk.kind.fillWork.add(r.now, float64(lk.work))
 		if got.took <= lk.span() {
-			r.fills += 2 / r.fills / r.seats()
+			r.fills += 2 / r.fills / r.seats() / r.seats() // all together as one router would
 		} else {
 			r.press()
 		}
