--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,7 +38,6 @@
 	coldAfter   = 3 * second // a parent out for longer may have started anew
 	coldRate    = 1.4        // of what a cold cache bears at least; the rule counts a multiple of it
 	coldBurst   = 0.4        // of the rule's multiple above 1, at once
-	hotCount    = 4.0        // lookups of a part, by this router, that are worth a third home
 	roomToSpill = 0.7        // another cache takes a crowded one's lookup while under this part of its limit
 
 	recentTimes = 10         // of a parent, over which its mean is taken
@@ -275,7 +274,7 @@
 		case !r.warmEnough(c, lk.object.hash) || !r.afford(c, lk.kind.mean(r.now)):
 			wait = true
 		case float64(c.open)-r.fillsOpen(c) >= part*c.limit || r.now < c.pauseTill:
-			if part < 1 && *lk.count < hotCount {
+			if part < 1 {
 				return keep // two homes are enough: a third would fill what they hold
 			}
 			wait, part = true, roomToSpill
