--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,7 +33,7 @@
 	crowdedAt   = 0.4        // hits take this part of their latency budget: the cache is crowded
 	firstLimit  = 16.0       // open sends at a cache before anything is known of it
 	overduePart = 0.75       // a send is overdue after this part of its latency budget
-	pressedFor  = 4 * second // after a fill came late or found no place
+	pressedFor  = 8 * second // after a fill came late or found no place
 	leastOpen   = 2.0        // open sends, and fills, at one cache by all routers are not cut under this
 	coldAfter   = 3 * second // a parent out for longer may have started anew
 	coldRate    = 1.4        // of what a cold cache bears at least; the rule counts a multiple of it
