--- a/simwire/charter.go
+++ b/charter/charter.go
@@ -1,4 +1,5 @@
-package simwire
+// Package charter reads the settings text that a router or gateway is given at its start.
+package charter
 
 import (
 	"encoding/json"
@@ -7,10 +8,21 @@
 	"foldslip/logic"
 )
 
-// readCharter turns the start message's text into a charter; unknown keys are skipped.
-func readCharter(text string) (*logic.Charter, error) {
+// Terms are what the module is told, and what only a door of sockets needs besides.
+type Terms struct {
+	Router                 *logic.Charter
+	Kinds, Zones, Machines []string // names, in the order of their numbers
+	ConnectWithin          logic.Micros
+	IdleFor                logic.Micros // a connection to a cache is closed when idle for so long
+	Streams                int          // open sends that one connection to a cache carries
+}
+
+// Read turns the settings text into terms; unknown keys are skipped.
+func Read(text []byte) (*Terms, error) {
 	var in struct {
-		Zone      int `json:"az"`
+		Areas     []string
+		Machines  []string `json:"machine_types"`
+		Zone      int      `json:"az"`
 		Balancers int
 		Discovery string
 		Weights   string
@@ -19,6 +31,9 @@
 			RetryAfter    bool    `json:"retry_after"`
 			MaxRetryAfter float64 `json:"max_retry_after"`
 			TryLimit      int     `json:"try_limit"`
+			Connect       float64 `json:"connect_timeout"`
+			KeepAlive     float64 `json:"keepalive"`
+			Streams       int     `json:"max_streams"`
 		}
 		Rules struct {
 			Cold         float64
@@ -27,6 +42,7 @@
 			FallMultiple float64 `json:"fall_multiple"`
 		}
 		Classes []struct {
+			Name       string
 			Aim        float64
 			AimStretch float64 `json:"aim_stretch"`
 			Deadline   float64
@@ -53,7 +69,7 @@
 			Cleared   float64   `json:"cleared_within"`
 		}
 	}
-	if err := json.Unmarshal([]byte(text), &in); err != nil {
+	if err := json.Unmarshal(text, &in); err != nil {
 		return nil, fmt.Errorf("expected a JSON object of settings: %w", err)
 	}
 	if len(in.Classes) == 0 {
@@ -78,7 +94,10 @@
 	if x.Origin != nil {
 		c.OriginKind = *x.Origin
 	}
+	t := &Terms{Router: c, Zones: in.Areas, Machines: in.Machines, ConnectWithin: us(in.Ceilings.Connect),
+		IdleFor: us(in.Ceilings.KeepAlive), Streams: in.Ceilings.Streams}
 	for i, k := range in.Classes {
+		t.Kinds = append(t.Kinds, k.Name)
 		row := logic.ObjectKind{Budget: us(k.Aim), Stretch: k.AimStretch, GiveUp: us(k.Deadline),
 			Utility: k.Points, LateUtility: k.LateWorth, Memory: us(k.Window), Fresh: us(at(x.Fresh, i)),
 			Grace: us(at(x.Grace, i)), AgedUtility: at(x.AgedWorth, i), PassThrough: at(x.PassOn, i)}
@@ -102,7 +121,7 @@
 		}
 		c.Kinds = append(c.Kinds, row)
 	}
-	return c, nil
+	return t, nil
 }
 
 // at gives a list's value, or the zero value where the list is too short.
--- /dev/null
+++ b/facade/facade.go
@@ -0,0 +1,240 @@
+// Package facade owns the router and gives the network three blocking calls: Pick waits for what a lookup
+// needs done next, Report tells how a send ended, Tick brings time, lists and purges. It decides nothing.
+package facade
+
+import (
+	"log"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"foldslip/logic"
+)
+
+// What is to be done for a lookup.
+type What int
+
+const (
+	Send   What = 1 + iota // ask a cache
+	Cancel                 // give send N up
+	// The rest end the lookup; there is exactly one of them, and no Send after it.
+	Satisfied // with what send N brought
+	Nacked
+	Failed
+	Departed // the client left, nothing is owed
+)
+
+// Step is one thing to do for a lookup.
+type Step struct {
+	What       What
+	N          int
+	To, Source *logic.Cache // Source is To where a miss is not to be filled
+	Rank       int
+	How        logic.How
+	Patience   logic.Micros
+	Oldest     logic.Micros
+	RetryIn    logic.Micros
+}
+
+// Lookup is one lookup that the router holds.
+type Lookup struct {
+	Deadline time.Time
+	its      *logic.Lookup
+	steps    []Step
+	some     chan struct{} // has one item while steps may be there
+	sentAt   []logic.Micros
+	out      int // sends without an ending
+	over     bool
+}
+
+type timer struct {
+	due   logic.Micros
+	token int64
+}
+
+// Facade is the router behind one lock, which is never held over a wait.
+type Facade struct {
+	mu     sync.Mutex
+	router *logic.Router
+	began  time.Time
+	base   logic.Micros // the Unix clock at began; from there the clock that never runs backwards counts
+	open   map[string]*Lookup
+	timers []timer
+}
+
+// Start makes the router.
+func Start(seed uint64, its *logic.Charter) *Facade {
+	f := &Facade{began: time.Now(), open: map[string]*Lookup{}}
+	f.base = f.began.UnixMicro()
+	f.router = logic.Start(f.base, seed, its, (*host)(f))
+	return f
+}
+
+func (f *Facade) now() logic.Micros { return f.base + time.Since(f.began).Microseconds() }
+
+// guard keeps a fault of the module from ending the gateway: the lookup concerned runs into its deadline.
+func guard() {
+	if p := recover(); p != nil {
+		log.Printf("event=module_fault text=%q stack=%q", p, debug.Stack())
+	}
+}
+
+// Take hands a lookup to the router; nil if one with this id is open already.
+func (f *Facade) Take(id string, kind int, object string, part, group int, kb float64, deadline time.Time) *Lookup {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.open[id] != nil {
+		return nil
+	}
+	l := &Lookup{Deadline: deadline, some: make(chan struct{}, 1)}
+	f.open[id] = l
+	defer guard()
+	now := f.now()
+	l.its = f.router.Arrive(now, id, kind, object, part, group, kb, now+time.Until(deadline).Microseconds(),
+		false, false)
+	f.drop(id, l)
+	return l
+}
+
+// Pick waits for the lookup's next step.
+func (f *Facade) Pick(l *Lookup) Step {
+	for {
+		f.mu.Lock()
+		if len(l.steps) > 0 {
+			s := l.steps[0]
+			l.steps = l.steps[1:]
+			f.mu.Unlock()
+			return s
+		}
+		f.mu.Unlock()
+		<-l.some
+	}
+}
+
+// Report tells how a send ended. It returns false for an answer that came too late to be used.
+func (f *Facade) Report(l *Lookup, n int, how logic.Ending, remark logic.Remark, waited logic.Micros) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, used := f.now(), how == logic.Satisfied && !l.over
+	if l.out--; used {
+		l.end(Step{What: Satisfied, N: n})
+	}
+	defer guard()
+	f.router.Ended(now, l.its, n, how, remark, now-l.sentAt[n], waited, l.over)
+	f.drop(l.its.Door, l)
+	return used
+}
+
+// Leave tells that the client has gone, or that the gateway can wait no longer.
+func (f *Facade) Leave(l *Lookup) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !l.over {
+		l.end(Step{What: Departed})
+		defer guard()
+		f.router.Departed(f.now(), l.its)
+		f.drop(l.its.Door, l)
+	}
+}
+
+// Purge is word that copies of an object, or of a group where Object is empty, from before Issued are out of date.
+type Purge struct {
+	Object string
+	Group  int
+	Issued time.Time
+}
+
+// Tick brings the time, changes to the list (or the whole of it) and purges; it returns when to come next.
+func (f *Facade) Tick(rows []logic.Row, whole bool, purges []Purge) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	defer guard()
+	now := f.now()
+	if whole {
+		f.router.Listed(now, logic.FullList, rows)
+	} else if len(rows) > 0 {
+		f.router.Listed(now, logic.Changes, rows)
+	}
+	for _, p := range purges {
+		f.router.Purged(now, p.Object, p.Group, max(0, now-p.Issued.UnixMicro()))
+	}
+	var due []timer
+	kept := f.timers[:0]
+	for _, t := range f.timers {
+		if t.due <= now {
+			due = append(due, t)
+		} else {
+			kept = append(kept, t)
+		}
+	}
+	f.timers = kept
+	for _, t := range due {
+		f.router.Woken(now, t.token)
+	}
+	next := now + time.Second.Microseconds()
+	for _, t := range f.timers {
+		next = min(next, t.due)
+	}
+	return time.Duration(next-f.now()) * time.Microsecond
+}
+
+// Open counts the lookups without a final answer or with sends still out.
+func (f *Facade) Open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.open)
+}
+
+func (f *Facade) drop(id string, l *Lookup) {
+	if l.over && l.out <= 0 {
+		delete(f.open, id)
+	}
+}
+
+func (l *Lookup) push(s Step) {
+	l.steps = append(l.steps, s)
+	select {
+	case l.some <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Lookup) end(s Step) {
+	if !l.over {
+		l.over = true
+		l.push(s)
+	}
+}
+
+// host is the router's side of the facade; its calls come from within the router's, under the lock.
+type host Facade
+
+func (h *host) Fetch(lk *logic.Lookup, to, source *logic.Cache, rank int, how logic.How,
+	patience, oldest logic.Micros) {
+	l := h.open[lk.Door]
+	l.sentAt = append(l.sentAt, (*Facade)(h).now())
+	l.out++
+	l.push(Step{What: Send, N: len(l.sentAt) - 1, To: to, Source: source, Rank: rank, How: how,
+		Patience: patience, Oldest: oldest})
+}
+
+func (h *host) Cancel(lk *logic.Lookup, send int) {
+	if l := h.open[lk.Door]; l != nil {
+		l.push(Step{What: Cancel, N: send})
+	}
+}
+
+func (h *host) Nack(lk *logic.Lookup, retryIn logic.Micros) {
+	h.open[lk.Door].end(Step{What: Nacked, RetryIn: retryIn})
+}
+
+func (h *host) Fail(lk *logic.Lookup) { h.open[lk.Door].end(Step{What: Failed}) }
+
+func (h *host) Wake(in logic.Micros, token int64) {
+	h.timers = append(h.timers, timer{(*Facade)(h).now() + in, token})
+}
+
+// Subscribe is carried out already: the bulletin is followed from the start.
+func (h *host) Subscribe(bool) {}
+
+func (h *host) Log(line string) { log.Printf("event=module note=%q", line) }
--- /dev/null
+++ b/memory/memory.go
@@ -0,0 +1,159 @@
+// Package memory holds what the gateway keeps: each connection's buffer, the caches by id, the purges it was
+// told, the number of the last bulletin event, and the bound on lookups and the bytes of their answers.
+package memory
+
+import (
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"foldslip/logic"
+)
+
+// Buffer is the one buffer of a connection: it grows as needed and is compacted in place.
+type Buffer struct {
+	b          []byte
+	begin, end int
+}
+
+// ErrFull tells that a message is longer than its connection may send.
+var ErrFull = errors.New("message too long")
+
+const smallest = 2 << 10
+
+// Bytes is what has been read and not skipped.
+func (b *Buffer) Bytes() []byte { return b.b[b.begin:b.end] }
+
+// Skip drops bytes from the front.
+func (b *Buffer) Skip(n int) { b.begin += n }
+
+// Fill reads once, and keeps at most that many bytes.
+func (b *Buffer) Fill(from io.Reader, most int) error {
+	if b.begin > 0 && (b.begin == b.end || b.end == len(b.b)) {
+		b.end = copy(b.b, b.b[b.begin:b.end])
+		b.begin = 0
+	}
+	if b.end == len(b.b) {
+		if b.end >= most {
+			return ErrFull
+		}
+		grown := make([]byte, min(most, max(smallest, 2*len(b.b))))
+		copy(grown, b.b[:b.end])
+		b.b = grown
+	}
+	n, err := from.Read(b.b[b.end:])
+	b.end += n
+	if n > 0 {
+		return nil
+	}
+	return err
+}
+
+// Cache is a server of the list as the network needs it.
+type Cache struct {
+	ID, Addr string
+	Its      *logic.Cache
+}
+
+// Caches are the servers told of, by id. Ids of those gone are forgotten: a return is a new cache.
+type Caches struct {
+	mu sync.Mutex
+	by map[string]*Cache
+}
+
+// Note finds or makes the cache of an id; a changed address makes a new one.
+func (c *Caches) Note(id, addr string) *Cache {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.by == nil {
+		c.by = map[string]*Cache{}
+	}
+	k := c.by[id]
+	if k == nil {
+		k = &Cache{ID: id, Its: logic.NewCache(id)}
+		c.by[id] = k
+	}
+	if addr != "" && addr != k.Addr {
+		k = &Cache{ID: id, Addr: addr, Its: k.Its}
+		c.by[id] = k
+	}
+	return k
+}
+
+// Find gives the cache of an id, or nil.
+func (c *Caches) Find(id string) *Cache {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.by[id]
+}
+
+// Forget drops a cache that has gone.
+func (c *Caches) Forget(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.by, id)
+}
+
+// Purges are what the gateway was told of, for as long as older copies may lie about.
+type Purges struct {
+	Keep    time.Duration
+	mu      sync.Mutex
+	objects map[string]time.Time
+	groups  map[int]time.Time
+}
+
+// Note keeps a purge of an object, or of a group where the name is empty.
+func (p *Purges) Note(object string, group int, issued time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.objects == nil {
+		p.objects, p.groups = map[string]time.Time{}, map[int]time.Time{}
+	}
+	for k, at := range p.objects {
+		if time.Since(at) > p.Keep {
+			delete(p.objects, k)
+		}
+	}
+	if object == "" {
+		p.groups[group] = later(p.groups[group], issued)
+	} else {
+		p.objects[object] = later(p.objects[object], issued)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Outdated tells whether a copy given out at born is older than a purge that was told.
+func (p *Purges) Outdated(object string, group int, born time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return born.Before(p.objects[object]) || born.Before(p.groups[group])
+}
+
+// Room bounds the lookups open at once, and with them the bytes of answers in flight: each lookup holds the
+// bytes of one answer at most.
+type Room struct {
+	places chan struct{}
+}
+
+// NewRoom makes room for so many lookups.
+func NewRoom(lookups int) *Room { return &Room{make(chan struct{}, lookups)} }
+
+// Enter takes a place, if there is one.
+func (r *Room) Enter() bool {
+	select {
+	case r.places <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+// Leave gives a place back.
+func (r *Room) Leave() { <-r.places }
--- /dev/null
+++ b/service/service.go
@@ -0,0 +1,175 @@
+// Package service starts the gateway and stops it.
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"foldslip/charter"
+	"foldslip/facade"
+	"foldslip/memory"
+	"foldslip/wire"
+)
+
+const (
+	// At a planned restart connections keep coming for 0.4 s, requests on open ones for a further 0.2 s.
+	acceptOn   = 650 * time.Millisecond
+	stopBefore = 300 * time.Millisecond // before the kill, which comes after the longest deadline and 0.7 s
+	leastKill  = 3 * time.Second
+	purgeSlack = 5 * time.Second
+
+	mostLookups = 320 // open at once, each with up to 240,000 bytes of an answer: 77 MB
+	memoryPart  = 0.7 // of the limit, for the runtime's own
+	clientsPart = 2   // the front takes one over this of the descriptors; clients hold up to a third
+)
+
+// start is what the gateway is told.
+type start struct {
+	Name, Listen, Seed string
+	Limits             struct {
+		Cores    float64
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int
+	}
+	Bulletin string
+	Known    json.RawMessage
+	Settings json.RawMessage
+}
+
+func readStart(path, name, listen string) (*start, *charter.Terms, uint64, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, 0, err
+	}
+	var s start
+	if err := json.Unmarshal(text, &s); err != nil {
+		return nil, nil, 0, fmt.Errorf("%s: %w", path, err)
+	}
+	if name != "" {
+		s.Name = name
+	}
+	if listen != "" {
+		s.Listen = listen
+	}
+	if s.Listen == "" || s.Bulletin == "" || len(s.Known) == 0 {
+		return nil, nil, 0, fmt.Errorf("%s: listen, bulletin or known is missing", path)
+	}
+	seed, err := strconv.ParseUint(s.Seed, 16, 64)
+	if err != nil {
+		return nil, nil, 0, fmt.Errorf("%s: seed is not hex digits", path)
+	}
+	terms, err := charter.Read(s.Settings)
+	if err != nil {
+		return nil, nil, 0, fmt.Errorf("%s: settings: %w", path, err)
+	}
+	return &s, terms, seed, nil
+}
+
+// Run runs a gateway until it is told to stop; every lookup taken by then is answered.
+func Run(ctx context.Context) error {
+	s, terms, seed, err := readStart(os.Getenv("ROUTER_CONFIG"), os.Getenv("ROUTER_NAME"), os.Getenv("ROUTER_LISTEN"))
+	if err != nil {
+		return err
+	}
+	if s.Limits.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(s.Limits.Cores+0.5)))
+	}
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.Limits.MemoryMB * memoryPart * (1 << 20)))
+	}
+	term, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	life, end := context.WithCancel(ctx)
+	defer end()
+
+	caches := &memory.Caches{}
+	purges := &memory.Purges{Keep: time.Duration(terms.Router.PurgeDone)*time.Microsecond + purgeSlack}
+	router := facade.Start(seed, terms.Router)
+	bulletin := &wire.Bulletin{Addr: s.Bulletin, Terms: terms, Router: router, Caches: caches, Purges: purges}
+	if err := bulletin.Known(s.Known); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return err
+	}
+	most := 512
+	if s.Limits.Sockets > 0 {
+		most = max(1, s.Limits.Sockets/clientsPart)
+	}
+	links := wire.NewLinks(life, terms, router, caches, purges)
+	front := &wire.Front{Terms: terms, Router: router, Links: links, Room: memory.NewRoom(mostLookups), Most: most}
+	log.Printf("event=started name=%s listen=%s bulletin=%s last=%d", s.Name, s.Listen, s.Bulletin, bulletin.Last)
+
+	group, life := errgroup.WithContext(life)
+	group.Go(func() error { return bulletin.Follow(life) })
+	group.Go(func() error { return tick(life, router) })
+	group.Go(func() error { return front.Accept(life, listener) })
+	front.Ready()
+	group.Go(func() error {
+		defer end()
+		select {
+		case <-term.Done():
+		case <-life.Done():
+			return errors.New("a part of the gateway ended")
+		}
+		return drain(terms, front, listener)
+	})
+	err = group.Wait()
+	links.Wait()
+	log.Printf("event=stopped name=%s open=%d", s.Name, router.Open())
+	return err
+}
+
+// drain stops the gateway as the platform stops it.
+func drain(terms *charter.Terms, front *wire.Front, listener net.Listener) error {
+	kill := leastKill
+	for _, k := range terms.Router.Kinds {
+		kill = max(kill, time.Duration(k.GiveUp)*time.Microsecond)
+	}
+	cut := time.After(kill + 700*time.Millisecond - stopBefore)
+	log.Printf("event=stopping")
+	front.Unready()
+	time.Sleep(acceptOn)
+	listener.Close()
+	front.Drain()
+	done := make(chan struct{})
+	go func() {
+		front.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-cut:
+		front.Cut()
+		<-done
+	}
+	return nil
+}
+
+// tick brings the router its timers.
+func tick(ctx context.Context, router *facade.Facade) error {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		t.Reset(max(router.Tick(nil, false, nil), time.Millisecond))
+	}
+}
--- a/simwire/serve.go
+++ b/simwire/serve.go
@@ -9,6 +9,7 @@
 	"io"
 	"strings"
 
+	"foldslip/charter"
 	"foldslip/logic"
 )
 
@@ -235,14 +236,14 @@
 	if f.err != nil {
 		return f.err
 	}
-	charter, err := readCharter(info)
+	terms, err := charter.Read([]byte(info))
 	if err != nil {
 		return fmt.Errorf("UP: boot_info: %w", err)
 	}
-	g := &gateway{name: name, kinds: len(charter.Kinds), out: s.out,
+	g := &gateway{name: name, kinds: len(terms.Kinds), out: s.out,
 		caches: map[string]*logic.Cache{}, lookups: map[string]*pending{}}
 	s.gateways[name] = g
-	g.guard(func() { g.router = logic.Start(s.now, seed, charter, g) })
+	g.guard(func() { g.router = logic.Start(s.now, seed, terms.Router, g) })
 	return nil
 }
 
--- /dev/null
+++ b/wire/bulletin.go
@@ -0,0 +1,228 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"foldslip/charter"
+	"foldslip/facade"
+	"foldslip/logic"
+	"foldslip/memory"
+)
+
+const (
+	mostEvent     = 1 << 20
+	silentAfter   = 2500 * time.Millisecond // a line is due every second
+	dialBulletin  = 500 * time.Millisecond
+	retryBulletin = 50 * time.Millisecond // doubled up to retryMost
+	retryMost     = 800 * time.Millisecond
+)
+
+// Bulletin follows the numbered events: lists of caches and purges.
+type Bulletin struct {
+	Addr   string
+	Last   int64 // number of the last event held
+	Terms  *charter.Terms
+	Router *facade.Facade
+	Caches *memory.Caches
+	Purges *memory.Purges
+}
+
+type event struct {
+	No     *int64
+	Roster *struct {
+		Revision int64
+		Complete bool
+		Members  []struct {
+			ID       string
+			HostPort string `json:"host_port"`
+			Locality string
+			Flavor   string
+			Cell     int
+			Phase    string
+			Size     float64
+			UpSince  float64 `json:"up_since_ms"`
+		}
+	}
+	Recall *struct {
+		Item   string
+		Lot    *int
+		Issued float64
+	}
+}
+
+// Known takes the events of the start.
+func (b *Bulletin) Known(text json.RawMessage) error {
+	var known struct {
+		No    int64
+		Items []json.RawMessage
+	}
+	if err := json.Unmarshal(text, &known); err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	for _, item := range known.Items {
+		if err := b.take(item, true); err != nil {
+			return fmt.Errorf("known: %w", err)
+		}
+	}
+	b.Last = known.No
+	return nil
+}
+
+// take takes one line: an event, or only the last number. Nothing of a line that cannot be used is kept.
+func (b *Bulletin) take(line []byte, known bool) error {
+	if n, err := strconv.ParseInt(string(line), 10, 64); err == nil {
+		if n > b.Last {
+			return fmt.Errorf("number %d without its event, %d held", n, b.Last)
+		}
+		return nil
+	}
+	var e event
+	if err := json.Unmarshal(line, &e); err != nil {
+		return err
+	}
+	if e.No == nil {
+		return errors.New("an event without a number")
+	}
+	if e.Roster == nil && e.Recall == nil {
+		if *e.No > b.Last && !known {
+			return fmt.Errorf("number %d without its event, %d held", *e.No, b.Last)
+		}
+		return nil
+	}
+	switch {
+	case known:
+	case *e.No <= b.Last:
+		return nil // held already
+	case *e.No != b.Last+1:
+		return fmt.Errorf("event %d follows %d", *e.No, b.Last)
+	}
+	rows, gone, err := b.rows(&e)
+	if err != nil {
+		return err
+	}
+	var purges []facade.Purge
+	if r := e.Recall; r != nil {
+		if (r.Item == "") == (r.Lot == nil) || !(r.Issued > 0 && r.Issued < 1e14) {
+			return errors.New("a recall that names not one thing and its time")
+		}
+		p := facade.Purge{Object: r.Item, Issued: time.UnixMicro(int64(r.Issued * 1000))}
+		if r.Lot != nil {
+			p.Group = *r.Lot
+		}
+		b.Purges.Note(p.Object, p.Group, p.Issued)
+		purges = append(purges, p)
+	}
+	b.Router.Tick(rows, e.Roster != nil && e.Roster.Complete, purges)
+	for _, id := range gone {
+		b.Caches.Forget(id)
+	}
+	b.Last = *e.No
+	return nil
+}
+
+// rows reads a roster; all of it must be usable before any of it counts.
+func (b *Bulletin) rows(e *event) (rows []logic.Row, gone []string, err error) {
+	if e.Roster == nil {
+		return nil, nil, nil
+	}
+	for _, m := range e.Roster.Members {
+		row := logic.Row{Cell: m.Cell, Weight: m.Size, Started: logic.Micros(m.UpSince * 1000),
+			Zone: slices.Index(b.Terms.Zones, m.Locality), Kind: slices.Index(b.Terms.Machines, m.Flavor)}
+		switch m.Phase {
+		case "up":
+			row.State = logic.Ready
+		case "draining":
+			row.State = logic.Draining
+		case "removed":
+			row.State = logic.Gone
+			gone = append(gone, m.ID)
+		default:
+			return nil, nil, fmt.Errorf("member %q: phase %q is unknown", m.ID, m.Phase)
+		}
+		if !isWord(m.ID) {
+			return nil, nil, fmt.Errorf("member %q: the id cannot be used", m.ID)
+		}
+		if row.State != logic.Gone {
+			if _, err := net.ResolveTCPAddr("tcp", m.HostPort); err != nil || row.Zone < 0 || row.Kind < 0 {
+				return nil, nil, fmt.Errorf("member %q: address, locality or flavor is unknown", m.ID)
+			}
+		}
+		rows = append(rows, row)
+	}
+	for i, m := range e.Roster.Members {
+		rows[i].Cache = b.Caches.Note(m.ID, m.HostPort).Its
+	}
+	return rows, gone, nil
+}
+
+// Follow keeps a connection to the bulletin until ctx ends.
+func (b *Bulletin) Follow(ctx context.Context) error {
+	for pause := retryBulletin; ; {
+		began, last := time.Now(), b.Last
+		reason := b.session(ctx)
+		log.Printf("event=bulletin_closed addr=%s reason=%s last=%d age_ms=%d", b.Addr, reason, b.Last,
+			time.Since(began).Milliseconds())
+		if b.Last > last || time.Since(began) > silentAfter {
+			pause = retryBulletin
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, retryMost)
+	}
+}
+
+// session is one connection, from after the last event held up to its end.
+func (b *Bulletin) session(ctx context.Context) (reason string) {
+	dial := net.Dialer{Timeout: dialBulletin}
+	conn, err := dial.DialContext(ctx, "tcp", b.Addr)
+	if err != nil {
+		return "no_connection"
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	conn.SetDeadline(time.Now().Add(silentAfter))
+	if _, err := fmt.Fprintf(conn, "after %d\n", b.Last); err != nil {
+		return "write_failed"
+	}
+	var buf memory.Buffer
+	for {
+		for {
+			line, _, whole := bytes.Cut(buf.Bytes(), []byte("\n"))
+			if !whole {
+				break
+			}
+			if err := b.take(bytes.TrimSpace(line), false); err != nil {
+				log.Printf("event=bulletin_fault text=%q last=%d", err, b.Last)
+				return "bad_line"
+			}
+			buf.Skip(len(line) + 1)
+			conn.SetReadDeadline(time.Now().Add(silentAfter))
+		}
+		if err := buf.Fill(conn, mostEvent); err != nil {
+			switch {
+			case ctx.Err() != nil:
+				return "stopping"
+			case errors.Is(err, memory.ErrFull):
+				return "bad_line"
+			}
+			var late net.Error
+			if errors.As(err, &late) && late.Timeout() {
+				return "silent"
+			}
+			return "closed_by_bulletin"
+		}
+	}
+}
--- /dev/null
+++ b/wire/front.go
@@ -0,0 +1,410 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"foldslip/charter"
+	"foldslip/facade"
+	"foldslip/memory"
+)
+
+const (
+	idleClient  = 20 * time.Second // without a request on it
+	slowRequest = 5 * time.Second  // from a request's first byte to its last
+	slowAnswer  = time.Second      // past the deadline, for the client to take the last byte
+	headRoom    = 256              // before an answer's bytes, for its head
+)
+
+// Front is the side of the clients.
+type Front struct {
+	Terms    *charter.Terms
+	Router   *facade.Facade
+	Links    *Links
+	Room     *memory.Room
+	Most     int // connections
+	kinds    map[string]int
+	mu       sync.Mutex
+	clients  map[*client]bool
+	draining bool
+	ready    bool
+	group    errgroup.Group
+}
+
+// client is one connection of a client.
+type client struct {
+	f      *Front
+	conn   net.Conn
+	mu     sync.Mutex
+	lk     *open // being answered
+	done   chan struct{}
+	reason string
+	served int
+}
+
+// open is a lookup between its request and its answer, as the network sees it.
+type open struct {
+	req     Request
+	lk      *facade.Lookup
+	flights []*flight
+	mu      sync.Mutex
+	got     map[int]*copied
+}
+
+// copied is an answer to pass on: room for a head, then the bytes.
+type copied struct {
+	block []byte
+	tag   string
+	same  bool
+}
+
+// keep holds an answer of a cache for its lookup, with room for the head before it.
+func (o *open) keep(n int, a answer) {
+	c := &copied{tag: a.tag, same: a.same, block: make([]byte, headRoom+len(a.body))}
+	copy(c.block[headRoom:], a.body)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.got == nil {
+		o.got = map[int]*copied{}
+	}
+	o.got[n] = c
+}
+
+// Ready lets pings be answered with 200.
+func (f *Front) Ready() {
+	f.mu.Lock()
+	f.ready = true
+	f.mu.Unlock()
+}
+
+// Accept takes clients until the listener closes.
+func (f *Front) Accept(ctx context.Context, from net.Listener) error {
+	f.kinds, f.clients = map[string]int{}, map[*client]bool{}
+	for i, k := range f.Terms.Kinds {
+		f.kinds[k] = i
+	}
+	for {
+		conn, err := from.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			log.Printf("event=accept_failed text=%q", err)
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(10 * time.Millisecond): // out of descriptors, most likely
+			}
+			continue
+		}
+		c := &client{f: f, conn: conn, done: make(chan struct{}, 1)}
+		c.done <- struct{}{}
+		f.mu.Lock()
+		full := len(f.clients) >= f.Most
+		if !full {
+			f.clients[c] = true
+		}
+		f.mu.Unlock()
+		f.group.Go(func() error { c.run(full); return nil })
+	}
+}
+
+// Drain closes the connections without a lookup, and each other one once it is answered.
+func (f *Front) Drain() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.draining = true
+	for c := range f.clients {
+		c.mu.Lock()
+		if c.lk == nil {
+			c.close("stopping")
+		}
+		c.mu.Unlock()
+	}
+}
+
+// Unready answers pings with 503 from now on.
+func (f *Front) Unready() {
+	f.mu.Lock()
+	f.ready = false
+	f.mu.Unlock()
+}
+
+// Cut ends what is still open.
+func (f *Front) Cut() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.clients {
+		c.mu.Lock()
+		c.close("stopped")
+		c.mu.Unlock()
+	}
+}
+
+// Wait waits for all connections to end.
+func (f *Front) Wait() { f.group.Wait() }
+
+// close ends the connection, under the client's lock; the first reason counts.
+func (c *client) close(reason string) {
+	if c.reason == "" {
+		c.reason = reason
+		c.conn.Close()
+	}
+}
+
+func (c *client) shut(reason string) {
+	c.mu.Lock()
+	c.close(reason)
+	c.mu.Unlock()
+}
+
+// run reads requests until the connection ends. While a lookup is open it goes on reading, to see the client go.
+func (c *client) run(full bool) {
+	began := time.Now()
+	if full {
+		c.plain(503, "too many connections", true)
+		c.shut("full")
+	} else {
+		c.read()
+	}
+	c.f.mu.Lock()
+	delete(c.f.clients, c)
+	c.f.mu.Unlock()
+	<-c.done // what answers on it has ended
+	log.Printf("event=client_closed addr=%s reason=%s answers=%d age_ms=%d", c.conn.RemoteAddr(), c.reason, c.served,
+		time.Since(began).Milliseconds())
+}
+
+func (c *client) read() {
+	var buf memory.Buffer
+	c.conn.SetReadDeadline(time.Now().Add(idleClient))
+	started := false // a request's first bytes are there
+	for {
+		req, size, err := parseRequest(buf.Bytes())
+		var fault *Fault
+		switch {
+		case errors.Is(err, errShort):
+			if len(buf.Bytes()) > 0 && !started {
+				started = true
+				c.conn.SetReadDeadline(time.Now().Add(slowRequest))
+			}
+			if err := buf.Fill(c.conn, mostHead); err != nil {
+				c.left(err)
+				return
+			}
+			continue
+		case errors.As(err, &fault):
+			<-c.done
+			c.plain(fault.Status, fault.Text, true)
+			c.done <- struct{}{}
+			c.shut("bad_request")
+			return
+		}
+		came := time.Now()
+		buf.Skip(size)
+		started = false
+		<-c.done // one at a time
+		c.conn.SetReadDeadline(time.Time{})
+		if !c.take(req, came) {
+			c.done <- struct{}{}
+			return
+		}
+	}
+}
+
+// left is called when reading fails: the client has gone, or was silent, or this side closed.
+func (c *client) left(err error) {
+	reason := "reset"
+	switch {
+	case errors.Is(err, io.EOF):
+		reason = "closed_by_client"
+	case errors.Is(err, memory.ErrFull):
+		reason = "bad_request"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		reason = "idle"
+	}
+	c.mu.Lock()
+	lk := c.lk
+	c.close(reason)
+	c.mu.Unlock()
+	if lk != nil {
+		c.f.Router.Leave(lk.lk)
+	}
+}
+
+// take deals with one request. While it answers c.done is empty; false ends the connection.
+func (c *client) take(req Request, came time.Time) bool {
+	f := c.f
+	kind, known := f.kinds[req.Kind]
+	f.mu.Lock()
+	ready, draining := f.ready, f.draining
+	f.mu.Unlock()
+	end := req.Close || draining
+	status, text := 0, ""
+	switch {
+	case req.Method != "GET":
+		status, text, end = 405, "only GET is known", true
+	case req.Ping && ready:
+		status, text = 200, "ready"
+	case req.Ping:
+		status, text = 503, "not ready"
+	case !known:
+		status, text = 404, "no such object kind"
+	case req.ID == "":
+		status, text, end = 400, "X-Job-Id is missing", true
+	}
+	if req.Allow < 0 && known {
+		req.Allow = time.Duration(f.Terms.Router.Kinds[kind].GiveUp) * time.Microsecond
+	}
+	o := &open{req: req}
+	switch {
+	case status != 0:
+	case req.Allow <= 0:
+		status, text = 503, "no time left"
+	case !f.Room.Enter():
+		status, text = 503, "too many lookups"
+	default:
+		o.lk = f.Router.Take(req.ID, kind, req.Object, req.Part, req.Group, req.KB, came.Add(req.Allow))
+		if o.lk == nil {
+			f.Room.Leave()
+			status, text = 409, "this lookup is open already"
+		}
+	}
+	if status != 0 {
+		c.plain(status, text, end)
+		if end {
+			c.shut("asked")
+			return false
+		}
+		c.rest()
+		c.done <- struct{}{}
+		return true
+	}
+	c.mu.Lock()
+	c.lk = o
+	c.mu.Unlock()
+	f.group.Go(func() error {
+		c.answer(o)
+		f.Room.Leave()
+		c.done <- struct{}{}
+		return nil
+	})
+	return true
+}
+
+// rest waits for the next request, or closes when draining.
+func (c *client) rest() {
+	c.f.mu.Lock()
+	draining := c.f.draining
+	c.f.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lk = nil
+	if draining {
+		c.close("stopping")
+		return
+	}
+	c.conn.SetReadDeadline(time.Now().Add(idleClient))
+}
+
+// answer carries out a lookup's steps up to its end, and says the end.
+func (c *client) answer(o *open) {
+	f := c.f
+	for {
+		s := f.Router.Pick(o.lk)
+		switch s.What {
+		case facade.Send:
+			f.Links.send(o, s)
+			continue
+		case facade.Cancel:
+			f.Links.cancel(o, s.N)
+			continue
+		}
+		for n := range o.flights {
+			f.Links.cancel(o, n)
+		}
+		f.mu.Lock()
+		end := o.req.Close || f.draining
+		f.mu.Unlock()
+		switch s.What {
+		case facade.Satisfied:
+			c.pass(o, s.N, end)
+		case facade.Nacked:
+			wait := ""
+			if s.RetryIn > 0 {
+				wait = "X-Wait-Ms: " + strconv.FormatInt((s.RetryIn+999)/1000, 10) + "\r\n"
+			}
+			c.say(appendHead(nil, 503, 0, wait, end), o.lk.Deadline)
+		case facade.Failed:
+			c.say(appendHead(nil, 502, 0, "", end), o.lk.Deadline)
+		}
+		if end {
+			c.shut("asked")
+		}
+		c.rest()
+		return
+	}
+}
+
+// pass hands on what a send brought: the bytes whole and unchanged, or word that the client's copy holds.
+func (c *client) pass(o *open, n int, end bool) {
+	o.mu.Lock()
+	got := o.got[n]
+	o.got = nil
+	o.mu.Unlock()
+	status := 200
+	if got.same {
+		status = 304
+	}
+	var room [headRoom]byte
+	head := appendHead(room[:0], status, len(got.block)-headRoom, "ETag: \""+got.tag+"\"\r\n", end)
+	if len(head) > headRoom { // only with an unusually long tag
+		c.say(append(head, got.block[headRoom:]...), o.lk.Deadline)
+		return
+	}
+	from := headRoom - len(head)
+	copy(got.block[from:], head)
+	c.say(got.block[from:], o.lk.Deadline)
+}
+
+// plain answers what never reached the module.
+func (c *client) plain(status int, text string, end bool) {
+	b := appendHead(nil, status, len(text)+1, "Content-Type: text/plain\r\n", end)
+	c.say(append(append(b, text...), '\n'), time.Now())
+}
+
+// say writes an answer; a client too slow to take it loses the connection, and sees that it is not whole.
+func (c *client) say(b []byte, deadline time.Time) {
+	c.conn.SetWriteDeadline(deadline.Add(slowAnswer))
+	if _, err := c.conn.Write(b); err != nil {
+		c.shut("answer_not_taken")
+		return
+	}
+	c.served++
+}
+
+var statusText = map[int]string{200: "OK", 304: "Not Modified", 400: "Bad Request", 404: "Not Found",
+	405: "Method Not Allowed", 409: "Conflict", 431: "Request Header Fields Too Large", 502: "Bad Gateway",
+	503: "Service Unavailable", 505: "HTTP Version Not Supported"}
+
+func appendHead(b []byte, status, length int, more string, end bool) []byte {
+	b = fmt.Appendf(b, "HTTP/1.1 %d %s\r\n", status, statusText[status])
+	if status != 304 {
+		b = fmt.Appendf(b, "Content-Length: %d\r\n", length)
+	}
+	b = append(b, more...)
+	if end {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
--- /dev/null
+++ b/wire/lines.go
@@ -0,0 +1,155 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"foldslip/logic"
+)
+
+const (
+	mostLine   = 4 << 10
+	mostObject = 240000 // bytes of an answer
+	mostAnswer = mostLine + mostObject + 4
+)
+
+// appendDo writes the line of a send.
+func appendDo(b []byte, id, kind, object string, part int, patience logic.Micros, source string, rank int,
+	oldest logic.Micros, how logic.How, tag string) []byte {
+	b = fmt.Appendf(b, "do %s c=%s,k=%s,p=%d,w=%d", id, kind, object, part, max(1, (patience+999)/1000))
+	if source != "" {
+		b = fmt.Appendf(b, ",from=%s", source)
+	}
+	if rank > 0 {
+		b = fmt.Appendf(b, ",rank=%d", rank)
+	}
+	if oldest > 0 {
+		b = fmt.Appendf(b, ",oldest=%d", max(1, oldest/1000))
+	}
+	sign := ",mode="
+	for _, h := range [...]struct {
+		how  logic.How
+		word string
+	}{{logic.Join, "j"}, {logic.HeldOnly, "h"}, {logic.SourceSkip, "n"}, {logic.Renew, "r"}} {
+		if how&h.how != 0 {
+			b = append(append(b, sign...), h.word...)
+			sign = "+"
+		}
+	}
+	if tag != "" {
+		b = fmt.Appendf(b, ",seen=%s", tag)
+	}
+	return append(b, " 0\r\n\r\n"...) // no bytes, and the line end that follows bytes
+}
+
+func appendUndo(b []byte, id string) []byte { return fmt.Appendf(b, "undo %s\r\n", id) }
+
+// answer is what a cache said of a send.
+type answer struct {
+	id     string
+	end    logic.Ending
+	same   bool // the client's copy is the one
+	remark logic.Remark
+	waited logic.Micros
+	tag    string
+	born   time.Time
+	body   []byte // within the buffer that was parsed
+}
+
+var remarks = map[string]logic.Remark{"hit": logic.Hit, "filled": logic.Filled,
+	"via_origin": logic.FilledFromOrigin, "joined": logic.Joined, "stale": logic.Aged,
+	"src_refused": logic.SourceRefused, "src_broke": logic.SourceLost, "src_lacks": logic.SourceLacks,
+	"no_slot": logic.NoFillPlace, "origin_failed": logic.OriginFailed}
+
+// parseAnswer reads an answer at the front of b and tells how long it is; errShort asks for more bytes.
+func parseAnswer(b []byte) (answer, int, error) {
+	var a answer
+	i := bytes.IndexByte(b, '\n')
+	if i < 0 {
+		if len(b) > mostLine {
+			return a, 0, errors.New("the line is too long")
+		}
+		return a, 0, errShort
+	}
+	if i > mostLine || i == 0 || b[i-1] != '\r' {
+		return a, 0, errors.New("the line is too long or does not end in CR LF")
+	}
+	words := strings.Split(string(b[:i-1]), " ")
+	if len(words) != 4 || words[0] == "" {
+		return a, 0, errors.New("the line has not four words")
+	}
+	n, err := strconv.ParseUint(words[3], 10, 31)
+	if err != nil || n > mostObject {
+		return a, 0, errors.New("the length cannot be read")
+	}
+	a.id = words[0]
+	switch words[1] {
+	case "HIT", "VALID":
+		a.end, a.same = logic.Satisfied, words[1] == "VALID"
+	case "NONE":
+		a.end = logic.Missed
+	case "SHED":
+		a.end = logic.TurnedAway
+	case "FAULT":
+		a.end = logic.Errored
+	case "LATE":
+		a.end = logic.NeverSent
+	default:
+		return a, 0, errors.New("the word is unknown")
+	}
+	if err := a.fields(words[2]); err != nil {
+		return a, 0, err
+	}
+	if a.end == logic.Satisfied && (a.tag == "" || a.born.IsZero()) || a.same && n > 0 {
+		return a, 0, errors.New("a copy without ver or born, or bytes where none belong")
+	}
+	from, end := i+1, i+1+int(n)
+	if len(b) < end+2 {
+		return a, 0, errShort
+	}
+	if b[end] != '\r' || b[end+1] != '\n' {
+		return a, 0, errors.New("the bytes do not end in CR LF")
+	}
+	a.body = b[from:end]
+	return a, end + 2, nil
+}
+
+// fields reads the fields that a door needs; others are skipped.
+func (a *answer) fields(list string) error {
+	if list == "-" {
+		return nil
+	}
+	for _, f := range strings.Split(list, ",") {
+		name, v, ok := strings.Cut(f, "=")
+		if !ok || name == "" {
+			return errors.New("the fields cannot be read")
+		}
+		switch name {
+		case "note":
+			a.remark = remarks[v]
+		case "waited":
+			n, err := strconv.ParseFloat(v, 64)
+			if err != nil || !(n >= 0 && n < 1e9) {
+				return errors.New("waited cannot be read")
+			}
+			a.waited = logic.Micros(math.Round(n * 1000))
+		case "ver":
+			if !isWord(v) {
+				return errors.New("ver cannot be read")
+			}
+			a.tag = v
+		case "born":
+			n, err := strconv.ParseFloat(v, 64)
+			if err != nil || !(n > 0 && n < 1e14) {
+				return errors.New("born cannot be read")
+			}
+			a.born = time.UnixMicro(int64(n * 1000))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/wire/links.go
@@ -0,0 +1,332 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"foldslip/charter"
+	"foldslip/facade"
+	"foldslip/logic"
+	"foldslip/memory"
+)
+
+const (
+	linksACache  = 4                // connections to one cache; a second only when the first is full
+	forgetLateIn = 10 * time.Second // an answer of a send that was given up may come for so long
+	writeWithin  = time.Second
+)
+
+// Links are the connections to caches. Each carries many sends; their answers come in any order.
+type Links struct {
+	Terms  *charter.Terms
+	Router *facade.Facade
+	Caches *memory.Caches
+	Purges *memory.Purges
+	mu     sync.Mutex
+	by     map[string][]*link // by cache id and address
+	group  errgroup.Group
+	ctx    context.Context
+}
+
+// NewLinks makes the links; they end with ctx.
+func NewLinks(ctx context.Context, terms *charter.Terms, router *facade.Facade, caches *memory.Caches,
+	purges *memory.Purges) *Links {
+	return &Links{Terms: terms, Router: router, Caches: caches, Purges: purges, by: map[string][]*link{}, ctx: ctx}
+}
+
+// Wait waits until all have ended, which they do soon after their context has.
+func (ls *Links) Wait() { ls.group.Wait() }
+
+// flight is a send that owes its ending.
+type flight struct {
+	open   *open
+	n      int
+	line   []byte // until it is written
+	over   *time.Timer
+	on     *link
+	object string
+	group  int
+}
+
+// link is one connection to a cache, from its dialling on.
+type link struct {
+	ls      *Links
+	key     string
+	peer    *memory.Cache
+	mu      sync.Mutex
+	conn    net.Conn // nil while dialling
+	dead    bool
+	flights map[string]*flight
+	late    map[string]time.Time // given up, an answer may still come
+	served  int
+	buf     memory.Buffer
+}
+
+// send writes a send to its cache or reports at once why it cannot.
+func (ls *Links) send(o *open, s facade.Step) {
+	to := ls.Caches.Find(s.To.Name)
+	if to == nil || to.Addr == "" {
+		ls.Router.Report(o.lk, s.N, logic.Unconnected, logic.Untold, 0)
+		return
+	}
+	source := ""
+	if s.Source != s.To {
+		source = s.Source.Name
+	}
+	f := &flight{open: o, n: s.N, object: o.req.Object, group: o.req.Group,
+		line: appendDo(nil, o.req.ID, o.req.Kind, o.req.Object, o.req.Part, s.Patience, source, s.Rank, s.Oldest,
+			s.How, o.req.Tag)}
+	o.flights = append(o.flights, f)
+	for patience := time.Duration(s.Patience) * time.Microsecond; !ls.pick(to, o.req.ID).board(f, patience); {
+	}
+}
+
+// pick finds a connection with room, or dials one.
+func (ls *Links) pick(to *memory.Cache, id string) *link {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	key := to.ID + " " + to.Addr
+	var least *link
+	count := 0
+	for _, l := range ls.by[key] {
+		if open, late, dead := l.load(id); !dead {
+			if count++; !late && open < max(ls.Terms.Streams, 1) {
+				return l
+			}
+			least = l
+		}
+	}
+	if count >= linksACache {
+		return least
+	}
+	l := &link{ls: ls, key: key, peer: to, flights: map[string]*flight{}, late: map[string]time.Time{}}
+	ls.by[key] = append(ls.by[key], l)
+	ls.group.Go(func() error { l.run(); return nil })
+	return l
+}
+
+func (l *link) load(id string) (open int, late, dead bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, late = l.late[id]
+	return len(l.flights), late, l.dead
+}
+
+// board puts a send on the connection: at once, or when it is up.
+func (l *link) board(f *flight, patience time.Duration) bool {
+	l.mu.Lock()
+	if l.dead {
+		l.mu.Unlock()
+		return false
+	}
+	l.flights[f.open.req.ID] = f
+	f.on = l
+	f.over = time.AfterFunc(patience, func() { l.ls.undo(f, logic.TimedOut) })
+	conn := l.conn
+	l.mu.Unlock()
+	if conn != nil {
+		l.write(conn, f.line)
+	}
+	return true
+}
+
+// write sends a short text; one that does not go out soon ends the connection.
+func (l *link) write(conn net.Conn, text []byte) {
+	conn.SetWriteDeadline(time.Now().Add(writeWithin))
+	if _, err := conn.Write(text); err != nil {
+		conn.Close()
+	}
+}
+
+// take removes a send; whoever gets it reports its ending.
+func (l *link) take(f *flight, late bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	id := f.open.req.ID
+	if l.flights[id] != f {
+		return false
+	}
+	delete(l.flights, id)
+	f.over.Stop()
+	if late && l.conn != nil {
+		now := time.Now()
+		for k, at := range l.late {
+			if now.Sub(at) > forgetLateIn {
+				delete(l.late, k)
+			}
+		}
+		l.late[id] = now
+	}
+	return true
+}
+
+// undo gives a send up, unless it has ended.
+func (ls *Links) undo(f *flight, how logic.Ending) {
+	l := f.on
+	if l == nil || !l.take(f, true) {
+		return
+	}
+	l.mu.Lock()
+	conn := l.conn
+	l.mu.Unlock()
+	if conn != nil {
+		l.write(conn, appendUndo(nil, f.open.req.ID))
+	}
+	ls.Router.Report(f.open.lk, f.n, how, logic.Untold, 0)
+}
+
+// cancel gives up the lookup's send of that number.
+func (ls *Links) cancel(o *open, n int) {
+	for _, f := range o.flights {
+		if f.n == n {
+			ls.undo(f, logic.Cancelled)
+		}
+	}
+}
+
+// run dials, reads until the connection ends, and reports what was open on it.
+func (l *link) run() {
+	ls, began := l.ls, time.Now()
+	dial := net.Dialer{Timeout: time.Duration(max(ls.Terms.ConnectWithin, 1000)) * time.Microsecond}
+	conn, err := dial.DialContext(ls.ctx, "tcp", l.peer.Addr)
+	if err != nil {
+		reason := "refused"
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			reason = "no_connection"
+		}
+		l.end(logic.Unconnected, reason, began)
+		return
+	}
+	stop := context.AfterFunc(ls.ctx, func() { conn.Close() })
+	defer stop()
+	defer conn.Close()
+	l.mu.Lock()
+	l.conn = conn
+	var text []byte
+	for _, f := range l.flights {
+		text = append(text, f.line...)
+	}
+	l.mu.Unlock()
+	if len(text) > 0 {
+		l.write(conn, text)
+	}
+	reason := l.read(conn)
+	l.end(logic.Reset, reason, began)
+}
+
+func (l *link) end(how logic.Ending, reason string, began time.Time) {
+	ls := l.ls
+	ls.mu.Lock()
+	kept := ls.by[l.key][:0]
+	for _, o := range ls.by[l.key] {
+		if o != l {
+			kept = append(kept, o)
+		}
+	}
+	if ls.by[l.key] = kept; len(kept) == 0 {
+		delete(ls.by, l.key)
+	}
+	ls.mu.Unlock()
+	l.mu.Lock()
+	l.dead = true
+	lost := l.flights
+	l.flights = nil
+	l.mu.Unlock()
+	for _, f := range lost {
+		f.over.Stop()
+		ls.Router.Report(f.open.lk, f.n, how, logic.Untold, 0)
+	}
+	log.Printf("event=cache_closed cache=%s addr=%s reason=%s open=%d answers=%d age_ms=%d", l.peer.ID, l.peer.Addr,
+		reason, len(lost), l.served, time.Since(began).Milliseconds())
+}
+
+// read takes answers until the connection ends and tells why it did.
+func (l *link) read(conn net.Conn) string {
+	for {
+		a, size, err := parseAnswer(l.buf.Bytes())
+		switch {
+		case err == nil:
+			reason := l.answered(a)
+			l.buf.Skip(size)
+			if reason != "" {
+				return reason
+			}
+		case errors.Is(err, errShort):
+			// This side closes first, and only while nothing is open: no send meets the cache's own idle close.
+			idle := time.Duration(max(l.ls.Terms.IdleFor, 1e6)) * time.Microsecond * 8 / 10
+			conn.SetReadDeadline(time.Now().Add(idle))
+			err := l.buf.Fill(conn, mostAnswer)
+			if errors.Is(err, os.ErrDeadlineExceeded) && !l.retire() {
+				continue
+			}
+			if err != nil {
+				return l.why(err)
+			}
+		default:
+			log.Printf("event=cache_fault cache=%s text=%q", l.peer.ID, err)
+			return "bad_answer"
+		}
+	}
+}
+
+// retire lets nothing more on board, if nothing is open.
+func (l *link) retire() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dead = len(l.flights) == 0
+	return l.dead
+}
+
+func (l *link) why(err error) string {
+	switch {
+	case l.ls.ctx.Err() != nil:
+		return "stopping"
+	case errors.Is(err, io.EOF):
+		return "closed_by_cache"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "idle"
+	case errors.Is(err, net.ErrClosed):
+		return "write_failed"
+	}
+	return "reset"
+}
+
+// answered hands an answer to its lookup. A reason ends the connection.
+func (l *link) answered(a answer) string {
+	l.mu.Lock()
+	f := l.flights[a.id]
+	_, late := l.late[a.id]
+	if f == nil {
+		delete(l.late, a.id)
+	}
+	l.mu.Unlock()
+	if f == nil && late {
+		return ""
+	}
+	if f == nil || !l.take(f, false) {
+		if f != nil {
+			return "" // given up this moment
+		}
+		return "unknown_id"
+	}
+	l.served++
+	if a.end == logic.Satisfied && l.ls.Purges.Outdated(f.object, f.group, a.born) {
+		// Guards rule 5: the copy is older than a purge told since the send; to the module it is no copy.
+		log.Printf("event=outdated_copy cache=%s", l.peer.ID)
+		a.end, a.remark = logic.Missed, logic.Untold
+	}
+	if a.end == logic.Satisfied {
+		f.open.keep(f.n, a)
+	}
+	l.ls.Router.Report(f.open.lk, f.n, a.end, a.remark, a.waited)
+	return ""
+}
