--- a/memory/memory.go
+++ b/memory/memory.go
@@ -99,41 +99,43 @@
 type Purges struct {
 	Keep    time.Duration
 	mu      sync.Mutex
-	objects map[string]time.Time
-	groups  map[int]time.Time
+	objects map[string]purge
+	groups  map[int]purge
 }
 
+type purge struct{ issued, told time.Time }
+
 // Note keeps a purge of an object, or of a group where the name is empty.
 func (p *Purges) Note(object string, group int, issued time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.objects == nil {
-		p.objects, p.groups = map[string]time.Time{}, map[int]time.Time{}
+		p.objects, p.groups = map[string]purge{}, map[int]purge{}
 	}
-	for k, at := range p.objects {
-		if time.Since(at) > p.Keep {
+	now := time.Now()
+	for k, o := range p.objects {
+		if now.Sub(o.told) > p.Keep {
 			delete(p.objects, k)
 		}
 	}
 	if object == "" {
-		p.groups[group] = later(p.groups[group], issued)
-	} else {
-		p.objects[object] = later(p.objects[object], issued)
-	}
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+		if issued.After(p.groups[group].issued) {
+			p.groups[group] = purge{issued, now}
+		}
+	} else if issued.After(p.objects[object].issued) {
+		p.objects[object] = purge{issued, now}
 	}
-	return b
 }
 
-// Outdated tells whether a copy given out at born is older than a purge that was told.
-func (p *Purges) Outdated(object string, group int, born time.Time) bool {
+// Latest is when the latest purge told that concerns an object was issued, and when it was told.
+func (p *Purges) Latest(object string, group int) (issued, told time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return born.Before(p.objects[object]) || born.Before(p.groups[group])
+	one, all := p.objects[object], p.groups[group]
+	if one.issued.After(all.issued) {
+		return one.issued, one.told
+	}
+	return all.issued, all.told
 }
 
 // Room bounds the lookups open at once, and with them the bytes of answers in flight: each lookup holds the
--- a/wire/links.go
+++ b/wire/links.go
@@ -48,13 +48,14 @@
 
 // flight is a send that owes its ending.
 type flight struct {
+	sent   time.Time
+	object string
+	group  int
 	open   *open
 	n      int
 	line   []byte // until it is written
 	over   *time.Timer
 	on     *link
-	object string
-	group  int
 }
 
 // link is one connection to a cache, from its dialling on.
@@ -82,7 +83,7 @@
 	if s.Source != s.To {
 		source = s.Source.Name
 	}
-	f := &flight{open: o, n: s.N, object: o.req.Object, group: o.req.Group,
+	f := &flight{sent: time.Now(), open: o, n: s.N, object: o.req.Object, group: o.req.Group,
 		line: appendDo(nil, o.req.ID, o.req.Kind, o.req.Object, o.req.Part, s.Patience, source, s.Rank, s.Oldest,
 			s.How, o.req.Tag)}
 	o.flights = append(o.flights, f)
@@ -319,9 +320,10 @@
 		return "unknown_id"
 	}
 	l.served++
-	if a.end == logic.Satisfied && l.ls.Purges.Outdated(f.object, f.group, a.born) {
-		// Guards rule 5: the copy is older than a purge told since the send; to the module it is no copy.
-		log.Printf("event=outdated_copy cache=%s", l.peer.ID)
+	if issued, told := l.ls.Purges.Latest(f.object, f.group); a.end == logic.Satisfied && a.born.Before(issued) {
+		// Guards rule 5: the copy is older than a purge that was told; to the module it is no copy.
+		log.Printf("event=outdated_copy cache=%s older_ms=%d told_ms_ago=%d sent_ms_ago=%d", l.peer.ID,
+			issued.Sub(a.born).Milliseconds(), time.Since(told).Milliseconds(), time.Since(f.sent).Milliseconds())
 		a.end, a.remark = logic.Missed, logic.Untold
 	}
 	if a.end == logic.Satisfied {
