--- a/wire/links.go
+++ b/wire/links.go
@@ -325,10 +325,11 @@
 		log.Printf("event=cache_fault cache=%s text=%q", l.peer.ID, "VALID for a copy that the client does not hold")
 	}
 	if issued, told := l.ls.Purges.Latest(f.object, f.group); a.end == logic.Satisfied && a.born.Before(issued) {
-		// Guards rule 5: the copy is older than a purge that was told. To the module it is no copy.
+		// Guards rule 5: the copy is older than a purge that was told. To the module it is as if never sent:
+		// it sends anew with the purge in mind, and may join a fill under way.
 		log.Printf("event=outdated_copy cache=%s older_ms=%d told_ms_ago=%d sent_ms_ago=%d", l.peer.ID,
 			issued.Sub(a.born).Milliseconds(), time.Since(told).Milliseconds(), time.Since(f.sent).Milliseconds())
-		a.end, a.remark = logic.Missed, logic.Untold
+		a.end, a.remark = logic.NeverSent, logic.Untold
 	}
 	if a.end == logic.Satisfied {
 		f.open.keep(f.n, a)
