Defences at the network's edges: a last deadline, no undo before its do, bounds tested

- A lookup that nothing has ended 20 ms past its deadline fails (facade.Pick): guards rule 1 against a fault of the module or an ending never told.
Could do harm only if the module answered later than its deadline, which it never does.
- undo cannot overtake do when a send is given up while its line is being written (wire/links.go); where the settings allow no giving up, none is written.
Of full connections the least loaded is taken.
- The bulletin resolves no names: an address must be one (netip).

--- a/facade/facade.go
+++ b/facade/facade.go
@@ -4,13 +4,18 @@
 
 import (
 	"log"
+	"maps"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
 	"foldslip/logic"
 )
 
+// lateBy is past a lookup's deadline, within the slack that its answer has.
+const lateBy = 20 * time.Millisecond
+
 // What is to be done for a lookup.
 type What int
 
@@ -79,15 +84,22 @@
 	}
 }
 
-// Take hands a lookup to the router; nil if one with this id is open already.
-func (f *Facade) Take(id string, kind int, object string, part, group int, kb float64, deadline time.Time) *Lookup {
+// Take hands a lookup to the router; nil if it could not, most likely as one with this id is open.
+func (f *Facade) Take(id string, kind int, object string, part, group int, kb float64,
+	deadline time.Time) (l *Lookup) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.open[id] != nil {
 		return nil
 	}
-	l := &Lookup{Deadline: deadline, some: make(chan struct{}, 1)}
+	l = &Lookup{Deadline: deadline, some: make(chan struct{}, 1)}
 	f.open[id] = l
+	defer func() {
+		if l.its == nil { // a fault of the module
+			delete(f.open, id)
+			l = nil
+		}
+	}()
 	defer guard()
 	now := f.now()
 	l.its = f.router.Arrive(now, id, kind, object, part, group, kb, now+time.Until(deadline).Microseconds(),
@@ -96,8 +108,11 @@
 	return l
 }
 
-// Pick waits for the lookup's next step.
+// Pick waits for the lookup's next step. A lookup that nothing has ended shortly after its deadline fails: that
+// guards rule 1 against a fault of the module and against a send whose ending is never told.
 func (f *Facade) Pick(l *Lookup) Step {
+	late := time.NewTimer(time.Until(l.Deadline) + lateBy)
+	defer late.Stop()
 	for {
 		f.mu.Lock()
 		if len(l.steps) > 0 {
@@ -107,7 +122,11 @@
 			return s
 		}
 		f.mu.Unlock()
-		<-l.some
+		select {
+		case <-l.some:
+		case <-late.C:
+			f.close(l, Failed)
+		}
 	}
 }
 
@@ -125,12 +144,15 @@
 	return used
 }
 
-// Leave tells that the client has gone, or that the gateway can wait no longer.
-func (f *Facade) Leave(l *Lookup) {
+// Leave tells that the client has gone.
+func (f *Facade) Leave(l *Lookup) { f.close(l, Departed) }
+
+// close ends a lookup without the router, if it has not ended.
+func (f *Facade) close(l *Lookup, how What) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !l.over {
-		l.end(Step{What: Departed})
+		l.end(Step{What: how})
 		defer guard()
 		f.router.Departed(f.now(), l.its)
 		f.drop(l.its.Door, l)
@@ -140,12 +162,10 @@
 // Stop fails every lookup still open; the gateway is about to be killed.
 func (f *Facade) Stop() {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, l := range f.open {
-		if !l.over {
-			l.end(Step{What: Failed})
-			f.router.Departed(f.now(), l.its)
-		}
+	open := slices.Collect(maps.Values(f.open))
+	f.mu.Unlock()
+	for _, l := range open {
+		f.close(l, Failed)
 	}
 }
 
--- a/facade/facade_test.go
+++ b/facade/facade_test.go
@@ -57,6 +57,14 @@
 			t.Error("the late answer was used, or the lookup is not forgotten")
 		}
 	})
+	t.Run("a send whose ending nobody tells: failed shortly after the deadline", func(t *testing.T) {
+		f := open()
+		l := f.Take("0a", 0, "object", 0, 0, 10, time.Now().Add(30*time.Millisecond))
+		f.Pick(l)
+		if s := f.Pick(l); s.What != Failed || time.Now().Before(l.Deadline) {
+			t.Errorf("%+v", s)
+		}
+	})
 	t.Run("Stop fails what is open", func(t *testing.T) {
 		f := open()
 		l := take(f, "0a")
--- a/service/gateway_test.go
+++ b/service/gateway_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -78,8 +79,8 @@
 	return v
 }
 
-// begin starts a stage; handle answers for both edges.
-func begin(t *testing.T, handle func(edge int, d standin.Do)) *stage {
+// begin starts a stage; handle answers for both edges, change is laid over the configuration.
+func begin(t *testing.T, handle func(edge int, d standin.Do), change ...map[string]any) *stage {
 	t.Helper()
 	s := &stage{t: t, ended: make(chan error, 1)}
 	for i := range 2 {
@@ -97,7 +98,7 @@
 	}
 	s.addr = freeAddr()
 	s.cmd = exec.Command(program)
-	s.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+s.config(nil), "ROUTER_LISTEN="+s.addr)
+	s.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+s.config(change...), "ROUTER_LISTEN="+s.addr)
 	s.cmd.Stdout, s.cmd.Stderr = &s.out, &s.out
 	if err := s.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -134,7 +135,7 @@
 }
 
 // config writes the example's configuration with the stage's parties, and changes to its top level.
-func (s *stage) config(change map[string]any) string {
+func (s *stage) config(change ...map[string]any) string {
 	var c map[string]any
 	if err := json.Unmarshal(must(os.ReadFile("../example/config.json")), &c); err != nil {
 		s.t.Fatal(err)
@@ -143,8 +144,8 @@
 	c["known"] = map[string]any{"no": 1, "items": []any{
 		json.RawMessage(`{"no":1,` + standin.Roster(true, s.members...)[1:])}}
 	c["settings"].(map[string]any)["classes"].([]any)[1].(map[string]any)["effect"] = "at_most_once"
-	for k, v := range change {
-		c[k] = v
+	for _, some := range change {
+		maps.Copy(c, some)
 	}
 	path := filepath.Join(s.t.TempDir(), "config.json")
 	if err := os.WriteFile(path, must(json.Marshal(c)), 0o600); err != nil {
@@ -310,6 +311,34 @@
 			t.Errorf("after %v", time.Since(began))
 		}
 	})
+	t.Run("at its bounds it nacks, and goes on when there is room", func(t *testing.T) {
+		came := make(chan standin.Do, 9)
+		s := begin(t, func(_ int, d standin.Do) { came <- d },
+			map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 1, "sockets": 6}}) // one lookup, three clients
+		first := s.dial()
+		io.WriteString(first, s.lookup("segment", "o"))
+		d := <-came
+		second := s.dial()
+		for range 2 {
+			io.WriteString(second, s.lookup("segment", "o"))
+			got, _ := second.answer(t)
+			s.expect(503, got)
+		}
+		s.dial()
+		s.until("client too many", func() bool {
+			got, _ := s.ask("segment", "o")
+			return got.StatusCode == 503 && got.Close
+		})
+		d.Hit(time.Now(), "hit", "first")
+		if _, body := first.answer(t); body != "first" {
+			t.Errorf("got %q", body)
+		}
+		io.WriteString(second, s.lookup("segment", "o"))
+		(<-came).Hit(time.Now(), "hit", "second")
+		if _, body := second.answer(t); body != "second" {
+			t.Errorf("got %q", body)
+		}
+	})
 	t.Run("what cannot be a lookup", func(t *testing.T) {
 		s := begin(t, hit)
 		open := s.lookup("segment", "o")
@@ -525,7 +554,7 @@
 		s := begin(t, hit)
 		for name, path := range map[string]string{
 			"no file":           filepath.Join(t.TempDir(), "none"),
-			"address in use":    s.config(nil),
+			"address in use":    s.config(),
 			"unusable settings": s.config(map[string]any{"settings": map[string]any{"classes": 3}}),
 			"a bad seed":        s.config(map[string]any{"seed": "?"}),
 			"an unknown flavor": s.config(map[string]any{"known": json.RawMessage(`{"no":1,"items":[{"no":1,` +
--- a/wire/bulletin.go
+++ b/wire/bulletin.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log"
 	"net"
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -163,7 +164,7 @@
 			return nil, nil, fmt.Errorf("member %q: the id cannot be used", m.ID)
 		}
 		if row.State != logic.Gone {
-			if _, err := net.ResolveTCPAddr("tcp", m.HostPort); err != nil || row.Zone < 0 || row.Kind < 0 {
+			if _, err := netip.ParseAddrPort(m.HostPort); err != nil || row.Zone < 0 || row.Kind < 0 {
 				return nil, nil, fmt.Errorf("member %q: address, locality or flavor is unknown", m.ID)
 			}
 		}
--- a/wire/links.go
+++ b/wire/links.go
@@ -53,9 +53,11 @@
 	group  int
 	open   *open
 	n      int
-	line   []byte // until it is written
+	line   []byte
 	over   *time.Timer
 	on     *link
+	// Under the link's lock: undo must not overtake do, so whoever finds both true writes it.
+	wrote, undone bool
 }
 
 // link is one connection to a cache, from its dialling on.
@@ -97,13 +99,15 @@
 	defer ls.mu.Unlock()
 	key := to.ID + " " + to.Addr
 	var least *link
-	count := 0
+	count, fewest := 0, 0
 	for _, l := range ls.by[key] {
 		if open, late, dead := l.load(id); !dead {
 			if count++; !late && open < max(ls.Terms.Streams, 1) {
 				return l
 			}
-			least = l
+			if least == nil || open < fewest {
+				least, fewest = l, open
+			}
 		}
 	}
 	if count >= linksACache {
@@ -136,10 +140,22 @@
 	l.mu.Unlock()
 	if conn != nil {
 		l.write(conn, f.line)
+		l.wrote(conn, f)
 	}
 	return true
 }
 
+// wrote notes that a send has gone out, and undoes it if it was given up meanwhile.
+func (l *link) wrote(conn net.Conn, f *flight) {
+	l.mu.Lock()
+	f.wrote = true
+	undone := f.undone
+	l.mu.Unlock()
+	if undone {
+		l.write(conn, appendUndo(nil, f.open.req.ID))
+	}
+}
+
 // write sends a short text; one that does not go out soon ends the connection.
 func (l *link) write(conn net.Conn, text []byte) {
 	conn.SetWriteDeadline(time.Now().Add(writeWithin))
@@ -170,7 +186,7 @@
 	return true
 }
 
-// undo gives a send up, unless it has ended.
+// undo gives a send up, unless it has ended. Where the settings allow no giving up the cache is not told.
 func (ls *Links) undo(f *flight, how logic.Ending) {
 	l := f.on
 	if l == nil || !l.take(f, true) {
@@ -178,8 +194,10 @@
 	}
 	l.mu.Lock()
 	conn := l.conn
+	f.undone = ls.Terms.Router.Cancelling
+	tell := f.undone && f.wrote
 	l.mu.Unlock()
-	if conn != nil {
+	if tell {
 		l.write(conn, appendUndo(nil, f.open.req.ID))
 	}
 	ls.Router.Report(f.open.lk, f.n, how, logic.Untold, 0)
@@ -188,7 +206,7 @@
 // cancel gives up the lookup's send of that number.
 func (ls *Links) cancel(o *open, n int) {
 	for _, f := range o.flights {
-		if f.n == n {
+		if f.n == n && ls.Terms.Router.Cancelling {
 			ls.undo(f, logic.Cancelled)
 		}
 	}
@@ -213,13 +231,18 @@
 	l.mu.Lock()
 	l.conn = conn
 	var text []byte
+	var waited []*flight
 	for _, f := range l.flights {
 		text = append(text, f.line...)
+		waited = append(waited, f)
 	}
 	l.mu.Unlock()
 	if len(text) > 0 {
 		l.write(conn, text)
 	}
+	for _, f := range waited {
+		l.wrote(conn, f)
+	}
 	reason := l.read(conn)
 	l.end(logic.Reset, reason, began)
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -105,20 +105,21 @@
 		line string
 		last int64 // -1: the line cannot be used
 	}{
-		"a list":               {roster, 41},
-		"a purge of an object": {`{"no":41,"recall":{"item":"k","issued":1764576000123}}`, 41},
-		"a purge of a group":   {`{"no":41,"recall":{"lot":0,"issued":1764576000123}}`, 41},
-		"the last number":      {"40", 40},
-		"the last, as JSON":    {`{"no":40}`, 40},
-		"an old event":         {strings.Replace(roster, "41", "40", 1), 40},
-		"a gap":                {strings.Replace(roster, "41", "42", 1), -1},
-		"a number ahead":       {"41", -1},
-		"half a line":          {roster[:50], -1},
-		"an unknown phase":     {strings.Replace(roster, `"up"`, `"odd"`, 1), -1},
-		"an unknown locality":  {strings.Replace(roster, "east", "west", 1), -1},
-		"no address":           {strings.Replace(roster, "10.1.0.9:10080", "nowhere", 1), -1},
-		"a purge of nothing":   {`{"no":41,"recall":{"issued":1764576000123}}`, -1},
-		"a purge at no time":   {`{"no":41,"recall":{"item":"k"}}`, -1},
+		"a list":                {roster, 41},
+		"a purge of an object":  {`{"no":41,"recall":{"item":"k","issued":1764576000123}}`, 41},
+		"a purge of a group":    {`{"no":41,"recall":{"lot":0,"issued":1764576000123}}`, 41},
+		"the last number":       {"40", 40},
+		"the last, as JSON":     {`{"no":40}`, 40},
+		"an old event":          {strings.Replace(roster, "41", "40", 1), 40},
+		"a gap":                 {strings.Replace(roster, "41", "42", 1), -1},
+		"a number ahead":        {"41", -1},
+		"half a line":           {roster[:50], -1},
+		"an unknown phase":      {strings.Replace(roster, `"up"`, `"odd"`, 1), -1},
+		"an unknown locality":   {strings.Replace(roster, "east", "west", 1), -1},
+		"no address":            {strings.Replace(roster, "10.1.0.9:10080", "nowhere", 1), -1},
+		"a name for an address": {strings.Replace(roster, "10.1.0.9", "localhost", 1), -1},
+		"a purge of nothing":    {`{"no":41,"recall":{"issued":1764576000123}}`, -1},
+		"a purge at no time":    {`{"no":41,"recall":{"item":"k"}}`, -1},
 	} {
 		b := listen(t)
 		err := b.take([]byte(story.line), false)
