Answers older than a purge pass on until its grace is over

At fault: wire/links.go, answered, which refused every copy older than any purge told, also of sends that had gone out before it.

The figure comes from the settings, through charter. Also: reasons of ended connections tell a reset from a write that stuck; 405 names GET; charter has a test.

--- a/charter/charter.go
+++ b/charter/charter.go
@@ -2,6 +2,7 @@
 package charter
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 
@@ -15,8 +16,16 @@
 	ConnectWithin          logic.Micros
 	IdleFor                logic.Micros // a connection to a cache is closed when idle for so long
 	Streams                int          // open sends that one connection to a cache carries
+	PurgeGrace             logic.Micros // time to heed a purge
 }
 
+// What holds where the settings do not tell it.
+const (
+	connectWithin = 1e6
+	idleFor       = 30e6
+	streams       = 100
+)
+
 // Read turns the settings text into terms; unknown keys are skipped.
 func Read(text []byte) (*Terms, error) {
 	var in struct {
@@ -67,6 +76,7 @@
 			Ramp      float64   `json:"parent_ramp"`
 			BreaksAt  float64   `json:"parent_breaks_at"`
 			Cleared   float64   `json:"cleared_within"`
+			Obey      float64   `json:"obey_after"`
 		}
 	}
 	if err := json.Unmarshal(text, &in); err != nil {
@@ -94,8 +104,12 @@
 	if x.Origin != nil {
 		c.OriginKind = *x.Origin
 	}
-	t := &Terms{Router: c, Zones: in.Areas, Machines: in.Machines, ConnectWithin: us(in.Ceilings.Connect),
-		IdleFor: us(in.Ceilings.KeepAlive), Streams: in.Ceilings.Streams}
+	t := &Terms{Router: c, Zones: in.Areas, Machines: in.Machines, ConnectWithin: us(cmp.Or(in.Ceilings.Connect, connectWithin)),
+		IdleFor: us(cmp.Or(in.Ceilings.KeepAlive, idleFor)), Streams: cmp.Or(in.Ceilings.Streams, streams),
+		PurgeGrace: us(x.Obey)}
+	if t.ConnectWithin < 0 || t.IdleFor < 0 || t.Streams < 0 {
+		return nil, fmt.Errorf("ceilings: a time or count is negative")
+	}
 	for i, k := range in.Classes {
 		t.Kinds = append(t.Kinds, k.Name)
 		row := logic.ObjectKind{Budget: us(k.Aim), Stretch: k.AimStretch, GiveUp: us(k.Deadline),
--- /dev/null
+++ b/charter/charter_test.go
@@ -0,0 +1,35 @@
+package charter
+
+import (
+	"strings"
+	"testing"
+
+	"foldslip/logic"
+)
+
+func TestRead(t *testing.T) {
+	text := `{"classes":[{"name":"a","aim":400000,"effect":"deduplicated","group":"zone"},{"name":"b"}],` +
+		`"areas":["x"],"ceilings":{"max_retry_after":2000000,"retry_after":true},` +
+		`"specifics":{"max_age":[8000000],"parent_kind":2}}`
+	got, err := Read([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := got.Router
+	if a := c.Kinds[0]; a.Effect != logic.Deduplicated || a.Circle != logic.SameZone || a.Budget != 400000 ||
+		a.Fresh != 8000000 || c.Kinds[1].Fresh != 0 || c.Kinds[1].Effect != logic.Idempotent {
+		t.Errorf("%+v", c.Kinds)
+	}
+	if c.ParentKind != 2 || c.OriginKind != -1 || c.MaxRetryIn != 2000000 || c.Cancelling {
+		t.Errorf("%+v", c)
+	}
+	if got.Kinds[1] != "b" || got.Zones[0] != "x" || got.ConnectWithin != connectWithin || got.Streams != streams {
+		t.Errorf("%+v", got)
+	}
+	for _, bad := range []string{"", "[]", "{}", strings.Replace(text, "deduplicated", "odd", 1),
+		strings.Replace(text, "zone", "odd", 1), strings.Replace(text, `"retry_after"`, `"max_streams":-1,"x"`, 1)} {
+		if _, err := Read([]byte(bad)); err == nil {
+			t.Errorf("%q is read", bad)
+		}
+	}
+}
--- a/wire/front.go
+++ b/wire/front.go
@@ -199,7 +199,7 @@
 		case errors.Is(err, errShort):
 			if len(buf.Bytes()) > 0 && !started {
 				started = true
-				c.conn.SetReadDeadline(time.Now().Add(slowRequest))
+				c.hurry()
 			}
 			if err := buf.Fill(c.conn, mostHead); err != nil {
 				c.left(err)
@@ -229,6 +229,15 @@
 	}
 }
 
+// hurry gives a request that has begun little time, unless the one before it is still being answered.
+func (c *client) hurry() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.busy {
+		c.conn.SetReadDeadline(time.Now().Add(slowRequest))
+	}
+}
+
 // linger reads on for a moment, so that what the client still sends does not undo the answer it was sent.
 func (c *client) linger() {
 	if t, ok := c.conn.(*net.TCPConn); ok && t.CloseWrite() == nil {
@@ -403,7 +412,11 @@
 
 // plain answers what never reached the module.
 func (c *client) plain(status int, text string, end bool) {
-	b := appendHead(nil, status, len(text)+1, "Content-Type: text/plain\r\n", end)
+	more := "Content-Type: text/plain\r\n"
+	if status == 405 {
+		more += "Allow: GET\r\n"
+	}
+	b := appendHead(nil, status, len(text)+1, more, end)
 	c.say(append(append(b, text...), '\n'), time.Now())
 }
 
@@ -411,7 +424,11 @@
 func (c *client) say(b []byte, deadline time.Time) {
 	c.conn.SetWriteDeadline(deadline.Add(slowAnswer))
 	if _, err := c.conn.Write(b); err != nil {
-		c.shut("answer_not_taken")
+		reason := "reset"
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			reason = "answer_not_taken"
+		}
+		c.shut(reason)
 		return
 	}
 	c.served++
--- a/wire/links.go
+++ b/wire/links.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -70,6 +71,7 @@
 	dead    bool
 	flights map[string]*flight
 	late    map[string]time.Time // given up, an answer may still come
+	stuck   atomic.Bool          // a line did not go out in time
 	served  int
 	buf     memory.Buffer
 }
@@ -102,7 +104,7 @@
 	count, fewest := 0, 0
 	for _, l := range ls.by[key] {
 		if open, late, dead := l.load(id); !dead {
-			if count++; !late && open < max(ls.Terms.Streams, 1) {
+			if count++; !late && open < ls.Terms.Streams {
 				return l
 			}
 			if least == nil || open < fewest {
@@ -160,6 +162,7 @@
 func (l *link) write(conn net.Conn, text []byte) {
 	conn.SetWriteDeadline(time.Now().Add(writeWithin))
 	if _, err := conn.Write(text); err != nil {
+		l.stuck.Store(errors.Is(err, os.ErrDeadlineExceeded))
 		conn.Close()
 	}
 }
@@ -215,7 +218,7 @@
 // run dials, reads until the connection ends, and reports what was open on it.
 func (l *link) run() {
 	ls, began := l.ls, time.Now()
-	dial := net.Dialer{Timeout: time.Duration(max(ls.Terms.ConnectWithin, 1000)) * time.Microsecond}
+	dial := net.Dialer{Timeout: time.Duration(ls.Terms.ConnectWithin) * time.Microsecond}
 	conn, err := dial.DialContext(ls.ctx, "tcp", l.peer.Addr)
 	if err != nil {
 		reason := "refused"
@@ -286,7 +289,7 @@
 			}
 		case errors.Is(err, errShort):
 			// This side closes first, and only while nothing is open: no send meets the cache's own idle close.
-			idle := time.Duration(max(l.ls.Terms.IdleFor, 1e6)) * time.Microsecond * 8 / 10
+			idle := time.Duration(l.ls.Terms.IdleFor) * time.Microsecond * 8 / 10
 			conn.SetReadDeadline(time.Now().Add(idle))
 			err := l.buf.Fill(conn, mostAnswer)
 			if errors.Is(err, os.ErrDeadlineExceeded) && !l.retire() {
@@ -318,7 +321,7 @@
 		return "closed_by_cache"
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return "idle"
-	case errors.Is(err, net.ErrClosed):
+	case l.stuck.Load():
 		return "write_failed"
 	}
 	return "reset"
@@ -347,9 +350,10 @@
 		a.end = logic.Errored // word of another copy than the client's is none
 		log.Printf("event=cache_fault cache=%s text=%q", l.peer.ID, "VALID for a copy that the client does not hold")
 	}
-	if issued, told := l.ls.Purges.Latest(f.object, f.group); a.end == logic.Satisfied && a.born.Before(issued) {
-		// Guards rule 5: the copy is older than a purge that was told. To the module it is as if never sent:
-		// it sends anew with the purge in mind, and may join a fill under way.
+	if issued, told := l.ls.Purges.Latest(f.object, f.group); a.end == logic.Satisfied && a.born.Before(issued) &&
+		time.Since(told) > time.Duration(l.ls.Terms.PurgeGrace)*time.Microsecond {
+		// Guards rule 5, past the grace whenever the send went out. To the module it is as if never sent: it
+		// sends anew with the purge in mind, and may join a fill under way.
 		log.Printf("event=outdated_copy cache=%s older_ms=%d told_ms_ago=%d sent_ms_ago=%d", l.peer.ID,
 			issued.Sub(a.born).Milliseconds(), time.Since(told).Milliseconds(), time.Since(f.sent).Milliseconds())
 		a.end, a.remark = logic.NeverSent, logic.Untold
