Clients' share follows the descriptors that the process really has

Probe: with 40 descriptors where 1,024 were told, 60 clients took all of them and no cache could be dialled: each lookup was nacked, and the log had a line every 10 ms. The front's bound is now half of what the process may hold (service.go), and accept failures are told once a second (front.go). Test with 100 descriptors: the surplus gets 503, lookups are satisfied.

--- a/service/gateway_test.go
+++ b/service/gateway_test.go
@@ -97,7 +97,7 @@
 		s.members = append(s.members, m)
 	}
 	s.addr = freeAddr()
-	s.cmd = exec.Command(program)
+	s.cmd = exec.Command("sh", "-c", "ulimit -n 100; exec "+program)
 	s.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+s.config(change...), "ROUTER_LISTEN="+s.addr)
 	s.cmd.Stdout, s.cmd.Stderr = &s.out, &s.out
 	if err := s.cmd.Start(); err != nil {
@@ -349,6 +349,20 @@
 			t.Errorf("got %q", body)
 		}
 	})
+	t.Run("fewer descriptors than told: clients leave the caches enough", func(t *testing.T) {
+		s := begin(t, hit) // the stage leaves it 100
+		first := s.dial()
+		for range 49 {
+			s.dial()
+		}
+		s.until("client too many", func() bool {
+			got, _ := s.ask("segment", "o")
+			return got.StatusCode == 503 && got.Close
+		})
+		io.WriteString(first, s.lookup("segment", "o"))
+		got, _ := first.answer(t)
+		s.expect(200, got)
+	})
 	t.Run("what cannot be a lookup", func(t *testing.T) {
 		s := begin(t, hit)
 		open := s.lookup("segment", "o")
--- a/service/service.go
+++ b/service/service.go
@@ -34,7 +34,8 @@
 	mostLookups = 320 // open at once
 	bodiesPart  = 0.4 // of the memory limit, for their answers: up to 240,000 bytes each, 77 MB at 192 MB
 	memoryPart  = 0.7 // of the limit, for the runtime's own
-	clientsPart = 2   // the front takes one over this of the descriptors; clients hold up to a third
+	mostClients = 4096
+	clientsPart = 2 // the front takes one over this of the descriptors; clients hold up to a third
 )
 
 // start is what the gateway is told.
@@ -107,10 +108,12 @@
 	if err != nil {
 		return err
 	}
-	most := 512
-	if s.Limits.Sockets > 0 {
-		most = max(1, s.Limits.Sockets/clientsPart)
+	sockets := uint64(max(s.Limits.Sockets, 0))
+	var own syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own) == nil && (sockets == 0 || own.Cur < sockets) {
+		sockets = own.Cur // fewer than told: clients must not take what the caches need
 	}
+	most := int(min(max(1, sockets/clientsPart), mostClients))
 	lookups := mostLookups
 	if s.Limits.MemoryMB > 0 {
 		lookups = min(lookups, max(1, int(s.Limits.MemoryMB*bodiesPart*(1<<20)/wire.MostObject)))
--- a/wire/front.go
+++ b/wire/front.go
@@ -26,6 +26,8 @@
 	headRoom    = 256              // before an answer's bytes, for its head
 	lingerFor   = 200 * time.Millisecond
 	lingerBytes = 256 << 10
+	acceptAgain = 10 * time.Millisecond
+	tellAgain   = time.Second
 )
 
 // Front is the side of the clients.
@@ -96,17 +98,21 @@
 	for i, k := range f.Terms.Kinds {
 		f.kinds[k] = i
 	}
+	var told time.Time
 	for {
 		conn, err := from.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			log.Printf("event=accept_failed text=%q", err)
+			if time.Since(told) > tellAgain {
+				told = time.Now()
+				log.Printf("event=accept_failed text=%q", err)
+			}
 			select {
 			case <-ctx.Done():
 				return nil
-			case <-time.After(10 * time.Millisecond): // out of descriptors, most likely
+			case <-time.After(acceptAgain): // out of descriptors, most likely
 			}
 			continue
 		}
