Front and links made by constructors; a connection accepted as the listener closes is closed too

Read through for races at the stop: a connection accepted just before the listener closed, and registered after the drain had gone through the list, would have held the stop for up to 20 s (wire/front.go, Accept); waiting for connections now begins once accepting has ended.

--- a/service/service.go
+++ b/service/service.go
@@ -119,7 +119,7 @@
 		lookups = min(lookups, max(1, int(s.Limits.MemoryMB*bodiesPart*(1<<20)/wire.MostObject)))
 	}
 	links := wire.NewLinks(life, terms, router, caches, purges)
-	front := &wire.Front{Terms: terms, Router: router, Links: links, Room: memory.NewRoom(lookups), Most: most}
+	front := wire.NewFront(terms, router, links, memory.NewRoom(lookups), most)
 	log.Printf("event=started name=%s listen=%s bulletin=%s last=%d", s.Name, s.Listen, s.Bulletin, bulletin.Last)
 
 	group, life := errgroup.WithContext(life)
--- a/wire/front.go
+++ b/wire/front.go
@@ -32,17 +32,28 @@
 
 // Front is the side of the clients.
 type Front struct {
-	Terms    *charter.Terms
-	Router   *facade.Facade
-	Links    *Links
-	Room     *memory.Room
-	Most     int // connections
+	terms    *charter.Terms
+	router   *facade.Facade
+	links    *Links
+	room     *memory.Room
+	most     int // connections
 	kinds    map[string]int
 	mu       sync.Mutex
 	clients  map[*client]bool
 	draining bool
 	ready    bool
 	group    errgroup.Group
+	accepted chan struct{} // closed when no more are accepted
+}
+
+// NewFront makes a front that takes so many connections at most.
+func NewFront(terms *charter.Terms, router *facade.Facade, links *Links, room *memory.Room, most int) *Front {
+	f := &Front{terms: terms, router: router, links: links, room: room, most: most, kinds: map[string]int{},
+		clients: map[*client]bool{}, accepted: make(chan struct{})}
+	for i, k := range terms.Kinds {
+		f.kinds[k] = i
+	}
+	return f
 }
 
 // client is one connection of a client.
@@ -94,10 +105,7 @@
 
 // Accept takes clients until the listener closes.
 func (f *Front) Accept(ctx context.Context, from net.Listener) error {
-	f.kinds, f.clients = map[string]int{}, map[*client]bool{}
-	for i, k := range f.Terms.Kinds {
-		f.kinds[k] = i
-	}
+	defer close(f.accepted)
 	var told time.Time
 	for {
 		conn, err := from.Accept()
@@ -119,11 +127,15 @@
 		c := &client{f: f, conn: conn, done: make(chan struct{}, 1)}
 		c.done <- struct{}{}
 		f.mu.Lock()
-		full := len(f.clients) >= f.Most
-		if !full {
+		full, draining := len(f.clients) >= f.most, f.draining
+		if !full && !draining {
 			f.clients[c] = true
 		}
 		f.mu.Unlock()
+		if draining { // it came just as the listener closed
+			conn.Close()
+			continue
+		}
 		f.group.Go(func() error { c.run(full); return nil })
 	}
 }
@@ -160,8 +172,11 @@
 	}
 }
 
-// Wait waits for all connections to end.
-func (f *Front) Wait() { f.group.Wait() }
+// Wait waits for all connections to end, once the listener is closed.
+func (f *Front) Wait() {
+	<-f.accepted
+	f.group.Wait()
+}
 
 // close ends the connection, under the client's lock; the first reason counts.
 func (c *client) close(reason string) {
@@ -268,7 +283,7 @@
 	c.close(reason)
 	c.mu.Unlock()
 	if lk != nil {
-		c.f.Router.Leave(lk.lk)
+		c.f.router.Leave(lk.lk)
 	}
 }
 
@@ -303,19 +318,19 @@
 		status, text, end = 400, "X-Job-Id is missing", true
 	}
 	if req.Allow < 0 && known {
-		req.Allow = time.Duration(f.Terms.Router.Kinds[kind].GiveUp) * time.Microsecond
+		req.Allow = time.Duration(f.terms.Router.Kinds[kind].GiveUp) * time.Microsecond
 	}
 	o := &open{req: req}
 	switch {
 	case status != 0:
 	case req.Allow <= 0:
 		status, text = 503, "no time left"
-	case !f.Room.Enter():
+	case !f.room.Enter():
 		status, text = 503, "too many lookups"
 	default:
-		o.lk = f.Router.Take(req.ID, kind, req.Object, req.Part, req.Group, req.KB, came.Add(req.Allow))
+		o.lk = f.router.Take(req.ID, kind, req.Object, req.Part, req.Group, req.KB, came.Add(req.Allow))
 		if o.lk == nil {
-			f.Room.Leave()
+			f.room.Leave()
 			status, text = 409, "this lookup is open already"
 		}
 	}
@@ -334,7 +349,7 @@
 	c.mu.Unlock()
 	f.group.Go(func() error {
 		c.answer(o)
-		f.Room.Leave()
+		f.room.Leave()
 		c.done <- struct{}{}
 		return nil
 	})
@@ -360,17 +375,17 @@
 func (c *client) answer(o *open) {
 	f := c.f
 	for {
-		s := f.Router.Pick(o.lk)
+		s := f.router.Pick(o.lk)
 		switch s.What {
 		case facade.Send:
-			f.Links.send(o, s)
+			f.links.send(o, s)
 			continue
 		case facade.Cancel:
-			f.Links.cancel(o, s.N)
+			f.links.cancel(o, s.N)
 			continue
 		}
 		for n := range o.flights {
-			f.Links.cancel(o, n)
+			f.links.cancel(o, n)
 		}
 		f.mu.Lock()
 		end := o.req.Close || f.draining
--- a/wire/links.go
+++ b/wire/links.go
@@ -28,20 +28,20 @@
 
 // Links are the connections to caches. Each carries many sends; their answers come in any order.
 type Links struct {
-	Terms  *charter.Terms
-	Router *facade.Facade
-	Caches *memory.Caches
-	Purges *memory.Purges
+	terms  *charter.Terms
+	router *facade.Facade
+	caches *memory.Caches
+	purges *memory.Purges
 	mu     sync.Mutex
 	by     map[string][]*link // by cache id and address
 	group  errgroup.Group
-	ctx    context.Context
+	ctx    context.Context // their life
 }
 
 // NewLinks makes the links; they end with ctx.
 func NewLinks(ctx context.Context, terms *charter.Terms, router *facade.Facade, caches *memory.Caches,
 	purges *memory.Purges) *Links {
-	return &Links{Terms: terms, Router: router, Caches: caches, Purges: purges, by: map[string][]*link{}, ctx: ctx}
+	return &Links{terms: terms, router: router, caches: caches, purges: purges, by: map[string][]*link{}, ctx: ctx}
 }
 
 // Wait waits until all have ended, which they do soon after their context has.
@@ -78,9 +78,9 @@
 
 // send writes a send to its cache or reports at once why it cannot.
 func (ls *Links) send(o *open, s facade.Step) {
-	to := ls.Caches.Find(s.To.Name)
+	to := ls.caches.Find(s.To.Name)
 	if to == nil || to.Addr == "" {
-		ls.Router.Report(o.lk, s.N, logic.Unconnected, logic.Untold, 0)
+		ls.router.Report(o.lk, s.N, logic.Unconnected, logic.Untold, 0)
 		return
 	}
 	source := ""
@@ -104,7 +104,7 @@
 	count, fewest := 0, 0
 	for _, l := range ls.by[key] {
 		if open, late, dead := l.load(id); !dead {
-			if count++; !late && open < ls.Terms.Streams {
+			if count++; !late && open < ls.terms.Streams {
 				return l
 			}
 			if least == nil || open < fewest {
@@ -197,19 +197,19 @@
 	}
 	l.mu.Lock()
 	conn := l.conn
-	f.undone = ls.Terms.Router.Cancelling
+	f.undone = ls.terms.Router.Cancelling
 	tell := f.undone && f.wrote
 	l.mu.Unlock()
 	if tell {
 		l.write(conn, appendUndo(nil, f.open.req.ID))
 	}
-	ls.Router.Report(f.open.lk, f.n, how, logic.Untold, 0)
+	ls.router.Report(f.open.lk, f.n, how, logic.Untold, 0)
 }
 
 // cancel gives up the lookup's send of that number.
 func (ls *Links) cancel(o *open, n int) {
 	for _, f := range o.flights {
-		if f.n == n && ls.Terms.Router.Cancelling {
+		if f.n == n && ls.terms.Router.Cancelling {
 			ls.undo(f, logic.Cancelled)
 		}
 	}
@@ -218,7 +218,7 @@
 // run dials, reads until the connection ends, and reports what was open on it.
 func (l *link) run() {
 	ls, began := l.ls, time.Now()
-	dial := net.Dialer{Timeout: time.Duration(ls.Terms.ConnectWithin) * time.Microsecond}
+	dial := net.Dialer{Timeout: time.Duration(ls.terms.ConnectWithin) * time.Microsecond}
 	conn, err := dial.DialContext(ls.ctx, "tcp", l.peer.Addr)
 	if err != nil {
 		reason := "refused"
@@ -270,7 +270,7 @@
 	l.mu.Unlock()
 	for _, f := range lost {
 		f.over.Stop()
-		ls.Router.Report(f.open.lk, f.n, how, logic.Untold, 0)
+		ls.router.Report(f.open.lk, f.n, how, logic.Untold, 0)
 	}
 	log.Printf("event=cache_closed cache=%s addr=%s reason=%s open=%d answers=%d age_ms=%d", l.peer.ID, l.peer.Addr,
 		reason, len(lost), l.served, time.Since(began).Milliseconds())
@@ -289,7 +289,7 @@
 			}
 		case errors.Is(err, errShort):
 			// This side closes first, and only while nothing is open: no send meets the cache's own idle close.
-			idle := time.Duration(l.ls.Terms.IdleFor) * time.Microsecond * 8 / 10
+			idle := time.Duration(l.ls.terms.IdleFor) * time.Microsecond * 8 / 10
 			conn.SetReadDeadline(time.Now().Add(idle))
 			err := l.buf.Fill(conn, mostAnswer)
 			if errors.Is(err, os.ErrDeadlineExceeded) && !l.retire() {
@@ -350,8 +350,8 @@
 		a.end = logic.Errored // word of another copy than the client's is none
 		log.Printf("event=cache_fault cache=%s text=%q", l.peer.ID, "VALID for a copy that the client does not hold")
 	}
-	if issued, told := l.ls.Purges.Latest(f.object, f.group); a.end == logic.Satisfied && a.born.Before(issued) &&
-		time.Since(told) > time.Duration(l.ls.Terms.PurgeGrace)*time.Microsecond {
+	if issued, told := l.ls.purges.Latest(f.object, f.group); a.end == logic.Satisfied && a.born.Before(issued) &&
+		time.Since(told) > time.Duration(l.ls.terms.PurgeGrace)*time.Microsecond {
 		// Guards rule 5, past the grace whenever the send went out. To the module it is as if never sent: it
 		// sends anew with the purge in mind, and may join a fill under way.
 		log.Printf("event=outdated_copy cache=%s older_ms=%d told_ms_ago=%d sent_ms_ago=%d", l.peer.ID,
@@ -361,6 +361,6 @@
 	if a.end == logic.Satisfied {
 		f.open.keep(f.n, a)
 	}
-	l.ls.Router.Report(f.open.lk, f.n, a.end, a.remark, a.waited)
+	l.ls.router.Report(f.open.lk, f.n, a.end, a.remark, a.waited)
 	return ""
 }
