Where fills are many only a tenth of late ones presses, not each one

Tapped: its fills take 60 ms in the median and 127 at 99% of a budget of 100 ms and twice the sending time, so of 400 fills a second a few in a hundred are late by their way; each pressed for 8 s and cut the limit. At fault: logic.go, parentBack. Ruled out: sockets, sources.

Changed: beyond a hundred fills of late (a decaying sum) a late one presses only while a tenth of those beyond came late. It could do harm where a source slows for one fill in twenty only; the fills' own time in giving up covers that.

Story in logic_test.go.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -3,8 +3,7 @@
 //
 // The door (an adapter or a gateway) makes a Router with Start and caches with NewCache, and calls Listed,
 // Arrive, Ended, Departed, Purged and Woken as things happen, each with the time now. The Router answers
-// through Host, in host.go; plain types stand there and in state.go. One goroutine at a time; nothing is
-// shared.
+// through Host, in host.go; plain types are there and in state.go. One goroutine at a time, nothing shared.
 //
 // A lookup goes down the chain intake > copies > edge > parent > dispatch as the draft of a send. A stage
 // passes it on, keeps it (held) or ends it; what comes back runs the same stages in reverse.
@@ -22,11 +21,10 @@
 	second        = 1000 * ms
 
 	sweepEvery    = 10 * ms
-	sweep, relist = 0, 1 // timers
-	// Ranks (LRU-SP): counts halve, the table is bounded, the top band holds size over count up to 2^topBand KB.
-	halveEvery = 60 * second
-	tableBound = 60000
-	topBand    = 6
+	sweep, relist = 0, 1        // timers
+	halveEvery    = 60 * second // LRU-SP's counts halve
+	tableBound    = 60000       // of counts
+	topBand       = 6           // of ranks: holds size over count up to 2^topBand KB
 
 	halfLife    = 1 * second // of what is measured over time
 	overloadAt  = 40 * ms    // the oldest held lookup has waited this long: overload
@@ -34,6 +32,8 @@
 	firstLimit  = 16.0       // open sends at a cache before anything is known of it
 	overduePart = 0.75       // a send is overdue after this part of its latency budget
 	pressedFor  = 8 * second // after a fill came late or found no place
+	latePart    = 0.1        // of fills of late beyond manyFills: fewer late ones are late by their way
+	manyFills   = 100        // up to so many every late one counts
 	leastOpen   = 2.0        // open sends, and fills, at one cache by all routers are not cut under this
 	coldAfter   = 3 * second // a parent out for longer may have started anew
 	coldRate    = 1.4        // of what a cold cache bears at least; the rule counts a multiple of it
@@ -429,9 +429,9 @@
 	case filled:
 		lk.kind.fillTook.add(r.now, float64(got.took))
 		lk.kind.fillWork.add(r.now, float64(lk.work))
-		if got.took <= lk.span() {
+		if r.filled.add(r.now, 1); got.took <= lk.span() {
 			r.fills += 2 / r.fills / r.seats() / r.seats() // all together as one router would
-		} else {
+		} else if r.filledLate.add(r.now, 1); r.filledLate.v > latePart*(r.filled.v-manyFills) {
 			r.press()
 		}
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -403,6 +403,27 @@
 			t.Fatal(grown)
 		}
 	})
+	t.Run("among hundreds of fills a few late ones are late by their way, a tenth is not", func(t *testing.T) {
+		f, _ := play(t, nil)
+		fill := func(n, lateEach int) bool {
+			for i := range n {
+				f.ask(0, fmt.Sprint(f.now))
+				f.now += 3 * ms
+				took := 100 * ms
+				if i%lateEach == lateEach-1 {
+					took = 2 * second
+				}
+				f.end(f.last(), Satisfied, Filled, took)
+			}
+			return f.r.pressedTill > f.now
+		}
+		if fill(400, 1000) || fill(400, 25) {
+			t.Fatal("pressed by a few late fills")
+		}
+		if !fill(400, 5) {
+			t.Fatal("not pressed by a fifth of late fills")
+		}
+	})
 	t.Run("a parent silent for long returns cold, after a short pause warm", func(t *testing.T) {
 		for _, away := range []Micros{second, 5 * second} {
 			f, all := play(t, nil)
--- a/logic/state.go
+++ b/logic/state.go
@@ -119,7 +119,9 @@
 	parentCarries  float64
 	fills          float64 // limit of open fills, heeded while pressed
 	fillsAt        Micros  // when it was last cut
-	nextFill       Micros  // where the limit is under one: not before this
+	filled         sum     // fills of late, and those among them that were late
+	filledLate     sum
+	nextFill       Micros // where the limit is under one: not before this
 	pressedTill    Micros
 	chain          []stage
 }
