--- a/service/gateway_test.go
+++ b/service/gateway_test.go
@@ -50,6 +50,7 @@
 	bulletin *standin.Bulletin
 	addr     string
 	cmd      *exec.Cmd
+	path     string // of its configuration
 	ended    chan error
 	out      syncBuffer
 	ids      int
@@ -98,7 +99,8 @@
 	}
 	s.addr = freeAddr()
 	s.cmd = exec.Command("sh", "-c", "ulimit -n 100; exec "+program)
-	s.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+s.config(change...), "ROUTER_LISTEN="+s.addr)
+	s.path = s.config(change...)
+	s.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+s.path, "ROUTER_LISTEN="+s.addr)
 	s.cmd.Stdout, s.cmd.Stderr = &s.out, &s.out
 	if err := s.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -549,6 +551,56 @@
 	})
 }
 
+func TestReread(t *testing.T) {
+	t.Run("SIGHUP: the new bulletin is asked at once for what follows, nothing is dropped", func(t *testing.T) {
+		came := make(chan standin.Do, 9)
+		s := begin(t, func(_ int, d standin.Do) { came <- d })
+		c := s.dial()
+		io.WriteString(c, s.lookup("segment", "before"))
+		d := <-came
+		s.bulletin.Tell(`{"recall":{"item":"x","issued":1764576000123}}`)
+		next := must(standin.NewBulletin("127.0.0.1:0", 1))
+		next.Tell(`{"recall":{"item":"x","issued":1764576000123}}`)
+		m := s.members[0]
+		m.Phase = "draining"
+		next.Tell(standin.Roster(false, m))
+		time.Sleep(100 * time.Millisecond) // for the first event to arrive
+		must(0, os.WriteFile(s.path, []byte(`{"bulletin":`), 0o600))
+		s.cmd.Process.Signal(syscall.SIGHUP)
+		s.until("word that the file cannot be used", func() bool { return strings.Contains(s.out.String(), "event=reread_failed") })
+		old := s.bulletin
+		s.bulletin = next
+		must(0, os.Rename(s.config(), s.path))
+		for range 3 { // several in a row are as one
+			s.cmd.Process.Signal(syscall.SIGHUP)
+		}
+		select {
+		case after := <-next.After:
+			if after != 2 {
+				t.Errorf("asked after %d", after)
+			}
+		case <-time.After(2 * time.Second):
+			t.Fatal("not asked")
+		}
+		if old.Cut(""); len(old.After) > 1 {
+			t.Error("the old bulletin was asked again")
+		}
+		time.Sleep(100 * time.Millisecond) // for the second event to arrive
+		d.Hit(time.Now(), "hit", "whole")
+		if got, body := c.answer(t); got.StatusCode != 200 || body != "whole" {
+			t.Errorf("status %d, %q", got.StatusCode, body)
+		}
+		for i := range 8 {
+			io.WriteString(c, s.lookup("segment", fmt.Sprint("o", i)))
+			d := <-came
+			if d.Hit(time.Now(), "hit", ""); d.On.LocalAddr().String() == s.edges[0].Addr {
+				t.Error("a send to a cache that the new bulletin told draining")
+			}
+			c.answer(t)
+		}
+	})
+}
+
 func TestStopAndStart(t *testing.T) {
 	t.Run("SIGTERM: takes what still comes, answers all, ends well", func(t *testing.T) {
 		came := make(chan standin.Do, 9)
--- a/service/service.go
+++ b/service/service.go
@@ -2,6 +2,7 @@
 package service
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -80,9 +81,17 @@
 	return &s, terms, seed, nil
 }
 
+// readAll reads what the gateway is told, as its variables say.
+func readAll() (*start, *charter.Terms, uint64, error) {
+	return readStart(os.Getenv("ROUTER_CONFIG"), os.Getenv("ROUTER_NAME"), os.Getenv("ROUTER_LISTEN"))
+}
+
 // Run runs a gateway until it is told to stop; every lookup taken by then is answered.
 func Run(ctx context.Context) error {
-	s, terms, seed, err := readStart(os.Getenv("ROUTER_CONFIG"), os.Getenv("ROUTER_NAME"), os.Getenv("ROUTER_LISTEN"))
+	hup := make(chan os.Signal, 1) // one that waits stands for all since
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	s, terms, seed, err := readAll()
 	if err != nil {
 		return err
 	}
@@ -100,7 +109,7 @@
 	caches := &memory.Caches{}
 	purges := &memory.Purges{Keep: time.Duration(terms.Router.PurgeDone)*time.Microsecond + purgeSlack}
 	router := facade.Start(seed, terms.Router)
-	bulletin := &wire.Bulletin{Addr: s.Bulletin, Terms: terms, Router: router, Caches: caches, Purges: purges}
+	bulletin := wire.NewBulletin(s.Bulletin, terms, router, caches, purges)
 	if err := bulletin.Known(s.Known); err != nil {
 		return err
 	}
@@ -125,6 +134,7 @@
 	group, life := errgroup.WithContext(life)
 	group.Go(func() error { return bulletin.Follow(life) })
 	group.Go(func() error { return tick(life, router) })
+	group.Go(func() error { return reread(life, hup, s, bulletin) })
 	group.Go(func() error { return front.Accept(life, listener) })
 	front.Ready()
 	group.Go(func() error {
@@ -142,6 +152,26 @@
 	return err
 }
 
+// reread reads the configuration anew at each SIGHUP. The bulletin moves at once and nothing else is touched; what
+// is told of the rest counts from the next start. A file that cannot be used leaves all as it is.
+func reread(ctx context.Context, hup <-chan os.Signal, was *start, bulletin *wire.Bulletin) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+		}
+		now, _, _, err := readAll()
+		if err != nil {
+			log.Printf("event=reread_failed text=%q", err)
+			continue
+		}
+		rest := now.Limits != was.Limits || now.Listen != was.Listen || !bytes.Equal(now.Settings, was.Settings)
+		log.Printf("event=reread bulletin=%s restart_wanted=%v", now.Bulletin, rest)
+		bulletin.Move(now.Bulletin)
+	}
+}
+
 // drain stops the gateway as the platform stops it.
 func drain(terms *charter.Terms, router *facade.Facade, front *wire.Front, listener net.Listener) error {
 	kill := leastKill
--- a/wire/bulletin.go
+++ b/wire/bulletin.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"foldslip/charter"
@@ -29,13 +30,51 @@
 
 // Bulletin follows the numbered events: lists of caches and purges.
 type Bulletin struct {
-	Addr   string
 	Last   int64 // number of the last event held
 	Terms  *charter.Terms
 	Router *facade.Facade
 	Caches *memory.Caches
 	Purges *memory.Purges
 	failed int64 // number of the event that could not be used when it came last
+	mu     sync.Mutex
+	addr   string
+	leave  context.CancelFunc // ends the session under way
+	moved  chan struct{}      // has one item when it is to be asked at once
+}
+
+// NewBulletin makes the follower of the bulletin at an address.
+func NewBulletin(addr string, terms *charter.Terms, router *facade.Facade, caches *memory.Caches,
+	purges *memory.Purges) *Bulletin {
+	return &Bulletin{addr: addr, Terms: terms, Router: router, Caches: caches, Purges: purges,
+		moved: make(chan struct{}, 1)}
+}
+
+// Move follows the bulletin at a new address from now on, after the last event held. At the old address it asks
+// anew: what was told meanwhile comes at once.
+func (b *Bulletin) Move(addr string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.addr = addr
+	select {
+	case b.moved <- struct{}{}:
+	default:
+	}
+	if b.leave != nil {
+		b.leave()
+	}
+}
+
+// next is the address to ask now, with the life of a session there, which Move ends.
+func (b *Bulletin) next(ctx context.Context) (string, context.Context, context.CancelFunc) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-b.moved: // this session is at the new address
+	default:
+	}
+	its, leave := context.WithCancel(ctx)
+	b.leave = leave
+	return b.addr, its, leave
 }
 
 // errGap tells that events are missing; a new connection brings them.
@@ -180,8 +219,13 @@
 func (b *Bulletin) Follow(ctx context.Context) error {
 	for pause := retryBulletin; ; {
 		began, last := time.Now(), b.Last
-		reason := b.session(ctx)
-		log.Printf("event=bulletin_closed addr=%s reason=%s last=%d age_ms=%d", b.Addr, reason, b.Last,
+		addr, its, leave := b.next(ctx)
+		reason := b.session(its, addr)
+		if its.Err() != nil && ctx.Err() == nil {
+			reason = "moved"
+		}
+		leave()
+		log.Printf("event=bulletin_closed addr=%s reason=%s last=%d age_ms=%d", addr, reason, b.Last,
 			time.Since(began).Milliseconds())
 		if b.Last > last || time.Since(began) > silentAfter {
 			pause = retryBulletin
@@ -189,6 +233,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-b.moved:
+			pause = retryBulletin
+			continue
 		case <-time.After(pause):
 		}
 		pause = min(2*pause, retryMost)
@@ -196,9 +243,9 @@
 }
 
 // session is one connection, from after the last event held up to its end.
-func (b *Bulletin) session(ctx context.Context) (reason string) {
+func (b *Bulletin) session(ctx context.Context, addr string) (reason string) {
 	dial := net.Dialer{Timeout: dialBulletin}
-	conn, err := dial.DialContext(ctx, "tcp", b.Addr)
+	conn, err := dial.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return "no_connection"
 	}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -93,8 +93,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &Bulletin{Terms: terms, Router: facade.Start(1, terms.Router), Caches: &memory.Caches{},
-		Purges: &memory.Purges{Keep: time.Minute}, Last: 40}
+	b := NewBulletin("", terms, facade.Start(1, terms.Router), &memory.Caches{}, &memory.Purges{Keep: time.Minute})
+	b.Last = 40
+	return b
 }
 
 const roster = `{"no":41,"roster":{"revision":7,"complete":false,"members":[{"id":"s-1","host_port":"10.1.0.9:10080",` +
