--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,10 +1,6 @@
-// Package logic decides for one router: which cache, which source of a fill, which rank, how long, what is
-// given up.
-//
-// The door (an adapter or a gateway) makes a Router with Start and caches with NewCache, and calls Listed,
-// Arrive, Ended, Departed, Purged and Woken as things happen, each with the time now. The Router answers
-// through Host, in host.go; plain types are there and in state.go. One goroutine at a time, nothing shared.
-//
+// Package logic decides for one router: which cache, which source, which rank, how long, what is given up.
+// The door (an adapter or a gateway) makes a Router with Start and caches with NewCache, and tells it what
+// happens and when. It answers through Host; plain types are in host.go and state.go. One call at a time.
 // A lookup goes down the chain intake > copies > edge > parent > dispatch as the draft of a send. A stage
 // passes it on, keeps it (held) or ends it; what comes back runs the same stages in reverse.
 package logic
@@ -40,10 +36,9 @@
 	coldBurst   = 0.4        // of the rule's multiple above 1, at once
 	roomToSpill = 0.7        // another cache takes a crowded one's lookup while under this part of its limit
 
-	recentTimes = 10         // of a parent, over which its mean is taken
-	trialEvery  = 1 * second // pause between trials of a cache or parent that is out
-	lagMultiple = 3.0        // a parent lags when its mean is above this multiple of the others' and lagFloor
-	lagFloor    = 250 * ms
+	recentTimes           = 10            // of a parent, over which its mean is taken
+	trialEvery            = 1 * second    // pause between trials of a cache or parent that is out
+	lagMultiple, lagFloor = 3.0, 250 * ms // a parent lags when its mean is above this multiple of the others'
 )
 
 // NewCache makes the cache for a name at the door.
@@ -308,9 +303,14 @@
 			lk.failedAt = c
 		}
 	case got.end == Unconnected || got.end == Reset:
-		c.died = true
-		lk.failedAt = c
-		r.strike(c, 2, "unreachable")
+		// A reset alone is no death, and what is held there is worth a second send.
+		if c.died = c.died || got.end == Unconnected; got.end == Unconnected || len(lk.sends) > 2 {
+			lk.failedAt = c
+		}
+		if s.at >= c.struckAt { // a connection breaks under many sends at once: one strike
+			c.struckAt = r.now
+			r.strike(c, 2, "unreachable")
+		}
 	case got.end == Cancelled && c.trial == s:
 		r.strike(c, 1, "trial failed")
 	}
@@ -373,7 +373,7 @@
 	return n
 }
 
-// carries follows what a warm cache of a group bears for this router; while none is warm it stays.
+// carries follows what a warm cache of a group bears for this router.
 func (r *Router) carries(group []*Cache, mean *float64) {
 	carried, n := 0.0, 0.0
 	for _, c := range group {
@@ -666,9 +666,10 @@
 		if c.coldFrom == 0 && (c.died || c.Kind == r.its.ParentKind && r.now-c.outAt > coldAfter) {
 			c.coldFrom, c.tokens, c.tokensAt = r.now, 0, r.now
 		}
-		c.out, c.died, c.recents = false, false, 0
+		c.out, c.recents = false, 0
 		r.log("%s back after %d us", c.Name, r.now-c.outAt)
 	}
+	c.died = c.died && c.out
 }
 
 // share is how much of its link a cold cache surely has by now; 1 once warm.
@@ -690,7 +691,7 @@
 }
 
 // afford guards rule 4: this router's part of what a cold cache can bear, as a bucket that bounds any window.
-// A link bears what is listed, else what warm ones carry for this router times the routers, or one transfer.
+// A link bears what is listed, else what warm ones carry times the routers, or one transfer.
 func (r *Router) afford(c *Cache, work float64) bool {
 	share := r.share(c)
 	if c.coldFrom == 0 {
@@ -707,8 +708,7 @@
 	}
 	rate := coldRate * share * max(1, link) * part
 	depth := rate * float64(max(r.its.FallFor, 100*ms)) * max(0.2, (multiple-1)*coldBurst)
-	c.tokens = min(depth, c.tokens+rate*float64(r.now-c.tokensAt))
-	c.tokensAt = r.now
+	c.tokens, c.tokensAt = min(depth, c.tokens+rate*float64(r.now-c.tokensAt)), r.now
 	if c.tokens < depth || c.tokens >= work {
 		return c.tokens >= work
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -151,6 +151,29 @@
 }
 
 func TestFailures(t *testing.T) {
+	t.Run("a connection that breaks under many sends is one strike, and they go to the same cache again", func(t *testing.T) {
+		f, _ := play(t, nil)
+		var out []sent
+		for i := range 8 {
+			f.ask(0, fmt.Sprint("o", i))
+			out = append(out, f.last())
+		}
+		f.now += 10 * ms
+		for _, s := range out {
+			f.end(s, Reset, Untold, 10*ms)
+			if again := f.last(); again.lk != s.lk || again.to != s.to || s.to.out || s.to.died {
+				t.Fatalf("%s went to %s after %s; out %v", s.lk.Door, again.to.Name, s.to.Name, s.to.out)
+			}
+		}
+		f.now += 10 * ms
+		again := f.last()
+		if f.end(again, Reset, Untold, 10*ms); !again.to.out {
+			t.Error("in after a second break without an answer between")
+		}
+		if again.to.died {
+			t.Error("thought dead though nothing was refused")
+		}
+	})
 	t.Run("a silent cache is left once looks go unanswered, and a trial brings it back", func(t *testing.T) {
 		f, all := play(t, nil)
 		for i := 0; !all[0].out && i < 200; i++ {
--- a/logic/state.go
+++ b/logic/state.go
@@ -12,6 +12,7 @@
 	outAt, nextAt Micros // since when; when the next trial may go
 	trial         *Send
 	strikes       int    // failures in a row
+	struckAt      Micros // sends from before then tell no more by breaking
 	heard         Micros // last good answer (of a parent: last good fill)
 	mute          int    // overdue sends since it was last heard, counted anew at each sweep
 	muteLooks     int    // those among them that asked for no fill
--- a/wire/lines.go
+++ b/wire/lines.go
@@ -67,7 +67,8 @@
 	"src_refused": logic.SourceRefused, "src_broke": logic.SourceLost, "src_lacks": logic.SourceLacks,
 	"no_slot": logic.NoFillPlace, "origin_failed": logic.OriginFailed}
 
-// parseAnswer reads an answer at the front of b and tells how long it is; errShort asks for more bytes.
+// parseAnswer reads an answer at the front of b and tells how long it is; errShort asks for more bytes. An answer
+// that ends where it says and makes no sense comes with id and length beside the error, else the length is 0.
 func parseAnswer(b []byte) (answer, int, error) {
 	var a answer
 	i := bytes.IndexByte(b, '\n')
@@ -88,10 +89,22 @@
 	if err != nil || n > MostObject {
 		return a, 0, errors.New("the length cannot be read")
 	}
-	a.id = words[0]
-	switch words[1] {
+	from, end := i+1, i+1+int(n)
+	if len(b) < end+2 {
+		return a, 0, errShort
+	}
+	if b[end] != '\r' || b[end+1] != '\n' {
+		return a, 0, errors.New("the bytes do not end in CR LF")
+	}
+	a.id, a.body = words[0], b[from:end]
+	return a, end + 2, a.content(words[1], words[2])
+}
+
+// content reads what an answer says, its bytes being there.
+func (a *answer) content(word, fields string) error {
+	switch word {
 	case "HIT", "VALID":
-		a.end, a.same = logic.Satisfied, words[1] == "VALID"
+		a.end, a.same = logic.Satisfied, word == "VALID"
 	case "NONE":
 		a.end = logic.Missed
 	case "SHED":
@@ -101,23 +114,15 @@
 	case "LATE":
 		a.end = logic.NeverSent
 	default:
-		return a, 0, errors.New("the word is unknown")
+		return errors.New("the word is unknown")
 	}
-	if err := a.fields(words[2]); err != nil {
-		return a, 0, err
+	if err := a.fields(fields); err != nil {
+		return err
 	}
-	if a.end == logic.Satisfied && (a.tag == "" || a.born.IsZero()) || a.same && n > 0 {
-		return a, 0, errors.New("a copy without ver or born, or bytes where none belong")
+	if a.end == logic.Satisfied && (a.tag == "" || a.born.IsZero()) || a.same && len(a.body) > 0 {
+		return errors.New("a copy without ver or born, or bytes where none belong")
 	}
-	from, end := i+1, i+1+int(n)
-	if len(b) < end+2 {
-		return a, 0, errShort
-	}
-	if b[end] != '\r' || b[end+1] != '\n' {
-		return a, 0, errors.New("the bytes do not end in CR LF")
-	}
-	a.body = b[from:end]
-	return a, end + 2, nil
+	return nil
 }
 
 // fields reads the fields that a door needs; others are skipped.
--- a/wire/links.go
+++ b/wire/links.go
@@ -24,6 +24,7 @@
 	linksACache  = 4                // connections to one cache; a second only when the first is full
 	forgetLateIn = 10 * time.Second // an answer of a send that was given up may come for so long
 	writeWithin  = time.Second
+	stalledAfter = 500 * time.Millisecond // an answer that has begun brings nothing more
 )
 
 // Links are the connections to caches. Each carries many sends; their answers come in any order.
@@ -59,6 +60,7 @@
 	on     *link
 	// Under the link's lock: undo must not overtake do, so whoever finds both true writes it.
 	wrote, undone bool
+	writing       bool // what has not been written whole never ran
 }
 
 // link is one connection to a cache, from its dialling on.
@@ -73,6 +75,7 @@
 	late    map[string]time.Time // given up, an answer may still come
 	stuck   atomic.Bool          // a line did not go out in time
 	served  int
+	strays  int // answers to no send: given up, given twice, another's
 	buf     memory.Buffer
 }
 
@@ -139,19 +142,20 @@
 	f.on = l
 	f.over = time.AfterFunc(patience, func() { l.ls.undo(f, logic.TimedOut) })
 	conn := l.conn
+	f.writing = conn != nil
 	l.mu.Unlock()
 	if conn != nil {
-		l.write(conn, f.line)
-		l.wrote(conn, f)
+		l.put(conn, f)
 	}
 	return true
 }
 
-// wrote notes that a send has gone out, and undoes it if it was given up meanwhile.
-func (l *link) wrote(conn net.Conn, f *flight) {
+// put writes a send, and undoes it if it was given up meanwhile.
+func (l *link) put(conn net.Conn, f *flight) {
+	whole := l.write(conn, f.line)
 	l.mu.Lock()
-	f.wrote = true
-	undone := f.undone
+	f.wrote, f.writing = whole, false
+	undone := f.undone && whole
 	l.mu.Unlock()
 	if undone {
 		l.write(conn, appendUndo(nil, f.open.req.ID))
@@ -159,12 +163,14 @@
 }
 
 // write sends a short text; one that does not go out soon ends the connection.
-func (l *link) write(conn net.Conn, text []byte) {
+func (l *link) write(conn net.Conn, text []byte) bool {
 	conn.SetWriteDeadline(time.Now().Add(writeWithin))
-	if _, err := conn.Write(text); err != nil {
+	_, err := conn.Write(text)
+	if err != nil {
 		l.stuck.Store(errors.Is(err, os.ErrDeadlineExceeded))
 		conn.Close()
 	}
+	return err == nil
 }
 
 // take removes a send; whoever gets it reports its ending.
@@ -233,18 +239,14 @@
 	defer conn.Close()
 	l.mu.Lock()
 	l.conn = conn
-	var text []byte
 	var waited []*flight
 	for _, f := range l.flights {
-		text = append(text, f.line...)
+		f.writing = true
 		waited = append(waited, f)
 	}
 	l.mu.Unlock()
-	if len(text) > 0 {
-		l.write(conn, text)
-	}
 	for _, f := range waited {
-		l.wrote(conn, f)
+		l.put(conn, f)
 	}
 	reason := l.read(conn)
 	l.end(logic.Reset, reason, began)
@@ -265,15 +267,23 @@
 	ls.mu.Unlock()
 	l.mu.Lock()
 	l.dead = true
-	lost := l.flights
+	lost, unsent := l.flights, map[*flight]bool{}
 	l.flights = nil
+	for _, f := range lost {
+		if f.over.Stop(); how == logic.Reset && !f.wrote && !f.writing {
+			unsent[f] = true
+		}
+	}
 	l.mu.Unlock()
 	for _, f := range lost {
-		f.over.Stop()
-		ls.router.Report(f.open.lk, f.n, how, logic.Untold, 0)
+		its := how
+		if unsent[f] {
+			its = logic.NeverSent // the connection broke before the send had gone out whole
+		}
+		ls.router.Report(f.open.lk, f.n, its, logic.Untold, 0)
 	}
-	log.Printf("event=cache_closed cache=%s addr=%s reason=%s open=%d answers=%d age_ms=%d", l.peer.ID, l.peer.Addr,
-		reason, len(lost), l.served, time.Since(began).Milliseconds())
+	log.Printf("event=cache_closed cache=%s addr=%s reason=%s open=%d unsent=%d answers=%d strays=%d age_ms=%d", l.peer.ID,
+		l.peer.Addr, reason, len(lost), len(unsent), l.served, l.strays, time.Since(began).Milliseconds())
 }
 
 // read takes answers until the connection ends and tells why it did.
@@ -281,17 +291,23 @@
 	for {
 		a, size, err := parseAnswer(l.buf.Bytes())
 		switch {
-		case err == nil:
-			reason := l.answered(a)
+		case size > 0:
+			reason := l.answered(a, err)
 			l.buf.Skip(size)
 			if reason != "" {
 				return reason
 			}
 		case errors.Is(err, errShort):
 			// This side closes first, and only while nothing is open: no send meets the cache's own idle close.
-			idle := time.Duration(l.ls.terms.IdleFor) * time.Microsecond * 8 / 10
-			conn.SetReadDeadline(time.Now().Add(idle))
+			wait, begun := time.Duration(l.ls.terms.IdleFor)*time.Microsecond*8/10, len(l.buf.Bytes()) > 0
+			if begun {
+				wait = stalledAfter // what stops short would hold up all other sends here
+			}
+			conn.SetReadDeadline(time.Now().Add(wait))
 			err := l.buf.Fill(conn, mostAnswer)
+			if errors.Is(err, os.ErrDeadlineExceeded) && begun {
+				return "stalled"
+			}
 			if errors.Is(err, os.ErrDeadlineExceeded) && !l.retire() {
 				continue
 			}
@@ -327,23 +343,25 @@
 	return "reset"
 }
 
-// answered hands an answer to its lookup. A reason ends the connection.
-func (l *link) answered(a answer) string {
+// answered hands an answer to its lookup, or what is wrong with it. A reason ends the connection. An answer to no send
+// (given up, a second copy, another's) is whole and harms nothing: the sends around it go on.
+func (l *link) answered(a answer, fault error) string {
 	l.mu.Lock()
 	f := l.flights[a.id]
-	_, late := l.late[a.id]
 	if f == nil {
 		delete(l.late, a.id)
+		l.strays++
 	}
 	l.mu.Unlock()
-	if f == nil && late {
+	if f == nil {
 		return ""
 	}
-	if f == nil || !l.take(f, false) {
-		if f != nil {
-			return "" // given up this moment
-		}
-		return "unknown_id"
+	if fault != nil {
+		log.Printf("event=cache_fault cache=%s text=%q", l.peer.ID, fault)
+		return "bad_answer"
+	}
+	if !l.take(f, false) {
+		return "" // given up this moment
 	}
 	l.served++
 	if a.same && a.tag != f.open.req.Tag {
