--- a/facade/facade.go
+++ b/facade/facade.go
@@ -37,6 +37,7 @@
 	Rank       int
 	How        logic.How
 	Patience   logic.Micros
+	Hush       logic.Micros // how long its connection may say nothing
 	Oldest     logic.Micros
 	RetryIn    logic.Micros
 }
@@ -242,12 +243,12 @@
 type host Facade
 
 func (h *host) Fetch(lk *logic.Lookup, to, source *logic.Cache, rank int, how logic.How,
-	patience, oldest logic.Micros) {
+	patience, hush, oldest logic.Micros) {
 	l := h.open[lk.Door]
 	l.sentAt = append(l.sentAt, (*Facade)(h).now())
 	l.out++
 	l.push(Step{What: Send, N: len(l.sentAt) - 1, To: to, Source: source, Rank: rank, How: how,
-		Patience: patience, Oldest: oldest})
+		Patience: patience, Hush: hush, Oldest: oldest})
 }
 
 func (h *host) Cancel(lk *logic.Lookup, send int) {
--- a/logic/host.go
+++ b/logic/host.go
@@ -7,8 +7,9 @@
 // Every call is made from within a call to the Router and takes effect at that call's instant.
 type Host interface {
 	// Fetch asks a cache and names where it fills a miss from; source may be the cache itself for no fill.
-	// Rank 0 keeps nothing; oldest 0 stands for the object kind's own fresh time.
-	Fetch(lk *Lookup, to, source *Cache, rank int, how How, patience, oldest Micros)
+	// Rank 0 keeps nothing; oldest 0 stands for the object kind's own fresh time. A connection that has
+	// answered before, and that two sends waited on for their hush with nothing heard since, ends: Reset for all on it.
+	Fetch(lk *Lookup, to, source *Cache, rank int, how How, patience, hush, oldest Micros)
 	// Cancel stops waiting for one send, numbered from 0 in the order of the lookup's sends.
 	Cancel(lk *Lookup, send int)
 	// Nack ends a lookup and tells its client that trying again is harmless, in retryIn if that is not 0.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 )
@@ -27,6 +28,7 @@
 	crowdedAt   = 0.4        // hits take this part of their latency budget: the cache is crowded
 	firstLimit  = 16.0       // open sends at a cache before anything is known of it
 	overduePart = 0.75       // a send is overdue after this part of its latency budget
+	hushPart    = 0.5        // and its connection in doubt after this one, with nothing heard on it
 	pressedFor  = 8 * second // after a fill came late or found no place
 	latePart    = 0.1        // of fills of late beyond manyFills: fewer late ones are late by their way
 	manyFills   = 100        // up to so many every late one counts
@@ -52,7 +54,7 @@
 // Start makes a router. The list follows by Listed.
 func Start(now Micros, seed uint64, its *Charter, host Host) *Router {
 	r := &Router{host: host, its: its, now: now, chance: mwc{uint32(seed) | 1, uint32(seed>>32)%698769068 + 1},
-		fills: firstLimit, halveAt: now + halveEvery, objects: map[string]*object{}, purged: map[int]Micros{}}
+		fills: firstLimit, halveAt: now + halveEvery, counts: map[uint64]float64{}, purged: map[uint64]Micros{}}
 	for _, k := range its.Kinds {
 		r.kinds = append(r.kinds, kind{ObjectKind: k})
 	}
@@ -116,12 +118,14 @@
 	lk := &Lookup{Door: door, kind: k, group: group, write: write || k.PassThrough, repeat: repeat, kb: kb,
 		arrived: now, deadline: deadline}
 	if r.its.FlowKB > 0 {
-		lk.work = Micros(kb / r.its.FlowKB * float64(second))
+		lk.work = Micros(min(kb/r.its.FlowKB*float64(second), float64(k.GiveUp))) // whatever size is claimed
 	}
 	lk.budget = now + min(lk.span(), deadline-now)
 	k.work.add(now, float64(lk.work))
 	k.n.add(now, 1)
-	lk.object, lk.count = r.tally(name, part)
+	lk.hash = hashOf(name)
+	lk.part = mix(lk.hash, uint64(part)+1)
+	r.counts[lk.part]++
 	r.route(lk)
 	return lk
 }
@@ -153,11 +157,11 @@
 // Purged takes word of a purge of an object, or of a group where name is empty, made that long ago.
 func (r *Router) Purged(now Micros, name string, group int, ago Micros) {
 	r.now = now
-	if name == "" {
-		r.purged[group] = max(r.purged[group], now-ago)
-	} else if o := r.named(name); o.purge < now-ago {
-		o.purge = now - ago
+	key := uint64(group) // far below any hash
+	if name != "" {
+		key = hashOf(name)
 	}
+	r.purged[key] = max(r.purged[key], now-ago)
 }
 
 // Woken is called when a timer comes due.
@@ -172,7 +176,7 @@
 	r.carries(r.parents, &r.parentCarries)
 	r.findSilent()
 	r.pump()
-	if now >= r.halveAt || r.tallies > tableBound {
+	if now >= r.halveAt || len(r.counts) > tableBound {
 		r.halve()
 	}
 }
@@ -231,7 +235,7 @@
 	if lk.write {
 		return pass
 	}
-	s.rank = lk.rank()
+	s.rank = lk.rank(r.counts[lk.part])
 	if r.its.Joins && !lk.noJoin {
 		s.how |= Join
 	}
@@ -241,7 +245,7 @@
 		}
 	}
 	// Guards rule 5: heeded at once, not only after the grace, and kept until no older copy can be left.
-	at := max(lk.object.purge, r.purged[lk.group])
+	at := max(r.purged[lk.hash], r.purged[uint64(lk.group)])
 	since := max(ms, r.now-at)
 	if at > 0 && since < r.its.PurgeDone+second && (s.oldest == 0 || since < s.oldest) {
 		s.oldest = since
@@ -250,8 +254,8 @@
 }
 
 // rank is LRU-SP's group by log2 of size over recent count, folded into three.
-func (lk *Lookup) rank() int {
-	switch n := *lk.count; {
+func (lk *Lookup) rank(n float64) int {
+	switch {
 	case n < 2:
 		return 1
 	case math.Floor(math.Log2(max(lk.kb, 1)/n)) <= topBand:
@@ -263,10 +267,10 @@
 // edge picks the first cache in the object's hash order that is up and has room for it.
 func (r *Router) edge(s *Send) verdict {
 	lk, wait, part := s.lk, false, 1.0
-	for _, c := range r.order(lk.object.hash, r.edges) {
+	for _, c := range r.order(lk.hash, r.edges) {
 		switch {
 		case c.State != Ready || c == lk.failedAt || !r.mayRepeat(lk, c) || !r.trialDue(c, lk):
-		case !r.warmEnough(c, lk.object.hash) || !r.afford(c, lk.kind.mean(r.now)):
+		case !r.warmEnough(c, lk.hash) || !r.afford(c, lk.kind.mean(r.now)):
 			wait = true
 		case float64(c.open)-r.fillsOpen(c) >= part*c.limit || r.now < c.pauseTill:
 			if part < 1 {
@@ -348,7 +352,7 @@
 			return keep
 		}
 	}
-	for _, p := range r.order(lk.object.hash, r.parents) {
+	for _, p := range r.order(lk.hash, r.parents) {
 		switch {
 		case p.State != Ready || p == lk.failedBy || !r.trialDue(p, lk):
 		case !r.afford(p, float64(lk.work)):
@@ -510,7 +514,8 @@
 	lk.open++
 	c.open++
 	r.open = append(r.open, s)
-	r.host.Fetch(lk, c, s.source, s.rank, s.how, lk.deadline-r.now, s.oldest)
+	hush := Micros(hushPart * float64(lk.span()))
+	r.host.Fetch(lk, c, s.source, s.rank, s.how, lk.deadline-r.now, hush, s.oldest)
 	return pass
 }
 
@@ -746,41 +751,15 @@
 	return order
 }
 
-// named finds an object, or begins to know it.
-func (r *Router) named(name string) *object {
-	o := r.objects[name]
-	if o == nil {
-		o = &object{hash: hashOf(name), count: map[int]*float64{}}
-		r.objects[name] = o
-	}
-	return o
-}
-
-// tally counts a lookup of a part of an object in the bounded table.
-func (r *Router) tally(name string, part int) (*object, *float64) {
-	o := r.named(name)
-	n := o.count[part]
-	if n == nil {
-		n = new(float64)
-		o.count[part], r.tallies = n, r.tallies+1
-	}
-	*n++
-	return o, n
-}
-
-// halve ages the counts and drops what has none left.
+// halve ages the counts and drops what has none left, and purges that no copy can be older than.
 func (r *Router) halve() {
-	r.halveAt, r.tallies = r.now+halveEvery, 0
-	for name, o := range r.objects {
-		for part, n := range o.count {
-			if *n /= 2; *n < 1 {
-				delete(o.count, part)
-			}
-		}
-		if r.tallies += len(o.count); len(o.count) == 0 && r.now > o.purge+r.its.PurgeDone+second {
-			delete(r.objects, name)
+	r.halveAt = r.now + halveEvery
+	for part, n := range r.counts {
+		if r.counts[part] = n / 2; n < 2 {
+			delete(r.counts, part)
 		}
 	}
+	maps.DeleteFunc(r.purged, func(_ uint64, at Micros) bool { return r.now > at+r.its.PurgeDone+second })
 }
 
 func (r *Router) log(format string, a ...any) { r.host.Log(fmt.Sprintf(format, a...)) }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -151,6 +151,32 @@
 }
 
 func TestFailures(t *testing.T) {
+	t.Run("a size out of all bounds is nacked at once and hardly counts", func(t *testing.T) {
+		f, _ := play(t, nil)
+		f.ask(0, "usual")
+		f.askSized(0, "odd", 1e9)
+		if len(f.sends) != 1 || len(f.said) != 1 || f.r.kinds[0].mean(f.now) > float64(f.r.kinds[0].GiveUp) {
+			t.Errorf("%d sends, %v, mean %.0f", len(f.sends), f.said, f.r.kinds[0].mean(f.now))
+		}
+	})
+	t.Run("a day of ever new objects keeps a bounded table, and a count lasts as long as a copy is asked for", func(t *testing.T) {
+		f, _ := play(t, nil)
+		for i := range tableBound + 10 {
+			f.r.Arrive(f.now, fmt.Sprint(i), 0, fmt.Sprint("new", i), 0, 3, 1e9, f.now+second, false, false)
+			if i%20 == 0 {
+				f.r.Arrive(f.now, "u", 0, "usual", 0, 3, 1e9, f.now+second, false, false)
+			}
+		}
+		f.r.Purged(f.now, "usual", 0, 0)
+		f.pass(sweepEvery)
+		if len(f.r.counts) != 1 {
+			t.Errorf("%d counts left", len(f.r.counts))
+		}
+		f.pass(2 * halveEvery)
+		if len(f.r.purged) != 0 {
+			t.Error("a purge is kept though no copy can be older")
+		}
+	})
 	t.Run("a connection that breaks under many sends is one strike, and they go to the same cache again", func(t *testing.T) {
 		f, _ := play(t, nil)
 		var out []sent
--- a/logic/state.go
+++ b/logic/state.go
@@ -34,8 +34,7 @@
 type Lookup struct {
 	Door             string // the door's word for it
 	kind             *kind
-	object           *object
-	count            *float64 // of its part
+	hash, part       uint64 // of the object's name, and of it with the part
 	group            int
 	write, repeat    bool
 	kb               float64
@@ -67,12 +66,6 @@
 	cancelled   bool
 }
 
-type object struct {
-	hash  uint64
-	count map[int]*float64 // recent lookups by part
-	purge Micros
-}
-
 // kind is the table's row of an object kind and what was measured of it.
 type kind struct {
 	ObjectKind
@@ -109,10 +102,9 @@
 	edges, parents []*Cache
 	origin         *Cache
 	kinds          []kind
-	objects        map[string]*object
-	tallies        int
+	counts         map[uint64]float64 // recent lookups by hash of object and part
 	halveAt        Micros
-	purged         map[int]Micros // by group
+	purged         map[uint64]Micros // by group or hash of the object
 	open           []*Send
 	held           []*Lookup
 	overload       bool
--- a/simwire/host.go
+++ b/simwire/host.go
@@ -20,7 +20,7 @@
 
 // Fetch implements logic.Host.
 func (g *gateway) Fetch(lk *logic.Lookup, to, source *logic.Cache, rank int, how logic.How,
-	patience, oldest logic.Micros) {
+	patience, _, oldest logic.Micros) {
 	g.lookups[lk.Door].out++
 	g.say("SERVE_OR_FILL", lk.Door, rank, int(how), source.Name, to.Name, patience, oldest)
 }
--- a/wire/front.go
+++ b/wire/front.go
@@ -20,10 +20,11 @@
 )
 
 const (
-	idleClient  = 20 * time.Second // without a request on it
-	slowRequest = 5 * time.Second  // from a request's first byte to its last
-	slowAnswer  = time.Second      // past the deadline, for the client to take the last byte
-	headRoom    = 256              // before an answer's bytes, for its head
+	idleClient  = 20 * time.Second        // without a request on it
+	slowRequest = 2 * time.Second         // from a request's first byte to its last
+	firstWithin = 2500 * time.Millisecond // from connecting to the first request's last byte
+	slowAnswer  = time.Second             // past the deadline, for the client to take the last byte
+	headRoom    = 256                     // before an answer's bytes, for its head
 	lingerFor   = 200 * time.Millisecond
 	lingerBytes = 256 << 10
 	acceptAgain = 10 * time.Millisecond
@@ -65,6 +66,8 @@
 	lk     *open // the lookup that it is
 	done   chan struct{}
 	reason string
+	since  time.Time // without a request on it
+	usual  bool      // a lookup of it was satisfied
 	served int
 }
 
@@ -124,10 +127,10 @@
 			}
 			continue
 		}
-		c := &client{f: f, conn: conn, done: make(chan struct{}, 1)}
+		c := &client{f: f, conn: conn, since: time.Now(), done: make(chan struct{}, 1)}
 		c.done <- struct{}{}
 		f.mu.Lock()
-		full, draining := len(f.clients) >= f.most, f.draining
+		full, draining := len(f.clients) >= f.most && !f.displace(), f.draining
 		if !full && !draining {
 			f.clients[c] = true
 		}
@@ -140,6 +143,32 @@
 	}
 }
 
+// displace makes room for a new connection, under the front's lock: the one longest without a request goes, first among
+// those that never had a lookup satisfied. That guards usual clients against silent connections by the hundreds.
+func (f *Front) displace() bool {
+	var last *client
+	var usual bool
+	var since time.Time
+	for c := range f.clients {
+		c.mu.Lock()
+		if !c.busy && (last == nil || usual && !c.usual || usual == c.usual && c.since.Before(since)) {
+			last, usual, since = c, c.usual, c.since
+		}
+		c.mu.Unlock()
+	}
+	if last == nil {
+		return false
+	}
+	last.mu.Lock()
+	defer last.mu.Unlock()
+	if last.busy { // a request came this moment
+		return false
+	}
+	last.close("displaced")
+	delete(f.clients, last)
+	return true
+}
+
 // Drain closes the connections without a lookup, and each other one once it is answered.
 func (f *Front) Drain() {
 	f.mu.Lock()
@@ -211,7 +240,7 @@
 
 func (c *client) read() {
 	var buf memory.Buffer
-	c.conn.SetReadDeadline(time.Now().Add(idleClient))
+	c.conn.SetReadDeadline(c.since.Add(firstWithin))
 	started := false // a request's first bytes are there
 	for {
 		req, size, err := parseRequest(buf.Bytes())
@@ -250,11 +279,12 @@
 	}
 }
 
-// hurry gives a request that has begun little time, unless the one before it is still being answered.
+// hurry gives a request that has begun little time, unless the one before it is still being answered. The first has
+// its time from connecting on.
 func (c *client) hurry() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy {
+	if !c.busy && c.served > 0 {
 		c.conn.SetReadDeadline(time.Now().Add(slowRequest))
 	}
 }
@@ -317,8 +347,10 @@
 	case req.ID == "":
 		status, text, end = 400, "X-Job-Id is missing", true
 	}
-	if req.Allow < 0 && known {
-		req.Allow = time.Duration(f.terms.Router.Kinds[kind].GiveUp) * time.Microsecond
+	if known { // a client that names no time or an odd one has what its kind has
+		if most := time.Duration(f.terms.Router.Kinds[kind].GiveUp) * time.Microsecond; req.Allow < 0 || req.Allow > most {
+			req.Allow = most
+		}
 	}
 	o := &open{req: req}
 	switch {
@@ -363,7 +395,7 @@
 	c.f.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy, c.lk = false, nil
+	c.busy, c.lk, c.since = false, nil, time.Now()
 	if draining {
 		c.close("stopping")
 		return
@@ -392,6 +424,9 @@
 		f.mu.Unlock()
 		switch s.What {
 		case facade.Satisfied:
+			c.mu.Lock()
+			c.usual = true
+			c.mu.Unlock()
 			c.pass(o, s.N, end)
 		case facade.Nacked:
 			wait := ""
--- a/wire/links.go
+++ b/wire/links.go
@@ -57,10 +57,18 @@
 	n      int
 	line   []byte
 	over   *time.Timer
+	hush   *time.Timer
 	on     *link
 	// Under the link's lock: undo must not overtake do, so whoever finds both true writes it.
 	wrote, undone bool
 	writing       bool // what has not been written whole never ran
+	hushed        bool // it has waited for its hush
+}
+
+// stop ends its timers.
+func (f *flight) stop() {
+	f.over.Stop()
+	f.hush.Stop()
 }
 
 // link is one connection to a cache, from its dialling on.
@@ -71,6 +79,8 @@
 	mu      sync.Mutex
 	conn    net.Conn // nil while dialling
 	dead    bool
+	heard   time.Time // last whole answer, or when it came up
+	doubted bool      // takes no more sends
 	flights map[string]*flight
 	late    map[string]time.Time // given up, an answer may still come
 	stuck   atomic.Bool          // a line did not go out in time
@@ -90,11 +100,12 @@
 	if s.Source != s.To {
 		source = s.Source.Name
 	}
-	f := &flight{sent: time.Now(), open: o, n: s.N, object: o.req.Object, group: o.req.Group,
+	f := &flight{open: o, n: s.N, object: o.req.Object, group: o.req.Group,
 		line: appendDo(nil, o.req.ID, o.req.Kind, o.req.Object, o.req.Part, s.Patience, source, s.Rank, s.Oldest,
 			s.How, o.req.Tag)}
 	o.flights = append(o.flights, f)
-	for patience := time.Duration(s.Patience) * time.Microsecond; !ls.pick(to, o.req.ID).board(f, patience); {
+	patience, hush := time.Duration(s.Patience)*time.Microsecond, time.Duration(s.Hush)*time.Microsecond
+	for !ls.pick(to, o.req.ID).board(f, patience, hush) {
 	}
 }
 
@@ -128,19 +139,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	_, late = l.late[id]
-	return len(l.flights), late, l.dead
+	return len(l.flights), late, l.dead || l.doubted
 }
 
 // board puts a send on the connection: at once, or when it is up.
-func (l *link) board(f *flight, patience time.Duration) bool {
+func (l *link) board(f *flight, patience, hush time.Duration) bool {
 	l.mu.Lock()
-	if l.dead {
+	if l.dead || l.doubted {
 		l.mu.Unlock()
 		return false
 	}
 	l.flights[f.open.req.ID] = f
 	f.on = l
 	f.over = time.AfterFunc(patience, func() { l.ls.undo(f, logic.TimedOut) })
+	f.hush = time.AfterFunc(hush, func() { l.doubt(f) })
 	conn := l.conn
 	f.writing = conn != nil
 	l.mu.Unlock()
@@ -152,6 +164,9 @@
 
 // put writes a send, and undoes it if it was given up meanwhile.
 func (l *link) put(conn net.Conn, f *flight) {
+	l.mu.Lock()
+	f.sent = time.Now() // not before the connection was up
+	l.mu.Unlock()
 	whole := l.write(conn, f.line)
 	l.mu.Lock()
 	f.wrote, f.writing = whole, false
@@ -182,7 +197,11 @@
 		return false
 	}
 	delete(l.flights, id)
-	f.over.Stop()
+	f.stop()
+	if late && f.hushed && !l.heard.After(f.sent) {
+		l.doubted = true
+	}
+	l.closeEmpty()
 	if late && l.conn != nil {
 		now := time.Now()
 		for k, at := range l.late {
@@ -195,6 +214,32 @@
 	return true
 }
 
+// doubt notes that a send has waited for its hush. Two that did, with no whole answer since, end the connection: one
+// may be slow by itself, and so may the cache be if its connection has brought nothing yet. Guards against a peer that
+// falls silent and leaves the connection open.
+func (l *link) doubt(f *flight) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f.hushed = true
+	n := 0
+	for _, o := range l.flights {
+		if o.hushed && !l.heard.After(o.sent) {
+			n++
+		}
+	}
+	if n >= 2 && l.served > 0 && l.conn != nil {
+		l.doubted = true
+		l.conn.Close()
+	}
+}
+
+// closeEmpty ends a doubted connection once nothing is open on it, under the link's lock.
+func (l *link) closeEmpty() {
+	if l.doubted && len(l.flights) == 0 && l.conn != nil {
+		l.conn.Close()
+	}
+}
+
 // undo gives a send up, unless it has ended. Where the settings allow no giving up the cache is not told.
 func (ls *Links) undo(f *flight, how logic.Ending) {
 	l := f.on
@@ -238,7 +283,7 @@
 	defer stop()
 	defer conn.Close()
 	l.mu.Lock()
-	l.conn = conn
+	l.conn, l.heard = conn, time.Now()
 	var waited []*flight
 	for _, f := range l.flights {
 		f.writing = true
@@ -270,7 +315,7 @@
 	lost, unsent := l.flights, map[*flight]bool{}
 	l.flights = nil
 	for _, f := range lost {
-		if f.over.Stop(); how == logic.Reset && !f.wrote && !f.writing {
+		if f.stop(); how == logic.Reset && !f.wrote && !f.writing {
 			unsent[f] = true
 		}
 	}
@@ -337,17 +382,28 @@
 		return "closed_by_cache"
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return "idle"
+	case l.doubts():
+		return "silent"
 	case l.stuck.Load():
 		return "write_failed"
 	}
 	return "reset"
 }
 
+func (l *link) doubts() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.doubted
+}
+
 // answered hands an answer to its lookup, or what is wrong with it. A reason ends the connection. An answer to no send
 // (given up, a second copy, another's) is whole and harms nothing: the sends around it go on.
 func (l *link) answered(a answer, fault error) string {
 	l.mu.Lock()
 	f := l.flights[a.id]
+	if l.heard = time.Now(); f != nil {
+		l.served++
+	}
 	if f == nil {
 		delete(l.late, a.id)
 		l.strays++
@@ -363,7 +419,6 @@
 	if !l.take(f, false) {
 		return "" // given up this moment
 	}
-	l.served++
 	if a.same && a.tag != f.open.req.Tag {
 		a.end = logic.Errored // word of another copy than the client's is none
 		log.Printf("event=cache_fault cache=%s text=%q", l.peer.ID, "VALID for a copy that the client does not hold")
