--- a/logic/logic.go
+++ b/logic/logic.go
@@ -433,6 +433,8 @@
 	case filled:
 		lk.kind.fillTook.add(r.now, float64(got.took))
 		lk.kind.fillWork.add(r.now, float64(lk.work))
+		lk.kind.fillWait.add(r.now, float64(got.waited))
+		lk.kind.fillN.add(r.now, 1)
 		if r.filled.add(r.now, 1); got.took <= lk.span() {
 			r.fills += 2 / r.fills / r.seats() / r.seats() // all together as one router would
 		} else if r.filledLate.add(r.now, 1); r.filledLate.v > latePart*(r.filled.v-manyFills) {
@@ -725,13 +727,15 @@
 	return lucky
 }
 
-// expects is how long the answer will take: for a fill as much more than its sending time as fills of late.
+// expects is how long the answer will take: for a fill the wait for the source, which is the same for small and
+// large, and as much more than its sending time as fills of late.
 func (k *kind) expects(now Micros, lk *Lookup) Micros {
 	if lk.missed == nil {
 		return lk.work
 	}
-	took, work := k.fillTook.read(now), k.fillWork.read(now)
-	return Micros(float64(lk.work) * max(1, (took+float64(100*ms))/(work+float64(100*ms))))
+	took, work, waited := k.fillTook.read(now), k.fillWork.read(now), k.fillWait.read(now)
+	stretch := max(1, (took-waited+float64(100*ms))/(work+float64(100*ms)))
+	return Micros(waited/(k.fillN.read(now)+1) + float64(lk.work)*stretch)
 }
 
 // mean is the mean sending time of a kind: what the rule counts for a send to a cold cache.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -151,6 +151,19 @@
 }
 
 func TestFailures(t *testing.T) {
+	t.Run("fills that wait long for a source and are sent quickly: a large miss waits as long, not in proportion", func(t *testing.T) {
+		f, all := play(t, nil)
+		for i := range 20 {
+			lk := f.askSized(0, fmt.Sprint("o", i), 20)
+			s := f.last()
+			f.r.Ended(f.now, lk, s.n, Satisfied, Filled, 120*ms, 100*ms, true)
+		}
+		large := f.askSized(0, "large", 200)
+		large.missed = all[0]
+		if took := large.kind.expects(f.now, large); took < 280*ms || took > 320*ms {
+			t.Errorf("expected to take %d us", took)
+		}
+	})
 	t.Run("a size out of all bounds is nacked at once and hardly counts", func(t *testing.T) {
 		f, _ := play(t, nil)
 		f.ask(0, "usual")
--- a/logic/state.go
+++ b/logic/state.go
@@ -71,6 +71,7 @@
 	ObjectKind
 	work, n            sum
 	fillTook, fillWork sum // of satisfied fills
+	fillWait, fillN    sum
 }
 
 type ending struct {
