--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,7 +31,7 @@
 	hushPart    = 0.5        // and its connection in doubt after this one, with nothing heard on it
 	pressedFor  = 8 * second // after a fill came late or found no place
 	latePart    = 0.1        // of fills of late beyond manyFills: fewer late ones are late by their way
-	manyFills   = 100        // up to so many every late one counts
+	manyFills   = 40         // up to so many every late one counts
 	leastOpen   = 2.0        // open sends, and fills, at one cache by all routers are not cut under this
 	coldAfter   = 3 * second // a parent out for longer may have started anew
 	coldRate    = 1.4        // of what a cold cache bears at least; the rule counts a multiple of it
@@ -727,8 +727,8 @@
 	return lucky
 }
 
-// expects is how long the answer will take: for a fill the wait for the source, which is the same for small and
-// large, and as much more than its sending time as fills of late.
+// expects is how long the answer will take: for a fill the wait for the source, whatever the size, and as
+// much more than its sending time as fills of late.
 func (k *kind) expects(now Micros, lk *Lookup) Micros {
 	if lk.missed == nil {
 		return lk.work
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -467,10 +467,11 @@
 	})
 	t.Run("among hundreds of fills a few late ones are late by their way, a tenth is not", func(t *testing.T) {
 		f, _ := play(t, nil)
+		pace := 3 * ms
 		fill := func(n, lateEach int) bool {
 			for i := range n {
 				f.ask(0, fmt.Sprint(f.now))
-				f.now += 3 * ms
+				f.now += pace
 				took := 100 * ms
 				if i%lateEach == lateEach-1 {
 					took = 2 * second
@@ -485,6 +486,10 @@
 		if !fill(400, 5) {
 			t.Fatal("not pressed by a fifth of late fills")
 		}
+		f.now, pace = f.now+pressedFor, 18*ms // some eighty of late
+		if fill(200, 1000) || fill(200, 40) {
+			t.Fatal("pressed by one late fill in forty")
+		}
 	})
 	t.Run("a parent silent for long returns cold, after a short pause warm", func(t *testing.T) {
 		for _, away := range []Micros{second, 5 * second} {
