--- a/memory/memory.go
+++ b/memory/memory.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"foldslip/logic"
@@ -149,14 +150,17 @@
 	return all.issued, all.told
 }
 
-// Room bounds the lookups open at once, and with them the bytes of answers in flight: each lookup holds the
-// bytes of one answer at most.
+// Room bounds the lookups open at once, and the bytes of answers held for them.
 type Room struct {
 	places chan struct{}
+	most   int64
+	held   atomic.Int64
 }
 
-// NewRoom makes room for so many lookups.
-func NewRoom(lookups int) *Room { return &Room{make(chan struct{}, lookups)} }
+// NewRoom makes room for so many lookups and so many bytes.
+func NewRoom(lookups int, bytes int64) *Room {
+	return &Room{places: make(chan struct{}, lookups), most: bytes}
+}
 
 // Enter takes a place, if there is one.
 func (r *Room) Enter() bool {
@@ -170,3 +174,15 @@
 
 // Leave gives a place back.
 func (r *Room) Leave() { <-r.places }
+
+// Hold takes room for an answer, if there is any.
+func (r *Room) Hold(bytes int) bool {
+	if r.held.Add(int64(bytes)) <= r.most {
+		return true
+	}
+	r.held.Add(-int64(bytes))
+	return false
+}
+
+// Free gives the room of answers back.
+func (r *Room) Free(bytes int) { r.held.Add(-int64(bytes)) }
--- a/service/service.go
+++ b/service/service.go
@@ -32,8 +32,9 @@
 	leastKill  = 3 * time.Second
 	purgeSlack = 5 * time.Second
 
-	mostLookups = 320 // open at once
-	bodiesPart  = 0.4 // of the memory limit, for their answers: up to 240,000 bytes each, 77 MB at 192 MB
+	mostLookups = 640 // open at once, and fewer on little memory:
+	lookupsAMB  = 8   // each takes some 20 KB with its connection, stacks and send, the answer's bytes not counted
+	bodiesPart  = 0.4 // of the memory limit, for the answers' bytes
 	memoryPart  = 0.7 // of the limit, for the runtime's own
 	mostClients = 4096
 	clientsPart = 2 // the front takes one over this of the descriptors; clients hold up to a third
@@ -123,12 +124,13 @@
 		sockets = own.Cur // fewer than told: clients must not take what the caches need
 	}
 	most := int(min(max(1, sockets/clientsPart), mostClients))
-	lookups := mostLookups
+	lookups, bytes := mostLookups, int64(mostLookups*wire.MostObject)
 	if s.Limits.MemoryMB > 0 {
-		lookups = min(lookups, max(1, int(s.Limits.MemoryMB*bodiesPart*(1<<20)/wire.MostObject)))
+		lookups = min(lookups, max(1, int(s.Limits.MemoryMB*lookupsAMB)))
+		bytes = int64(s.Limits.MemoryMB * bodiesPart * (1 << 20))
 	}
 	links := wire.NewLinks(life, terms, router, caches, purges)
-	front := wire.NewFront(terms, router, links, memory.NewRoom(lookups), most)
+	front := wire.NewFront(terms, router, links, memory.NewRoom(lookups, bytes), most)
 	log.Printf("event=started name=%s listen=%s bulletin=%s last=%d", s.Name, s.Listen, s.Bulletin, bulletin.Last)
 
 	group, life := errgroup.WithContext(life)
--- a/wire/front.go
+++ b/wire/front.go
@@ -76,8 +76,11 @@
 	req     Request
 	lk      *facade.Lookup
 	flights []*flight
+	room    *memory.Room
 	mu      sync.Mutex
 	got     map[int]*copied
+	held    int // bytes of room that got takes
+	closed  bool
 }
 
 // copied is an answer to pass on: room for a head, then the bytes.
@@ -87,16 +90,30 @@
 	same  bool
 }
 
-// keep holds an answer of a cache for its lookup, with room for the head before it.
-func (o *open) keep(n int, a answer) {
-	c := &copied{tag: a.tag, same: a.same, block: make([]byte, headRoom+len(a.body))}
-	copy(c.block[headRoom:], a.body)
+// keep holds an answer of a cache for its lookup, with room for the head before it; false if there is no room for it.
+func (o *open) keep(n int, a answer) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	size := headRoom + len(a.body)
+	if o.closed || !o.room.Hold(size) {
+		return false
+	}
+	o.held += size
+	c := &copied{tag: a.tag, same: a.same, block: make([]byte, size)}
+	copy(c.block[headRoom:], a.body)
 	if o.got == nil {
 		o.got = map[int]*copied{}
 	}
 	o.got[n] = c
+	return true
+}
+
+// close gives back what is held; nothing is kept from now on.
+func (o *open) close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.room.Free(o.held)
+	o.held, o.got, o.closed = 0, nil, true
 }
 
 // Ready lets pings be answered with 200.
@@ -352,7 +369,7 @@
 			req.Allow = most
 		}
 	}
-	o := &open{req: req}
+	o := &open{req: req, room: f.room}
 	switch {
 	case status != 0:
 	case req.Allow <= 0:
@@ -381,6 +398,7 @@
 	c.mu.Unlock()
 	f.group.Go(func() error {
 		c.answer(o)
+		o.close()
 		f.room.Leave()
 		c.done <- struct{}{}
 		return nil
--- a/wire/links.go
+++ b/wire/links.go
@@ -431,8 +431,8 @@
 			issued.Sub(a.born).Milliseconds(), time.Since(told).Milliseconds(), time.Since(f.sent).Milliseconds())
 		a.end, a.remark = logic.NeverSent, logic.Untold
 	}
-	if a.end == logic.Satisfied {
-		f.open.keep(f.n, a)
+	if a.end == logic.Satisfied && !f.open.keep(f.n, a) {
+		a.end = logic.Errored // the lookup is over, or answers that clients are slow to take fill the room
 	}
 	l.ls.router.Report(f.open.lk, f.n, a.end, a.remark, a.waited)
 	return ""
