--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,6 +36,7 @@
 	coldAfter   = 3 * second // a parent out for longer may have started anew
 	coldRate    = 1.4        // of what a cold cache bears at least; the rule counts a multiple of it
 	coldBurst   = 0.4        // of the rule's multiple above 1, at once
+	errorsEnd   = 3          // a plain error on this send of a lookup, or a later one, is its last
 	roomToSpill = 0.7        // another cache takes a crowded one's lookup while under this part of its limit
 
 	recentTimes           = 10            // of a parent, over which its mean is taken
@@ -222,7 +223,8 @@
 	switch {
 	case got.end == Satisfied || lk.over:
 		r.finish(lk)
-	case lk.ranTo != nil && lk.kind.Effect == SideEffecting || lk.aged:
+	case lk.ranTo != nil && lk.kind.Effect == SideEffecting || lk.aged,
+		got.end == Errored && got.remark == Untold && len(lk.sends) >= errorsEnd: // no cache can use it
 		r.giveUp(lk)
 	case lk.open == 0:
 		r.route(lk)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -164,6 +164,20 @@
 			t.Errorf("expected to take %d us", took)
 		}
 	})
+	t.Run("what every send of it ends in an error is asked for three times, and a fill that failed goes on", func(t *testing.T) {
+		for remark, sends := range map[Remark]int{Untold: 3, OriginFailed: 4} {
+			f, _ := play(t, nil)
+			lk := f.ask(0, "unknown")
+			for range 3 {
+				f.now += 5 * ms
+				f.end(f.last(), Errored, remark, 5*ms)
+			}
+			f.pass(40 * ms)
+			if len(f.sends) != sends || lk.over != (sends == 3) {
+				t.Errorf("remark %d: %d sends, over %v, %v", remark, len(f.sends), lk.over, f.said)
+			}
+		}
+	})
 	t.Run("a size out of all bounds is nacked at once and hardly counts", func(t *testing.T) {
 		f, _ := play(t, nil)
 		f.ask(0, "usual")
--- a/service/gateway_test.go
+++ b/service/gateway_test.go
@@ -80,9 +80,19 @@
 	return v
 }
 
+// sources are read once by a test, so that a kept result of it does not outlive the program it was measured with.
+var sources = sync.OnceFunc(func() {
+	for _, files := range []string{"../*/*.go", "../cmd/*/*.go"} {
+		for _, path := range must(filepath.Glob(files)) {
+			must(os.ReadFile(path))
+		}
+	}
+})
+
 // begin starts a stage; handle answers for both edges, change is laid over the configuration.
 func begin(t *testing.T, handle func(edge int, d standin.Do), change ...map[string]any) *stage {
 	t.Helper()
+	sources()
 	s := &stage{t: t, ended: make(chan error, 1)}
 	for i := range 2 {
 		s.edges = append(s.edges, must(standin.NewCache("127.0.0.1:0", func(d standin.Do) { handle(i, d) })))
