--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,6 +36,7 @@
 	coldAfter   = 3 * second // a parent out for longer may have started anew
 	coldRate    = 1.4        // of what a cold cache bears at least; the rule counts a multiple of it
 	coldBurst   = 0.4        // of the rule's multiple above 1, at once
+	errorsOut   = 5          // plain errors in a row put a cache out
 	errorsEnd   = 3          // a plain error on this send of a lookup, or a later one, is its last
 	roomToSpill = 0.7        // another cache takes a crowded one's lookup while under this part of its limit
 
@@ -317,6 +318,9 @@
 			c.struckAt = r.now
 			r.strike(c, 2, "unreachable")
 		}
+	case got.end == Errored && got.remark == Untold: // one that fails all it gets is quick, and would draw more
+		lk.failedAt = c
+		r.strike(c, errorsOut, "errors")
 	case got.end == Cancelled && c.trial == s:
 		r.strike(c, 1, "trial failed")
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -178,6 +178,23 @@
 			}
 		}
 	})
+	t.Run("a cache that answers all with errors is left at once by each lookup, and put out", func(t *testing.T) {
+		f, _ := play(t, nil)
+		f.ask(0, "o")
+		bad := f.last().to
+		for range errorsOut {
+			f.ask(0, "o")
+			if s := f.last(); s.to != bad {
+				t.Fatalf("sent to %s first", s.to.Name)
+			}
+			if f.end(f.last(), Errored, Untold, ms); f.last().to == bad {
+				t.Fatal("sent there again")
+			}
+		}
+		if f.ask(0, "o"); !bad.out || f.last().to == bad {
+			t.Error("still in")
+		}
+	})
 	t.Run("a size out of all bounds is nacked at once and hardly counts", func(t *testing.T) {
 		f, _ := play(t, nil)
 		f.ask(0, "usual")
