--- a/logic/logic.go
+++ b/logic/logic.go
@@ -319,7 +319,9 @@
 			r.strike(c, 2, "unreachable")
 		}
 	case got.end == Errored && got.remark == Untold: // one that fails all it gets is quick, and would draw more
-		lk.failedAt = c
+		if c.strikes > 0 {
+			lk.failedAt = c
+		}
 		r.strike(c, errorsOut, "errors")
 	case got.end == Cancelled && c.trial == s:
 		r.strike(c, 1, "trial failed")
