--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,7 +36,8 @@
 	coldAfter   = 3 * second // a parent out for longer may have started anew
 	coldRate    = 1.4        // of what a cold cache bears at least; the rule counts a multiple of it
 	coldBurst   = 0.4        // of the rule's multiple above 1, at once
-	errorsOut   = 5          // plain errors in a row put a cache out
+	errorsMove  = 3          // so many plain errors of a cache in a row move lookups on, so many put it out:
+	errorsOut   = 10         // chance alone does not make them where one in four ends so everywhere
 	errorsEnd   = 3          // a plain error on this send of a lookup, or a later one, is its last
 	roomToSpill = 0.7        // another cache takes a crowded one's lookup while under this part of its limit
 
@@ -316,15 +317,19 @@
 		}
 		if s.at >= c.struckAt { // a connection breaks under many sends at once: one strike
 			c.struckAt = r.now
-			r.strike(c, 2, "unreachable")
-		}
-	case got.end == Errored && got.remark == Untold: // one that fails all it gets is quick, and would draw more
-		if c.strikes > 0 {
+			c.strikes++
+			r.strike(c, c.strikes, 2, "unreachable")
+		}
+	case got.end == Errored && got.remark == Untold:
+		// Guards against a cache that fails all it gets, which is quick and would draw more. Errors have an account
+		// of their own: one beside a reset says nothing of the way. Where all caches fail some, or lookups are at
+		// fault, a move or an outage costs the copies held and helps nobody: hence so many in a row.
+		if c.errors++; c.errors >= errorsMove {
 			lk.failedAt = c
 		}
-		r.strike(c, errorsOut, "errors")
+		r.strike(c, c.errors, errorsOut, "errors")
 	case got.end == Cancelled && c.trial == s:
-		r.strike(c, 1, "trial failed")
+		r.strike(c, 1, 1, "trial failed")
 	}
 }
 
@@ -465,13 +470,14 @@
 		r.timeParent(p, s, got)
 	case got.remark == SourceRefused || got.remark == SourceLost:
 		p.died = p.died || got.remark == SourceLost
-		r.strike(p, 3, "fills fail")
+		p.strikes++
+		r.strike(p, p.strikes, 3, "fills fail")
 		lk.failedBy, lk.noJoin = p, true
 	case got.end == TurnedAway && got.remark == Untold || got.end == Missed || got.end == Cancelled && p.out:
 		// Where only hits are told it may be the cache or the parent: the next send changes both.
 		lk.failedBy, lk.noJoin = p, true
 		if p.trial == s && got.end == Cancelled {
-			r.strike(p, 1, "trial failed")
+			r.strike(p, 1, 1, "trial failed")
 		}
 	}
 }
@@ -654,12 +660,12 @@
 		to.Zone == at.Zone && (k.Circle == SameZone || to.Cell == at.Cell))
 }
 
-// strike counts a failure; so many in a row put the cache out, a failed trial puts the next one off.
-func (r *Router) strike(c *Cache, most int, why string) {
-	if c.strikes++; c.out {
+// strike weighs one account: so many failures in a row put the cache out, a failed trial puts the next one off.
+func (r *Router) strike(c *Cache, n, most int, why string) {
+	if c.out {
 		c.nextAt = r.now + trialEvery
-	} else if c.strikes >= most {
-		r.putOut(c, fmt.Sprintf("%s, %d in a row", why, c.strikes))
+	} else if n >= most {
+		r.putOut(c, fmt.Sprintf("%s, %d in a row", why, n))
 	}
 }
 
@@ -676,7 +682,7 @@
 
 // hear notes a good answer; a good trial brings a cache back, and one that died warms up as if started then.
 func (r *Router) hear(c *Cache, s *Send) {
-	c.heard, c.strikes = r.now, 0
+	c.heard, c.strikes, c.errors = r.now, 0, 0
 	if c.out && c.trial == s {
 		if c.coldFrom == 0 && (c.died || c.Kind == r.its.ParentKind && r.now-c.outAt > coldAfter) {
 			c.coldFrom, c.tokens, c.tokensAt = r.now, 0, r.now
--- a/logic/state.go
+++ b/logic/state.go
@@ -11,7 +11,8 @@
 	out, died     bool   // gets nothing but trials; died: will be cold when it returns
 	outAt, nextAt Micros // since when; when the next trial may go
 	trial         *Send
-	strikes       int    // failures in a row
+	strikes       int    // broken or refused connections (of a parent: failed fills) in a row
+	errors        int    // plain errors in a row
 	struckAt      Micros // sends from before then tell no more by breaking
 	heard         Micros // last good answer (of a parent: last good fill)
 	mute          int    // overdue sends since it was last heard, counted anew at each sweep
