--- /dev/null
+++ b/clock/clock.go
@@ -0,0 +1,138 @@
+// Package clock is the ground that the network code stands on: time, timers, goroutines, waiting, connections, files,
+// signals and the log, behind one interface. In service it is the system's (System); in the lab it is a virtual world
+// that runs one goroutine at a time and moves time on when all wait. It knows nothing of lookups.
+//
+// Whatever waits does so here and nowhere else: a Bell in place of a channel and a select, a Life in place of a
+// context, a Group in place of an errgroup, AfterFunc in place of time.AfterFunc. A mutex stays sync.Mutex, since none
+// is held over a wait; a lock that is, would stop a virtual world for good, and the lab says so.
+package clock
+
+import (
+	"container/list"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+)
+
+// Ground is what a gateway's process stands on. Its owner is the process; it lives as long.
+type Ground interface {
+	// Now is the time; differences between two of its values never run backwards.
+	Now() time.Time
+	// AfterFunc calls f in a goroutine of its own once d has passed.
+	AfterFunc(d time.Duration, f func()) Timer
+	// Bell makes a bell that has not been rung.
+	Bell() Bell
+	// Group makes a group of goroutines.
+	Group() Group
+	// Dial connects over TCP within a time, or until life ends. Its errors are those of the net package.
+	Dial(life *Life, addr string, within time.Duration) (net.Conn, error)
+	// Listen takes TCP connections at an address.
+	Listen(addr string) (net.Listener, error)
+	// Env is a variable of the environment, or "".
+	Env(name string) string
+	// ReadFile is os.ReadFile.
+	ReadFile(path string) ([]byte, error)
+	// Signals calls hear for each signal from now on, one at a time and never waiting; stop ends that.
+	Signals(hear func(Signal)) (stop func())
+	// Limit tells the runtime what the process may use: cores and bytes, 0 for what there is.
+	Limit(cores int, memory int64)
+	// Descriptors is how many the process may hold; 0: not known.
+	Descriptors() uint64
+	// Log takes the log's lines.
+	Log() *slog.Logger
+}
+
+// Signal is what the platform says to a process.
+type Signal int
+
+const (
+	Stop   Signal = 1 + iota // SIGTERM, SIGINT
+	Reread                   // SIGHUP
+)
+
+// Timer is one call of AfterFunc; Stop tells whether it came before the call.
+type Timer interface{ Stop() bool }
+
+// Bell has room for one ring that nobody has waited for yet.
+type Bell interface {
+	Ring()
+	// Wait waits for a ring and takes it; false once that time has passed without one. A time under 0 has no end.
+	Wait(within time.Duration) bool
+}
+
+// Group is goroutines that are waited for together; Wait gives the first error.
+type Group interface {
+	Go(name string, f func() error)
+	Wait() error
+}
+
+// Conn is what connections of a Ground can do beside net.Conn, as *net.TCPConn does.
+type Conn interface {
+	net.Conn
+	CloseWrite() error
+}
+
+// Life is the time something lives: it ends once, by itself or with its parent. What is hung on it runs at the end, in
+// order, in the goroutine that ends it, and must not wait.
+type Life struct {
+	mu    sync.Mutex
+	over  bool
+	hooks list.List
+	leave func()
+}
+
+// NewLife makes a life that ends with its parent, which may be nil.
+func NewLife(parent *Life) *Life {
+	l := &Life{}
+	if parent != nil {
+		l.leave = parent.OnEnd(l.End)
+	}
+	return l
+}
+
+// Over tells whether it has ended.
+func (l *Life) Over() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.over
+}
+
+// OnEnd hangs f on the life; at once where it is over. drop takes f off again.
+func (l *Life) OnEnd(f func()) (drop func()) {
+	l.mu.Lock()
+	if l.over {
+		l.mu.Unlock()
+		f()
+		return func() {}
+	}
+	at := l.hooks.PushBack(f)
+	l.mu.Unlock()
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.hooks.Remove(at)
+	}
+}
+
+// End ends the life; a second time does nothing.
+func (l *Life) End() {
+	l.mu.Lock()
+	if l.over {
+		l.mu.Unlock()
+		return
+	}
+	l.over = true
+	var hooks []func()
+	for e := l.hooks.Front(); e != nil; e = e.Next() {
+		hooks = append(hooks, e.Value.(func()))
+	}
+	l.hooks.Init()
+	l.mu.Unlock()
+	if l.leave != nil {
+		l.leave()
+	}
+	for _, f := range hooks {
+		f()
+	}
+}
--- /dev/null
+++ b/clock/system.go
@@ -0,0 +1,130 @@
+package clock
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// System is the ground of a real process.
+type System struct{ log *slog.Logger }
+
+// NewSystem makes the system's ground, with the log on w from a level on.
+func NewSystem(w io.Writer, least slog.Level) *System {
+	return &System{slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: least, ReplaceAttr: Plain}))}
+}
+
+// Plain makes a line of the log event=NAME key=value: the message is the event's name.
+func Plain(groups []string, a slog.Attr) slog.Attr {
+	if len(groups) == 0 && a.Key == slog.MessageKey {
+		a.Key = "event"
+	}
+	return a
+}
+
+func (*System) Now() time.Time { return time.Now() }
+
+func (*System) AfterFunc(d time.Duration, f func()) Timer { return time.AfterFunc(d, f) }
+
+func (*System) Bell() Bell { return bell(make(chan struct{}, 1)) }
+
+type bell chan struct{}
+
+func (b bell) Ring() {
+	select {
+	case b <- struct{}{}:
+	default:
+	}
+}
+
+func (b bell) Wait(within time.Duration) bool {
+	if within < 0 {
+		<-b
+		return true
+	}
+	select {
+	case <-b:
+		return true
+	default:
+	}
+	late := time.NewTimer(within)
+	defer late.Stop()
+	select {
+	case <-b:
+		return true
+	case <-late.C:
+		return false
+	}
+}
+
+func (*System) Group() Group { return &group{} }
+
+type group struct{ errgroup.Group }
+
+func (g *group) Go(_ string, f func() error) { g.Group.Go(f) }
+
+func (*System) Dial(life *Life, addr string, within time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer life.OnEnd(cancel)()
+	dial := net.Dialer{Timeout: within}
+	return dial.DialContext(ctx, "tcp", addr)
+}
+
+func (*System) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+func (*System) Env(name string) string { return os.Getenv(name) }
+
+func (*System) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
+
+func (*System) Signals(hear func(Signal)) (stop func()) {
+	come := make(chan os.Signal, 4)
+	over := make(chan struct{})
+	signal.Notify(come, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		for {
+			select {
+			case s := <-come:
+				if s == syscall.SIGHUP {
+					hear(Reread)
+				} else {
+					hear(Stop)
+				}
+			case <-over:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(come)
+		close(over)
+	}
+}
+
+func (*System) Limit(cores int, memory int64) {
+	if cores > 0 {
+		runtime.GOMAXPROCS(cores)
+	}
+	if memory > 0 {
+		debug.SetMemoryLimit(memory)
+	}
+}
+
+func (*System) Descriptors() uint64 {
+	var own syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own) != nil {
+		return 0
+	}
+	return own.Cur
+}
+
+func (s *System) Log() *slog.Logger { return s.log }
--- a/cmd/foldslip/main.go
+++ b/cmd/foldslip/main.go
@@ -1,18 +1,6 @@
-// Command foldslip is the gateway: it reads ROUTER_CONFIG and serves lookups until SIGTERM.
+// Command foldslip is the gateway and its tools; the bare program serves lookups until SIGTERM.
 package main
 
-import (
-	"context"
-	"log"
-	"os"
+import "foldslip/cli"
 
-	"foldslip/service"
-)
-
-func main() {
-	log.SetFlags(log.Ldate | log.Ltime | log.Lmicroseconds)
-	if err := service.Run(context.Background()); err != nil {
-		log.Printf("event=ended text=%q", err)
-		os.Exit(1)
-	}
-}
+func main() { cli.Run() }
--- a/facade/facade.go
+++ b/facade/facade.go
@@ -3,13 +3,14 @@
 package facade
 
 import (
-	"log"
+	"fmt"
 	"maps"
 	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
 
+	"foldslip/clock"
 	"foldslip/logic"
 )
 
@@ -47,7 +48,7 @@
 	Deadline time.Time
 	its      *logic.Lookup
 	steps    []Step
-	some     chan struct{} // has one item while steps may be there
+	some     clock.Bell // rung when there are steps
 	sentAt   []logic.Micros
 	out      int // sends without an ending
 	over     bool
@@ -60,28 +61,52 @@
 
 // Facade is the router behind one lock, which is never held over a wait.
 type Facade struct {
+	g      clock.Ground
 	mu     sync.Mutex
-	router *logic.Router
+	router Module
+	queued int // sends decided and not yet picked
 	began  time.Time
 	base   logic.Micros // the Unix clock at began; from there the clock that never runs backwards counts
 	open   map[string]*Lookup
 	timers []timer
 }
 
-// Start makes the router.
-func Start(seed uint64, its *logic.Charter) *Facade {
-	f := &Facade{began: time.Now(), open: map[string]*Lookup{}}
+// Module is what the facade tells the router, each call at its instant; *logic.Router is one.
+type Module interface {
+	Listed(now logic.Micros, what logic.ListKind, rows []logic.Row)
+	Arrive(now logic.Micros, door string, kind int, name string, part, group int, kb float64,
+		deadline logic.Micros, write, repeat bool) *logic.Lookup
+	Ended(now logic.Micros, lk *logic.Lookup, n int, e logic.Ending, remark logic.Remark, took, waited logic.Micros,
+		closed bool)
+	Departed(now logic.Micros, lk *logic.Lookup)
+	Purged(now logic.Micros, name string, group int, ago logic.Micros)
+	Woken(now logic.Micros, token int64)
+	InFlight() int
+}
+
+// Between stands between the facade and the module, for whoever looks on: it makes the module with a host of its own
+// choosing before h, and what it returns is told everything.
+type Between func(h logic.Host, start func(h logic.Host) Module) Module
+
+// Start makes the router; between may be nil.
+func Start(g clock.Ground, seed uint64, its *logic.Charter, between Between) *Facade {
+	f := &Facade{g: g, began: g.Now(), open: map[string]*Lookup{}}
 	f.base = f.began.UnixMicro()
-	f.router = logic.Start(f.base, seed, its, (*host)(f))
+	start := func(h logic.Host) Module { return logic.Start(f.base, seed, its, h) }
+	if between == nil {
+		f.router = start((*host)(f))
+	} else {
+		f.router = between((*host)(f), start)
+	}
 	return f
 }
 
-func (f *Facade) now() logic.Micros { return f.base + time.Since(f.began).Microseconds() }
+func (f *Facade) now() logic.Micros { return f.base + f.g.Now().Sub(f.began).Microseconds() }
 
 // guard keeps a fault of the module from ending the gateway: the lookup concerned runs into its deadline.
-func guard() {
+func (f *Facade) guard() {
 	if p := recover(); p != nil {
-		log.Printf("event=module_fault text=%q stack=%q", p, debug.Stack())
+		f.g.Log().Error("module_fault", "text", fmt.Sprint(p), "stack", string(debug.Stack()))
 	}
 }
 
@@ -93,7 +118,7 @@
 	if f.open[id] != nil {
 		return nil
 	}
-	l = &Lookup{Deadline: deadline, some: make(chan struct{}, 1)}
+	l = &Lookup{Deadline: deadline, some: f.g.Bell()}
 	f.open[id] = l
 	defer func() {
 		if l.its == nil { // a fault of the module
@@ -101,9 +126,9 @@
 			l = nil
 		}
 	}()
-	defer guard()
+	defer f.guard()
 	now := f.now()
-	l.its = f.router.Arrive(now, id, kind, object, part, group, kb, now+time.Until(deadline).Microseconds(),
+	l.its = f.router.Arrive(now, id, kind, object, part, group, kb, now+deadline.Sub(f.g.Now()).Microseconds(),
 		false, false)
 	f.drop(id, l)
 	return l
@@ -112,20 +137,18 @@
 // Pick waits for the lookup's next step. A lookup that nothing has ended shortly after its deadline fails: that
 // guards rule 1 against a fault of the module and against a send whose ending is never told.
 func (f *Facade) Pick(l *Lookup) Step {
-	late := time.NewTimer(time.Until(l.Deadline) + lateBy)
-	defer late.Stop()
 	for {
 		f.mu.Lock()
 		if len(l.steps) > 0 {
 			s := l.steps[0]
-			l.steps = l.steps[1:]
+			if l.steps = l.steps[1:]; s.What == Send {
+				f.queued--
+			}
 			f.mu.Unlock()
 			return s
 		}
 		f.mu.Unlock()
-		select {
-		case <-l.some:
-		case <-late.C:
+		if !l.some.Wait(max(0, l.Deadline.Sub(f.g.Now())+lateBy)) {
 			f.close(l, Failed)
 		}
 	}
@@ -139,7 +162,7 @@
 	if l.out--; used {
 		l.end(Step{What: Satisfied, N: n})
 	}
-	defer guard()
+	defer f.guard()
 	f.router.Ended(now, l.its, n, how, remark, now-l.sentAt[n], waited, l.over)
 	f.drop(l.its.Door, l)
 	return used
@@ -154,7 +177,7 @@
 	defer f.mu.Unlock()
 	if !l.over {
 		l.end(Step{What: how})
-		defer guard()
+		defer f.guard()
 		f.router.Departed(f.now(), l.its)
 		f.drop(l.its.Door, l)
 	}
@@ -163,7 +186,10 @@
 // Stop fails every lookup still open; the gateway is about to be killed.
 func (f *Facade) Stop() {
 	f.mu.Lock()
-	open := slices.Collect(maps.Values(f.open))
+	open := make([]*Lookup, 0, len(f.open))
+	for _, id := range slices.Sorted(maps.Keys(f.open)) { // in an order that does not change from run to run
+		open = append(open, f.open[id])
+	}
 	f.mu.Unlock()
 	for _, l := range open {
 		f.close(l, Failed)
@@ -181,7 +207,7 @@
 func (f *Facade) Tick(rows []logic.Row, whole bool, purges []Purge) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	defer guard()
+	defer f.guard()
 	now := f.now()
 	if whole {
 		f.router.Listed(now, logic.FullList, rows)
@@ -218,6 +244,13 @@
 	return len(f.open)
 }
 
+// InFlight is how many sends the module takes for out, and how many of them have not been picked yet.
+func (f *Facade) InFlight() (sends, queued int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.router.InFlight(), f.queued
+}
+
 func (f *Facade) drop(id string, l *Lookup) {
 	if l.over && l.out <= 0 {
 		delete(f.open, id)
@@ -226,10 +259,7 @@
 
 func (l *Lookup) push(s Step) {
 	l.steps = append(l.steps, s)
-	select {
-	case l.some <- struct{}{}:
-	default:
-	}
+	l.some.Ring()
 }
 
 func (l *Lookup) end(s Step) {
@@ -247,6 +277,7 @@
 	l := h.open[lk.Door]
 	l.sentAt = append(l.sentAt, (*Facade)(h).now())
 	l.out++
+	h.queued++
 	l.push(Step{What: Send, N: len(l.sentAt) - 1, To: to, Source: source, Rank: rank, How: how,
 		Patience: patience, Hush: hush, Oldest: oldest})
 }
@@ -278,4 +309,4 @@
 // Subscribe is carried out already: the bulletin is followed from the start.
 func (h *host) Subscribe(bool) {}
 
-func (h *host) Log(line string) { log.Printf("event=module note=%q", line) }
+func (h *host) Log(line string) { h.g.Log().Info("module", "note", line) }
--- a/facade/facade_test.go
+++ b/facade/facade_test.go
@@ -2,17 +2,20 @@
 
 import (
 	"fmt"
+	"io"
+	"log/slog"
 	"sync"
 	"testing"
 	"time"
 
+	"foldslip/clock"
 	"foldslip/logic"
 )
 
 // open starts a router with one edge and the origin.
 func open() *Facade {
-	f := Start(1, &logic.Charter{Gateways: 1, ParentKind: -1, OriginKind: 1, SendLimit: 6, Cancelling: true,
-		Kinds: []logic.ObjectKind{{Budget: 400000, GiveUp: 5000000, Utility: 1}}})
+	f := Start(clock.NewSystem(io.Discard, slog.LevelInfo), 1, &logic.Charter{Gateways: 1, ParentKind: -1, OriginKind: 1, SendLimit: 6, Cancelling: true,
+		Kinds: []logic.ObjectKind{{Budget: 400000, GiveUp: 5000000, Utility: 1}}}, nil)
 	f.Tick([]logic.Row{{Cache: logic.NewCache("edge")}, {Cache: logic.NewCache("origin"), Kind: 1}}, true, nil)
 	return f
 }
--- a/logic/host.go
+++ b/logic/host.go
@@ -24,6 +24,9 @@
 	Log(line string)
 }
 
+// InFlight counts the sends whose ending has not been told.
+func (r *Router) InFlight() int { return len(r.open) }
+
 // How says how a fetch treats a miss; the values may be added up.
 type How int
 
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"foldslip/clock"
 	"foldslip/logic"
 )
 
@@ -110,44 +111,70 @@
 // Purges are what the gateway was told of, for as long as older copies may lie about.
 type Purges struct {
 	Keep    time.Duration
+	Grace   time.Duration // to heed a purge
+	Clock   clock.Ground
 	mu      sync.Mutex
-	objects map[string]purge
-	groups  map[int]purge
+	objects map[string][]purge
+	groups  map[int][]purge
 }
 
 type purge struct{ issued, told time.Time }
 
+// mostPending bounds the purges of one object or group that are told apart; past it the last two become one that is as
+// strict as either.
+const mostPending = 16
+
 // Note keeps a purge of an object, or of a group where the name is empty.
 func (p *Purges) Note(object string, group int, issued time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.objects == nil {
-		p.objects, p.groups = map[string]purge{}, map[int]purge{}
+		p.objects, p.groups = map[string][]purge{}, map[int][]purge{}
 	}
-	now := time.Now()
+	now := p.Clock.Now()
 	for k, o := range p.objects {
-		if now.Sub(o.told) > p.Keep {
+		if now.Sub(o[len(o)-1].told) > p.Keep {
 			delete(p.objects, k)
 		}
 	}
 	if object == "" {
-		if issued.After(p.groups[group].issued) {
-			p.groups[group] = purge{issued, now}
-		}
-	} else if issued.After(p.objects[object].issued) {
-		p.objects[object] = purge{issued, now}
+		p.groups[group] = p.add(p.groups[group], issued, now)
+	} else {
+		p.objects[object] = p.add(p.objects[object], issued, now)
 	}
 }
 
-// Latest is when the latest purge told that concerns an object was issued, and when it was told.
-func (p *Purges) Latest(object string, group int) (issued, told time.Time) {
+// add keeps the purges of one thing in the order they were told, the issued rising too: each holds from its own grace
+// on, so that a later one must not put an earlier one off.
+func (p *Purges) add(list []purge, issued, now time.Time) []purge {
+	for len(list) > 1 && now.Sub(list[1].told) > p.Grace { // the one before it says nothing more
+		list = list[1:]
+	}
+	n := len(list)
+	switch {
+	case n > 0 && !issued.After(list[n-1].issued):
+		return list
+	case n >= mostPending:
+		list[n-1].issued = issued
+		return list
+	}
+	return append(list, purge{issued, now})
+}
+
+// Heeded is the issue of the latest purge of an object that was told longer than the grace ago, and when it was told;
+// both are zero where there is none.
+func (p *Purges) Heeded(object string, group int) (issued, told time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	one, all := p.objects[object], p.groups[group]
-	if one.issued.After(all.issued) {
-		return one.issued, one.told
+	now := p.Clock.Now()
+	for _, list := range [][]purge{p.objects[object], p.groups[group]} {
+		for _, one := range list {
+			if now.Sub(one.told) > p.Grace && one.issued.After(issued) {
+				issued, told = one.issued, one.told
+			}
+		}
 	}
-	return all.issued, all.told
+	return issued, told
 }
 
 // Room bounds the lookups open at once, and the bytes of answers held for them.
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/iotest"
 	"time"
+
+	"foldslip/clock"
 )
 
 func TestBuffer(t *testing.T) {
@@ -45,7 +47,7 @@
 }
 
 func TestPurges(t *testing.T) {
-	p := &Purges{Keep: time.Hour}
+	p := &Purges{Keep: time.Hour, Grace: -1, Clock: clock.NewSystem(io.Discard, 0)}
 	at := time.Now()
 	p.Note("a", 0, at)
 	p.Note("a", 0, at.Add(-time.Second)) // told late, of an earlier one
@@ -55,7 +57,7 @@
 		group  int
 		want   time.Time
 	}{{"a", 3, at}, {"b", 3, at.Add(-time.Minute)}, {"b", 4, time.Time{}}} {
-		if got, _ := p.Latest(story.object, story.group); !got.Equal(story.want) {
+		if got, _ := p.Heeded(story.object, story.group); !got.Equal(story.want) {
 			t.Errorf("%s in %d: %v", story.object, story.group, got)
 		}
 	}
@@ -65,6 +67,46 @@
 	}
 }
 
+// later is a clock that the story moves.
+type later struct {
+	clock.Ground
+	now time.Time
+}
+
+func (l *later) Now() time.Time { return l.now }
+
+func TestPurgesThatOverlap(t *testing.T) {
+	g := &later{now: time.Unix(1764576000, 0)}
+	p := &Purges{Keep: time.Hour, Grace: 300 * time.Millisecond, Clock: g}
+	first := g.now
+	t.Run("a later purge does not put off an earlier one", func(t *testing.T) {
+		p.Note("a", 0, first)
+		g.now = g.now.Add(200 * time.Millisecond)
+		p.Note("a", 0, first.Add(200*time.Millisecond))
+		g.now = g.now.Add(101 * time.Millisecond)
+		if got, told := p.Heeded("a", 0); !got.Equal(first) || !told.Equal(first) {
+			t.Errorf("issued %v, told %v", got, told)
+		}
+		g.now = g.now.Add(200 * time.Millisecond)
+		if got, _ := p.Heeded("a", 0); !got.Equal(first.Add(200 * time.Millisecond)) {
+			t.Errorf("issued %v past the grace of both", got)
+		}
+	})
+	t.Run("a thousand at once are bounded, and none is put off", func(t *testing.T) {
+		began := g.now
+		for i := range 1000 {
+			p.Note("b", 0, began.Add(time.Duration(i)*time.Microsecond))
+		}
+		if len(p.objects["b"]) != mostPending {
+			t.Errorf("%d kept", len(p.objects["b"]))
+		}
+		g.now = g.now.Add(301 * time.Millisecond)
+		if got, _ := p.Heeded("b", 0); !got.Equal(began.Add(999 * time.Microsecond)) {
+			t.Errorf("issued %v", got)
+		}
+	})
+}
+
 func TestCaches(t *testing.T) {
 	var c Caches
 	first := c.Note("s", "1.2.3.4:1")
--- a/service/service.go
+++ b/service/service.go
@@ -3,23 +3,16 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
 	"net"
-	"os"
-	"os/signal"
-	"runtime"
-	"runtime/debug"
 	"strconv"
-	"syscall"
+	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"foldslip/charter"
+	"foldslip/clock"
 	"foldslip/facade"
 	"foldslip/memory"
 	"foldslip/wire"
@@ -53,8 +46,8 @@
 	Settings json.RawMessage
 }
 
-func readStart(path, name, listen string) (*start, *charter.Terms, uint64, error) {
-	text, err := os.ReadFile(path)
+func readStart(g clock.Ground, path, name, listen string) (*start, *charter.Terms, uint64, error) {
+	text, err := g.ReadFile(path)
 	if err != nil {
 		return nil, nil, 0, err
 	}
@@ -83,45 +76,69 @@
 }
 
 // readAll reads what the gateway is told, as its variables say.
-func readAll() (*start, *charter.Terms, uint64, error) {
-	return readStart(os.Getenv("ROUTER_CONFIG"), os.Getenv("ROUTER_NAME"), os.Getenv("ROUTER_LISTEN"))
+func readAll(g clock.Ground) (*start, *charter.Terms, uint64, error) {
+	return readStart(g, g.Env("ROUTER_CONFIG"), g.Env("ROUTER_NAME"), g.Env("ROUTER_LISTEN"))
+}
+
+// Gateway is a gateway at work, for whoever looks on.
+type Gateway struct {
+	router *facade.Facade
+	links  *wire.Links
+	front  *wire.Front
 }
 
-// Run runs a gateway until it is told to stop; every lookup taken by then is answered.
-func Run(ctx context.Context) error {
-	hup := make(chan os.Signal, 1) // one that waits stands for all since
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	s, terms, seed, err := readAll()
+// Load is what a gateway holds: lookups without a final answer or with sends out, sends as the module counts them,
+// those not picked yet, sends as the connections count them, and connections to caches and of clients.
+type Load struct{ Lookups, Sends, Queued, Flying, Links, Clients int }
+
+// Load tells it at one instant, if nothing goes on meanwhile.
+func (w *Gateway) Load() (l Load) {
+	l.Lookups = w.router.Open()
+	l.Sends, l.Queued = w.router.InFlight()
+	l.Flying, l.Links = w.links.Load()
+	l.Clients = w.front.Load()
+	return l
+}
+
+// Watch is what may look on; both may be nil.
+type Watch struct {
+	Up      func(*Gateway)
+	Between facade.Between
+}
+
+// Run runs a gateway on its ground until it is told to stop; every lookup taken by then is answered.
+func Run(g clock.Ground, watch Watch) error {
+	told := newOrders(g)
+	defer g.Signals(told.hear)()
+	s, terms, seed, err := readAll(g)
 	if err != nil {
 		return err
 	}
+	cores, memoryLimit := 0, int64(0)
 	if s.Limits.Cores > 0 {
-		runtime.GOMAXPROCS(max(1, int(s.Limits.Cores+0.5)))
+		cores = max(1, int(s.Limits.Cores+0.5))
 	}
 	if s.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(s.Limits.MemoryMB * memoryPart * (1 << 20)))
+		memoryLimit = int64(s.Limits.MemoryMB * memoryPart * (1 << 20))
 	}
-	term, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	life, end := context.WithCancel(ctx)
-	defer end()
+	g.Limit(cores, memoryLimit)
+	life := clock.NewLife(nil)
+	defer life.End()
 
 	caches := &memory.Caches{}
-	purges := &memory.Purges{Keep: time.Duration(terms.Router.PurgeDone)*time.Microsecond + purgeSlack}
-	router := facade.Start(seed, terms.Router)
-	bulletin := wire.NewBulletin(s.Bulletin, terms, router, caches, purges)
+	purges := &memory.Purges{Clock: g, Grace: time.Duration(terms.PurgeGrace) * time.Microsecond, Keep: time.Duration(terms.Router.PurgeDone)*time.Microsecond + purgeSlack}
+	router := facade.Start(g, seed, terms.Router, watch.Between)
+	bulletin := wire.NewBulletin(g, s.Bulletin, terms, router, caches, purges)
 	if err := bulletin.Known(s.Known); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", s.Listen)
+	listener, err := g.Listen(s.Listen)
 	if err != nil {
 		return err
 	}
 	sockets := uint64(max(s.Limits.Sockets, 0))
-	var own syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own) == nil && (sockets == 0 || own.Cur < sockets) {
-		sockets = own.Cur // fewer than told: clients must not take what the caches need
+	if own := g.Descriptors(); own > 0 && (sockets == 0 || own < sockets) {
+		sockets = own // fewer than told: clients must not take what the caches need
 	}
 	most := int(min(max(1, sockets/clientsPart), mostClients))
 	lookups, bytes := mostLookups, int64(mostLookups*wire.MostObject)
@@ -129,92 +146,136 @@
 		lookups = min(lookups, max(1, int(s.Limits.MemoryMB*lookupsAMB)))
 		bytes = int64(s.Limits.MemoryMB * bodiesPart * (1 << 20))
 	}
-	links := wire.NewLinks(life, terms, router, caches, purges)
-	front := wire.NewFront(terms, router, links, memory.NewRoom(lookups, bytes), most)
-	log.Printf("event=started name=%s listen=%s bulletin=%s last=%d", s.Name, s.Listen, s.Bulletin, bulletin.Last)
+	links := wire.NewLinks(g, life, terms, router, caches, purges)
+	front := wire.NewFront(g, terms, router, links, memory.NewRoom(lookups, bytes), most)
+	g.Log().Info("started", "name", s.Name, "listen", s.Listen, "bulletin", s.Bulletin, "last", bulletin.Last)
 
-	group, life := errgroup.WithContext(life)
-	group.Go(func() error { return bulletin.Follow(life) })
-	group.Go(func() error { return tick(life, router) })
-	group.Go(func() error { return reread(life, hup, s, bulletin) })
-	group.Go(func() error { return front.Accept(life, listener) })
+	group := g.Group()
+	start := func(name string, part func() error) {
+		group.Go(name, func() error {
+			err := part()
+			if err != nil {
+				life.End()
+			}
+			return err
+		})
+	}
+	start("bulletin", func() error { return bulletin.Follow(life) })
+	start("tick", func() error { return tick(g, life, router) })
+	start("reread", func() error { return reread(g, life, told, s, bulletin) })
+	start("accept", func() error { return front.Accept(life, listener) })
 	front.Ready()
-	group.Go(func() error {
-		defer end()
-		select {
-		case <-term.Done():
-		case <-life.Done():
+	if watch.Up != nil {
+		watch.Up(&Gateway{router, links, front})
+	}
+	start("drain", func() error {
+		defer life.End()
+		if !told.stop(life) {
 			return errors.New("a part of the gateway ended")
 		}
-		return drain(terms, router, front, listener)
+		return drain(g, terms, router, front, listener)
 	})
 	err = group.Wait()
 	links.Wait()
-	log.Printf("event=stopped name=%s open=%d", s.Name, router.Open())
+	g.Log().Info("stopped", "name", s.Name, "open", router.Open())
 	return err
 }
 
+// orders are the platform's signals until they are heeded: one that waits stands for all of its kind since.
+type orders struct {
+	mu           sync.Mutex
+	stopped, hup bool
+	stopping     clock.Bell
+	rereading    clock.Bell
+}
+
+func newOrders(g clock.Ground) *orders { return &orders{stopping: g.Bell(), rereading: g.Bell()} }
+
+func (o *orders) hear(s clock.Signal) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if s == clock.Reread {
+		o.hup = true
+		o.rereading.Ring()
+		return
+	}
+	o.stopped = true
+	o.stopping.Ring()
+}
+
+// stop waits for the word to stop; false if the life ends first.
+func (o *orders) stop(life *clock.Life) bool {
+	defer life.OnEnd(o.stopping.Ring)()
+	o.stopping.Wait(-1)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.stopped
+}
+
+// reread waits for the word to read anew; false if the life ends first.
+func (o *orders) reread() bool {
+	o.rereading.Wait(-1)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	was := o.hup
+	o.hup = false
+	return was
+}
+
 // reread reads the configuration anew at each SIGHUP. The bulletin moves at once and nothing else is touched; what
 // is told of the rest counts from the next start. A file that cannot be used leaves all as it is.
-func reread(ctx context.Context, hup <-chan os.Signal, was *start, bulletin *wire.Bulletin) error {
+func reread(g clock.Ground, life *clock.Life, told *orders, was *start, bulletin *wire.Bulletin) error {
+	defer life.OnEnd(told.rereading.Ring)()
 	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-hup:
+		if !told.reread() {
+			if life.Over() {
+				return nil
+			}
+			continue
 		}
-		now, _, _, err := readAll()
+		now, _, _, err := readAll(g)
 		if err != nil {
-			log.Printf("event=reread_failed text=%q", err)
+			g.Log().Warn("reread_failed", "text", err.Error())
 			continue
 		}
 		rest := now.Limits != was.Limits || now.Listen != was.Listen || !bytes.Equal(now.Settings, was.Settings)
-		log.Printf("event=reread bulletin=%s restart_wanted=%v", now.Bulletin, rest)
+		g.Log().Info("reread", "bulletin", now.Bulletin, "restart_wanted", rest)
 		bulletin.Move(now.Bulletin)
 	}
 }
 
 // drain stops the gateway as the platform stops it.
-func drain(terms *charter.Terms, router *facade.Facade, front *wire.Front, listener net.Listener) error {
+func drain(g clock.Ground, terms *charter.Terms, router *facade.Facade, front *wire.Front, listener net.Listener) error {
 	kill := leastKill
 	for _, k := range terms.Router.Kinds {
 		kill = max(kill, time.Duration(k.GiveUp)*time.Microsecond)
 	}
-	cut := time.After(kill + 700*time.Millisecond - stopBefore)
-	log.Printf("event=stopping")
+	cut := g.Now().Add(kill + 700*time.Millisecond - stopBefore)
+	g.Log().Info("stopping")
 	front.Unready()
-	time.Sleep(acceptOn)
+	g.Bell().Wait(acceptOn)
 	listener.Close()
 	front.Drain()
-	done := make(chan struct{})
-	go func() {
+	done, waiting := g.Bell(), g.Group()
+	waiting.Go("drained", func() error {
 		front.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-cut:
+		done.Ring()
+		return nil
+	})
+	if !done.Wait(max(0, cut.Sub(g.Now()))) {
 		router.Stop()
-		select {
-		case <-done:
-		case <-time.After(stopBefore / 2):
+		if !done.Wait(stopBefore / 2) {
 			front.Cut()
-			<-done
 		}
 	}
-	return nil
+	return waiting.Wait()
 }
 
 // tick brings the router its timers.
-func tick(ctx context.Context, router *facade.Facade) error {
-	t := time.NewTimer(0)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-		t.Reset(max(router.Tick(nil, false, nil), time.Millisecond))
+func tick(g clock.Ground, life *clock.Life, router *facade.Facade) error {
+	end := g.Bell()
+	defer life.OnEnd(end.Ring)()
+	for !end.Wait(max(router.Tick(nil, false, nil), time.Millisecond)) {
 	}
+	return nil
 }
--- a/wire/bulletin.go
+++ b/wire/bulletin.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
 	"net"
 	"net/netip"
 	"slices"
@@ -15,6 +13,7 @@
 	"time"
 
 	"foldslip/charter"
+	"foldslip/clock"
 	"foldslip/facade"
 	"foldslip/logic"
 	"foldslip/memory"
@@ -35,18 +34,19 @@
 	Router *facade.Facade
 	Caches *memory.Caches
 	Purges *memory.Purges
+	g      clock.Ground
 	failed int64 // number of the event that could not be used when it came last
 	mu     sync.Mutex
 	addr   string
-	leave  context.CancelFunc // ends the session under way
-	moved  chan struct{}      // has one item when it is to be asked at once
+	its    *clock.Life // of the session under way
+	moved  bool        // it is to be asked at once
+	turn   clock.Bell  // rung when moved is set, and at the end
 }
 
 // NewBulletin makes the follower of the bulletin at an address.
-func NewBulletin(addr string, terms *charter.Terms, router *facade.Facade, caches *memory.Caches,
+func NewBulletin(g clock.Ground, addr string, terms *charter.Terms, router *facade.Facade, caches *memory.Caches,
 	purges *memory.Purges) *Bulletin {
-	return &Bulletin{addr: addr, Terms: terms, Router: router, Caches: caches, Purges: purges,
-		moved: make(chan struct{}, 1)}
+	return &Bulletin{g: g, addr: addr, Terms: terms, Router: router, Caches: caches, Purges: purges, turn: g.Bell()}
 }
 
 // Move follows the bulletin at a new address from now on, after the last event held. At the old address it asks
@@ -54,27 +54,32 @@
 func (b *Bulletin) Move(addr string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.addr = addr
-	select {
-	case b.moved <- struct{}{}:
-	default:
-	}
-	if b.leave != nil {
-		b.leave()
+	b.addr, b.moved = addr, true
+	b.turn.Ring()
+	if b.its != nil {
+		b.its.End()
 	}
 }
 
 // next is the address to ask now, with the life of a session there, which Move ends.
-func (b *Bulletin) next(ctx context.Context) (string, context.Context, context.CancelFunc) {
+func (b *Bulletin) next(life *clock.Life) (string, *clock.Life) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	select {
-	case <-b.moved: // this session is at the new address
-	default:
+	b.moved, b.its = false, clock.NewLife(life) // this session is at the new address
+	return b.addr, b.its
+}
+
+// pause waits before the bulletin is asked again; true if it has moved meanwhile.
+func (b *Bulletin) pause(life *clock.Life, span time.Duration) bool {
+	for till := b.g.Now().Add(span); !life.Over(); {
+		b.mu.Lock()
+		moved := b.moved
+		b.mu.Unlock()
+		if moved || !b.turn.Wait(max(0, till.Sub(b.g.Now()))) {
+			return moved
+		}
 	}
-	its, leave := context.WithCancel(ctx)
-	b.leave = leave
-	return b.addr, its, leave
+	return false
 }
 
 // errGap tells that events are missing; a new connection brings them.
@@ -215,44 +220,41 @@
 	return rows, gone, nil
 }
 
-// Follow keeps a connection to the bulletin until ctx ends.
-func (b *Bulletin) Follow(ctx context.Context) error {
+// Follow keeps a connection to the bulletin until life ends.
+func (b *Bulletin) Follow(life *clock.Life) error {
+	defer life.OnEnd(b.turn.Ring)()
 	for pause := retryBulletin; ; {
-		began, last := time.Now(), b.Last
-		addr, its, leave := b.next(ctx)
+		began, last := b.g.Now(), b.Last
+		addr, its := b.next(life)
 		reason := b.session(its, addr)
-		if its.Err() != nil && ctx.Err() == nil {
+		if its.Over() && !life.Over() {
 			reason = "moved"
 		}
-		leave()
-		log.Printf("event=bulletin_closed addr=%s reason=%s last=%d age_ms=%d", addr, reason, b.Last,
-			time.Since(began).Milliseconds())
-		if b.Last > last || time.Since(began) > silentAfter {
+		its.End()
+		age := b.g.Now().Sub(began)
+		b.g.Log().Info("bulletin_closed", "addr", addr, "reason", reason, "last", b.Last, "age_ms", age.Milliseconds())
+		if b.Last > last || age > silentAfter {
 			pause = retryBulletin
 		}
-		select {
-		case <-ctx.Done():
+		moved := b.pause(life, pause)
+		if life.Over() {
 			return nil
-		case <-b.moved:
+		}
+		if pause = min(2*pause, retryMost); moved {
 			pause = retryBulletin
-			continue
-		case <-time.After(pause):
 		}
-		pause = min(2*pause, retryMost)
 	}
 }
 
 // session is one connection, from after the last event held up to its end.
-func (b *Bulletin) session(ctx context.Context, addr string) (reason string) {
-	dial := net.Dialer{Timeout: dialBulletin}
-	conn, err := dial.DialContext(ctx, "tcp", addr)
+func (b *Bulletin) session(life *clock.Life, addr string) (reason string) {
+	conn, err := b.g.Dial(life, addr, dialBulletin)
 	if err != nil {
 		return "no_connection"
 	}
 	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	defer stop()
-	conn.SetDeadline(time.Now().Add(silentAfter))
+	defer life.OnEnd(func() { conn.Close() })()
+	conn.SetDeadline(b.g.Now().Add(silentAfter))
 	if _, err := fmt.Fprintf(conn, "after %d\n", b.Last); err != nil {
 		return "write_failed"
 	}
@@ -264,7 +266,7 @@
 				break
 			}
 			if err := b.take(bytes.TrimSpace(line), false); err != nil {
-				log.Printf("event=bulletin_fault text=%q last=%d", err, b.Last)
+				b.g.Log().Warn("bulletin_fault", "text", err.Error(), "last", b.Last)
 				if errors.Is(err, errGap) {
 					return "gap"
 				}
@@ -275,11 +277,11 @@
 				b.Last++ // it came twice and cannot be used: the events after it count more than it
 			}
 			buf.Skip(len(line) + 1)
-			conn.SetReadDeadline(time.Now().Add(silentAfter))
+			conn.SetReadDeadline(b.g.Now().Add(silentAfter))
 		}
 		if err := buf.Fill(conn, mostEvent); err != nil {
 			switch {
-			case ctx.Err() != nil:
+			case life.Over():
 				return "stopping"
 			case errors.Is(err, memory.ErrFull):
 				return "bad_line"
--- a/wire/front.go
+++ b/wire/front.go
@@ -1,20 +1,20 @@
 package wire
 
 import (
-	"context"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"foldslip/charter"
+	"foldslip/clock"
 	"foldslip/facade"
 	"foldslip/memory"
 )
@@ -33,6 +33,7 @@
 
 // Front is the side of the clients.
 type Front struct {
+	g        clock.Ground
 	terms    *charter.Terms
 	router   *facade.Facade
 	links    *Links
@@ -43,14 +44,15 @@
 	clients  map[*client]bool
 	draining bool
 	ready    bool
-	group    errgroup.Group
-	accepted chan struct{} // closed when no more are accepted
+	count    int64 // connections so far
+	group    clock.Group
+	accepted clock.Bell // rung when no more are accepted
 }
 
 // NewFront makes a front that takes so many connections at most.
-func NewFront(terms *charter.Terms, router *facade.Facade, links *Links, room *memory.Room, most int) *Front {
-	f := &Front{terms: terms, router: router, links: links, room: room, most: most, kinds: map[string]int{},
-		clients: map[*client]bool{}, accepted: make(chan struct{})}
+func NewFront(g clock.Ground, terms *charter.Terms, router *facade.Facade, links *Links, room *memory.Room, most int) *Front {
+	f := &Front{g: g, terms: terms, router: router, links: links, room: room, most: most, kinds: map[string]int{},
+		clients: map[*client]bool{}, group: g.Group(), accepted: g.Bell()}
 	for i, k := range terms.Kinds {
 		f.kinds[k] = i
 	}
@@ -62,9 +64,10 @@
 	f      *Front
 	conn   net.Conn
 	mu     sync.Mutex
-	busy   bool  // with a request, from its last byte to its answer's
-	lk     *open // the lookup that it is
-	done   chan struct{}
+	busy   bool       // with a request, from its last byte to its answer's
+	lk     *open      // the lookup that it is
+	done   clock.Bell // rung when the next request may be taken
+	no     int64      // in the order of accepting
 	reason string
 	since  time.Time // without a request on it
 	usual  bool      // a lookup of it was satisfied
@@ -116,6 +119,13 @@
 	o.held, o.got, o.closed = 0, nil, true
 }
 
+// Load is how many connections there are.
+func (f *Front) Load() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.clients)
+}
+
 // Ready lets pings be answered with 200.
 func (f *Front) Ready() {
 	f.mu.Lock()
@@ -124,8 +134,10 @@
 }
 
 // Accept takes clients until the listener closes.
-func (f *Front) Accept(ctx context.Context, from net.Listener) error {
-	defer close(f.accepted)
+func (f *Front) Accept(life *clock.Life, from net.Listener) error {
+	defer f.accepted.Ring()
+	again := f.g.Bell() // rung at the end
+	defer life.OnEnd(again.Ring)()
 	var told time.Time
 	for {
 		conn, err := from.Accept()
@@ -133,20 +145,20 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			if time.Since(told) > tellAgain {
-				told = time.Now()
-				log.Printf("event=accept_failed text=%q", err)
+			if f.g.Now().Sub(told) > tellAgain {
+				told = f.g.Now()
+				f.g.Log().Warn("accept_failed", "text", err.Error())
 			}
-			select {
-			case <-ctx.Done():
+			if again.Wait(acceptAgain) { // out of descriptors, most likely
 				return nil
-			case <-time.After(acceptAgain): // out of descriptors, most likely
 			}
 			continue
 		}
-		c := &client{f: f, conn: conn, since: time.Now(), done: make(chan struct{}, 1)}
-		c.done <- struct{}{}
+		c := &client{f: f, conn: conn, since: f.g.Now(), done: f.g.Bell()}
+		c.done.Ring()
 		f.mu.Lock()
+		f.count++
+		c.no = f.count
 		full, draining := len(f.clients) >= f.most && !f.displace(), f.draining
 		if !full && !draining {
 			f.clients[c] = true
@@ -156,7 +168,7 @@
 			conn.Close()
 			continue
 		}
-		f.group.Go(func() error { c.run(full); return nil })
+		f.group.Go("client", func() error { c.run(full); return nil })
 	}
 }
 
@@ -168,7 +180,8 @@
 	var since time.Time
 	for c := range f.clients {
 		c.mu.Lock()
-		if !c.busy && (last == nil || usual && !c.usual || usual == c.usual && c.since.Before(since)) {
+		if !c.busy && (last == nil || usual && !c.usual || usual == c.usual && (c.since.Before(since) ||
+			c.since.Equal(since) && c.no < last.no)) {
 			last, usual, since = c, c.usual, c.since
 		}
 		c.mu.Unlock()
@@ -186,12 +199,17 @@
 	return true
 }
 
+// inOrder is the connections in the order they came, so that one run is as the next; under the front's lock.
+func (f *Front) inOrder() []*client {
+	return slices.SortedFunc(maps.Keys(f.clients), func(a, b *client) int { return cmp.Compare(a.no, b.no) })
+}
+
 // Drain closes the connections without a lookup, and each other one once it is answered.
 func (f *Front) Drain() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.draining = true
-	for c := range f.clients {
+	for _, c := range f.inOrder() {
 		c.mu.Lock()
 		if !c.busy {
 			c.close("stopping")
@@ -211,7 +229,7 @@
 func (f *Front) Cut() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c := range f.clients {
+	for _, c := range f.inOrder() {
 		c.mu.Lock()
 		c.close("stopped")
 		c.mu.Unlock()
@@ -220,7 +238,7 @@
 
 // Wait waits for all connections to end, once the listener is closed.
 func (f *Front) Wait() {
-	<-f.accepted
+	f.accepted.Wait(-1)
 	f.group.Wait()
 }
 
@@ -240,7 +258,7 @@
 
 // run reads requests until the connection ends. While a lookup is open it goes on reading, to see the client go.
 func (c *client) run(full bool) {
-	began := time.Now()
+	began := c.f.g.Now()
 	if full {
 		c.plain(503, "too many connections", true)
 		c.shut("full")
@@ -250,9 +268,9 @@
 	c.f.mu.Lock()
 	delete(c.f.clients, c)
 	c.f.mu.Unlock()
-	<-c.done // what answers on it has ended
-	log.Printf("event=client_closed addr=%s reason=%s answers=%d age_ms=%d", c.conn.RemoteAddr(), c.reason, c.served,
-		time.Since(began).Milliseconds())
+	c.done.Wait(-1) // what answers on it has ended
+	c.f.g.Log().Info("client_closed", "addr", c.conn.RemoteAddr().String(), "reason", c.reason, "answers", c.served,
+		"age_ms", c.f.g.Now().Sub(began).Milliseconds())
 }
 
 func (c *client) read() {
@@ -274,23 +292,23 @@
 			}
 			continue
 		case errors.As(err, &fault):
-			<-c.done
+			c.done.Wait(-1)
 			c.plain(fault.Status, fault.Text, true)
 			c.linger()
-			c.done <- struct{}{}
+			c.done.Ring()
 			c.shut("bad_request")
 			return
 		}
-		came := time.Now()
+		came := c.f.g.Now()
 		buf.Skip(size)
 		started = false
-		<-c.done // one at a time
+		c.done.Wait(-1) // one at a time
 		if !c.begin() {
-			c.done <- struct{}{}
+			c.done.Ring()
 			return
 		}
 		if !c.take(req, came) {
-			c.done <- struct{}{}
+			c.done.Ring()
 			return
 		}
 	}
@@ -302,14 +320,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.busy && c.served > 0 {
-		c.conn.SetReadDeadline(time.Now().Add(slowRequest))
+		c.conn.SetReadDeadline(c.f.g.Now().Add(slowRequest))
 	}
 }
 
 // linger reads on for a moment, so that what the client still sends does not undo the answer it was sent.
 func (c *client) linger() {
-	if t, ok := c.conn.(*net.TCPConn); ok && t.CloseWrite() == nil {
-		t.SetReadDeadline(time.Now().Add(lingerFor))
+	if t, ok := c.conn.(clock.Conn); ok && t.CloseWrite() == nil {
+		t.SetReadDeadline(c.f.g.Now().Add(lingerFor))
 		io.CopyN(io.Discard, t, lingerBytes)
 	}
 }
@@ -390,17 +408,17 @@
 			return false
 		}
 		c.rest()
-		c.done <- struct{}{}
+		c.done.Ring()
 		return true
 	}
 	c.mu.Lock()
 	c.lk = o
 	c.mu.Unlock()
-	f.group.Go(func() error {
+	f.group.Go("lookup", func() error {
 		c.answer(o)
 		o.close()
 		f.room.Leave()
-		c.done <- struct{}{}
+		c.done.Ring()
 		return nil
 	})
 	return true
@@ -413,12 +431,12 @@
 	c.f.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy, c.lk, c.since = false, nil, time.Now()
+	c.busy, c.lk, c.since = false, nil, c.f.g.Now()
 	if draining {
 		c.close("stopping")
 		return
 	}
-	c.conn.SetReadDeadline(time.Now().Add(idleClient))
+	c.conn.SetReadDeadline(c.f.g.Now().Add(idleClient))
 }
 
 // answer carries out a lookup's steps up to its end, and says the end.
@@ -491,7 +509,7 @@
 		more += "Allow: GET\r\n"
 	}
 	b := appendHead(nil, status, len(text)+1, more, end)
-	c.say(append(append(b, text...), '\n'), time.Now())
+	c.say(append(append(b, text...), '\n'), c.f.g.Now())
 }
 
 // say writes an answer; a client too slow to take it loses the connection, and sees that it is not whole.
--- a/wire/lines.go
+++ b/wire/lines.go
@@ -85,6 +85,9 @@
 	if len(words) != 4 || words[0] == "" {
 		return a, 0, errors.New("the line has not four words")
 	}
+	if !isID(words[0]) { // most likely the front of an answer that broke off, and this one behind it
+		return a, 0, errors.New("the id is not 16 hex digits")
+	}
 	n, err := strconv.ParseUint(words[3], 10, 31)
 	if err != nil || n > MostObject {
 		return a, 0, errors.New("the length cannot be read")
--- a/wire/links.go
+++ b/wire/links.go
@@ -1,20 +1,20 @@
 package wire
 
 import (
-	"context"
+	"cmp"
 	"errors"
 	"io"
-	"log"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"foldslip/charter"
+	"foldslip/clock"
 	"foldslip/facade"
 	"foldslip/logic"
 	"foldslip/memory"
@@ -29,23 +29,27 @@
 
 // Links are the connections to caches. Each carries many sends; their answers come in any order.
 type Links struct {
+	g      clock.Ground
 	terms  *charter.Terms
 	router *facade.Facade
 	caches *memory.Caches
 	purges *memory.Purges
 	mu     sync.Mutex
 	by     map[string][]*link // by cache id and address
-	group  errgroup.Group
-	ctx    context.Context // their life
+	boards atomic.Int64       // sends so far
+	flying atomic.Int64       // sends without an ending
+	group  clock.Group
+	life   *clock.Life
 }
 
-// NewLinks makes the links; they end with ctx.
-func NewLinks(ctx context.Context, terms *charter.Terms, router *facade.Facade, caches *memory.Caches,
+// NewLinks makes the links; they end with life.
+func NewLinks(g clock.Ground, life *clock.Life, terms *charter.Terms, router *facade.Facade, caches *memory.Caches,
 	purges *memory.Purges) *Links {
-	return &Links{terms: terms, router: router, caches: caches, purges: purges, by: map[string][]*link{}, ctx: ctx}
+	return &Links{g: g, terms: terms, router: router, caches: caches, purges: purges, by: map[string][]*link{},
+		group: g.Group(), life: life}
 }
 
-// Wait waits until all have ended, which they do soon after their context has.
+// Wait waits until all have ended, which they do soon after their life has.
 func (ls *Links) Wait() { ls.group.Wait() }
 
 // flight is a send that owes its ending.
@@ -56,8 +60,9 @@
 	open   *open
 	n      int
 	line   []byte
-	over   *time.Timer
-	hush   *time.Timer
+	over   clock.Timer
+	hush   clock.Timer
+	no     int64 // in the order of boarding
 	on     *link
 	// Under the link's lock: undo must not overtake do, so whoever finds both true writes it.
 	wrote, undone bool
@@ -104,6 +109,7 @@
 		line: appendDo(nil, o.req.ID, o.req.Kind, o.req.Object, o.req.Part, s.Patience, source, s.Rank, s.Oldest,
 			s.How, o.req.Tag)}
 	o.flights = append(o.flights, f)
+	ls.flying.Add(1)
 	patience, hush := time.Duration(s.Patience)*time.Microsecond, time.Duration(s.Hush)*time.Microsecond
 	for !ls.pick(to, o.req.ID).board(f, patience, hush) {
 	}
@@ -131,7 +137,7 @@
 	}
 	l := &link{ls: ls, key: key, peer: to, flights: map[string]*flight{}, late: map[string]time.Time{}}
 	ls.by[key] = append(ls.by[key], l)
-	ls.group.Go(func() error { l.run(); return nil })
+	ls.group.Go("link", func() error { l.run(); return nil })
 	return l
 }
 
@@ -150,9 +156,10 @@
 		return false
 	}
 	l.flights[f.open.req.ID] = f
+	f.no = l.ls.boards.Add(1)
 	f.on = l
-	f.over = time.AfterFunc(patience, func() { l.ls.undo(f, logic.TimedOut) })
-	f.hush = time.AfterFunc(hush, func() { l.doubt(f) })
+	f.over = l.ls.g.AfterFunc(patience, func() { l.ls.undo(f, logic.TimedOut) })
+	f.hush = l.ls.g.AfterFunc(hush, func() { l.doubt(f) })
 	conn := l.conn
 	f.writing = conn != nil
 	l.mu.Unlock()
@@ -165,7 +172,7 @@
 // put writes a send, and undoes it if it was given up meanwhile.
 func (l *link) put(conn net.Conn, f *flight) {
 	l.mu.Lock()
-	f.sent = time.Now() // not before the connection was up
+	f.sent = l.ls.g.Now() // not before the connection was up
 	l.mu.Unlock()
 	whole := l.write(conn, f.line)
 	l.mu.Lock()
@@ -179,7 +186,7 @@
 
 // write sends a short text; one that does not go out soon ends the connection.
 func (l *link) write(conn net.Conn, text []byte) bool {
-	conn.SetWriteDeadline(time.Now().Add(writeWithin))
+	conn.SetWriteDeadline(l.ls.g.Now().Add(writeWithin))
 	_, err := conn.Write(text)
 	if err != nil {
 		l.stuck.Store(errors.Is(err, os.ErrDeadlineExceeded))
@@ -203,7 +210,7 @@
 	}
 	l.closeEmpty()
 	if late && l.conn != nil {
-		now := time.Now()
+		now := l.ls.g.Now()
 		for k, at := range l.late {
 			if now.Sub(at) > forgetLateIn {
 				delete(l.late, k)
@@ -254,7 +261,23 @@
 	if tell {
 		l.write(conn, appendUndo(nil, f.open.req.ID))
 	}
-	ls.router.Report(f.open.lk, f.n, how, logic.Untold, 0)
+	ls.report(f, how, logic.Untold, 0)
+}
+
+// report tells the ending of a send, once.
+func (ls *Links) report(f *flight, how logic.Ending, remark logic.Remark, waited logic.Micros) {
+	ls.router.Report(f.open.lk, f.n, how, remark, waited)
+	ls.flying.Add(-1)
+}
+
+// Load is how many sends are without an ending, and how many connections there are or are being dialled.
+func (ls *Links) Load() (sends, conns int) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	for _, of := range ls.by {
+		conns += len(of)
+	}
+	return int(ls.flying.Load()), conns
 }
 
 // cancel gives up the lookup's send of that number.
@@ -268,9 +291,8 @@
 
 // run dials, reads until the connection ends, and reports what was open on it.
 func (l *link) run() {
-	ls, began := l.ls, time.Now()
-	dial := net.Dialer{Timeout: time.Duration(ls.terms.ConnectWithin) * time.Microsecond}
-	conn, err := dial.DialContext(ls.ctx, "tcp", l.peer.Addr)
+	ls, began := l.ls, l.ls.g.Now()
+	conn, err := ls.g.Dial(ls.life, l.peer.Addr, time.Duration(ls.terms.ConnectWithin)*time.Microsecond)
 	if err != nil {
 		reason := "refused"
 		if !errors.Is(err, syscall.ECONNREFUSED) {
@@ -279,15 +301,13 @@
 		l.end(logic.Unconnected, reason, began)
 		return
 	}
-	stop := context.AfterFunc(ls.ctx, func() { conn.Close() })
-	defer stop()
+	defer ls.life.OnEnd(func() { conn.Close() })()
 	defer conn.Close()
 	l.mu.Lock()
-	l.conn, l.heard = conn, time.Now()
-	var waited []*flight
-	for _, f := range l.flights {
+	l.conn, l.heard = conn, ls.g.Now()
+	waited := inOrder(l.flights)
+	for _, f := range waited {
 		f.writing = true
-		waited = append(waited, f)
 	}
 	l.mu.Unlock()
 	for _, f := range waited {
@@ -312,7 +332,7 @@
 	ls.mu.Unlock()
 	l.mu.Lock()
 	l.dead = true
-	lost, unsent := l.flights, map[*flight]bool{}
+	lost, unsent := inOrder(l.flights), map[*flight]bool{}
 	l.flights = nil
 	for _, f := range lost {
 		if f.stop(); how == logic.Reset && !f.wrote && !f.writing {
@@ -325,10 +345,15 @@
 		if unsent[f] {
 			its = logic.NeverSent // the connection broke before the send had gone out whole
 		}
-		ls.router.Report(f.open.lk, f.n, its, logic.Untold, 0)
+		ls.report(f, its, logic.Untold, 0)
 	}
-	log.Printf("event=cache_closed cache=%s addr=%s reason=%s open=%d unsent=%d answers=%d strays=%d age_ms=%d", l.peer.ID,
-		l.peer.Addr, reason, len(lost), len(unsent), l.served, l.strays, time.Since(began).Milliseconds())
+	ls.g.Log().Info("cache_closed", "cache", l.peer.ID, "addr", l.peer.Addr, "reason", reason, "open", len(lost), "unsent",
+		len(unsent), "answers", l.served, "strays", l.strays, "age_ms", ls.g.Now().Sub(began).Milliseconds())
+}
+
+// inOrder is sends in the order they boarded, so that one run is as the next.
+func inOrder(flights map[string]*flight) []*flight {
+	return slices.SortedFunc(maps.Values(flights), func(a, b *flight) int { return cmp.Compare(a.no, b.no) })
 }
 
 // read takes answers until the connection ends and tells why it did.
@@ -348,7 +373,7 @@
 			if begun {
 				wait = stalledAfter // what stops short would hold up all other sends here
 			}
-			conn.SetReadDeadline(time.Now().Add(wait))
+			conn.SetReadDeadline(l.ls.g.Now().Add(wait))
 			err := l.buf.Fill(conn, mostAnswer)
 			if errors.Is(err, os.ErrDeadlineExceeded) && begun {
 				return "stalled"
@@ -360,7 +385,7 @@
 				return l.why(err)
 			}
 		default:
-			log.Printf("event=cache_fault cache=%s text=%q", l.peer.ID, err)
+			l.ls.g.Log().Warn("cache_fault", "cache", l.peer.ID, "text", err.Error())
 			return "bad_answer"
 		}
 	}
@@ -376,7 +401,7 @@
 
 func (l *link) why(err error) string {
 	switch {
-	case l.ls.ctx.Err() != nil:
+	case l.ls.life.Over():
 		return "stopping"
 	case errors.Is(err, io.EOF):
 		return "closed_by_cache"
@@ -401,7 +426,7 @@
 func (l *link) answered(a answer, fault error) string {
 	l.mu.Lock()
 	f := l.flights[a.id]
-	if l.heard = time.Now(); f != nil {
+	if l.heard = l.ls.g.Now(); f != nil {
 		l.served++
 	}
 	if f == nil {
@@ -413,7 +438,7 @@
 		return ""
 	}
 	if fault != nil {
-		log.Printf("event=cache_fault cache=%s text=%q", l.peer.ID, fault)
+		l.ls.g.Log().Warn("cache_fault", "cache", l.peer.ID, "text", fault.Error())
 		return "bad_answer"
 	}
 	if !l.take(f, false) {
@@ -421,19 +446,19 @@
 	}
 	if a.same && a.tag != f.open.req.Tag {
 		a.end = logic.Errored // word of another copy than the client's is none
-		log.Printf("event=cache_fault cache=%s text=%q", l.peer.ID, "VALID for a copy that the client does not hold")
+		l.ls.g.Log().Warn("cache_fault", "cache", l.peer.ID, "text", "VALID for a copy that the client does not hold")
 	}
-	if issued, told := l.ls.purges.Latest(f.object, f.group); a.end == logic.Satisfied && a.born.Before(issued) &&
-		time.Since(told) > time.Duration(l.ls.terms.PurgeGrace)*time.Microsecond {
+	if issued, told := l.ls.purges.Heeded(f.object, f.group); a.end == logic.Satisfied && a.born.Before(issued) {
 		// Guards rule 5, past the grace whenever the send went out. To the module it is as if never sent: it
 		// sends anew with the purge in mind, and may join a fill under way.
-		log.Printf("event=outdated_copy cache=%s older_ms=%d told_ms_ago=%d sent_ms_ago=%d", l.peer.ID,
-			issued.Sub(a.born).Milliseconds(), time.Since(told).Milliseconds(), time.Since(f.sent).Milliseconds())
+		now := l.ls.g.Now()
+		l.ls.g.Log().Warn("outdated_copy", "cache", l.peer.ID, "older_ms", issued.Sub(a.born).Milliseconds(), "told_ms_ago",
+			now.Sub(told).Milliseconds(), "sent_ms_ago", now.Sub(f.sent).Milliseconds())
 		a.end, a.remark = logic.NeverSent, logic.Untold
 	}
 	if a.end == logic.Satisfied && !f.open.keep(f.n, a) {
 		a.end = logic.Errored // the lookup is over, or answers that clients are slow to take fill the room
 	}
-	l.ls.router.Report(f.open.lk, f.n, a.end, a.remark, a.waited)
+	l.ls.report(f, a.end, a.remark, a.waited)
 	return ""
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"io"
 	"strings"
 	"testing"
 	"time"
 
 	"foldslip/charter"
+	"foldslip/clock"
 	"foldslip/facade"
 	"foldslip/logic"
 	"foldslip/memory"
@@ -49,9 +51,9 @@
 }
 
 func TestAnswers(t *testing.T) {
-	text := "0a HIT note=via_origin,waited=3.5,ver=4be0,born=1764576000123,load=x:1;y:2 5\r\na\r\nb\n\r\n"
+	text := "00000000000000aa HIT note=via_origin,waited=3.5,ver=4be0,born=1764576000123,load=x:1;y:2 5\r\na\r\nb\n\r\n"
 	a, n, err := parseAnswer([]byte(text + "next"))
-	if err != nil || n != len(text) || a.id != "0a" || a.end != logic.Satisfied || a.remark != logic.FilledFromOrigin ||
+	if err != nil || n != len(text) || a.id != "00000000000000aa" || a.end != logic.Satisfied || a.remark != logic.FilledFromOrigin ||
 		a.waited != 3500 || a.tag != "4be0" || a.born.UnixMilli() != 1764576000123 || string(a.body) != "a\r\nb\n" {
 		t.Errorf("%+v, %d, %v", a, n, err)
 	}
@@ -62,13 +64,13 @@
 	}
 	for word, end := range map[string]logic.Ending{"NONE": logic.Missed, "SHED": logic.TurnedAway,
 		"FAULT": logic.Errored, "LATE": logic.NeverSent} {
-		if a, _, err := parseAnswer([]byte("0a " + word + " note=no_slot 0\r\n\r\n")); err != nil || a.end != end ||
+		if a, _, err := parseAnswer([]byte("00000000000000aa " + word + " note=no_slot 0\r\n\r\n")); err != nil || a.end != end ||
 			a.remark != logic.NoFillPlace {
 			t.Errorf("%s: %+v, %v", word, a, err)
 		}
 	}
-	for _, text := range []string{"0a HIT - 0\r\n\r\n", "0a NONE 0\r\n\r\n", "0a NONE - -1\r\n\r\n", "0a NONE x 0\r\n\r\n",
-		"0a NONE - 0\n\r\n", "0a NONE - 0\r\nxx", "0a VALID ver=v,born=9 1\r\nx\r\n", "0a NONE waited=-1 0\r\n\r\n"} {
+	for _, text := range []string{"00000000000000aa HIT - 0\r\n\r\n", "00000000000000aa NONE 0\r\n\r\n", "00000000000000aa NONE - -1\r\n\r\n", "00000000000000aa NONE x 0\r\n\r\n", "5d302e4b9b02f9164ea8cc4283 NONE - 0\r\n\r\n",
+		"00000000000000aa NONE - 0\n\r\n", "00000000000000aa NONE - 0\r\nxx", "00000000000000aa VALID ver=v,born=9 1\r\nx\r\n", "00000000000000aa NONE waited=-1 0\r\n\r\n"} {
 		if a, _, err := parseAnswer([]byte(text)); err == nil || errors.Is(err, errShort) {
 			t.Errorf("%q: %+v, %v", text, a, err)
 		}
@@ -77,9 +79,9 @@
 
 func TestAnswersWithoutUse(t *testing.T) {
 	for text, size := range map[string]int{ // framed well: the id is told, what follows can be read
-		"0a HIT - 2\r\nno\r\n": 16, "0a MAYBE - 0\r\n\r\n": 16, "0a NONE - 3000000000\r\n": 0, "0a NONE - 2\r\nnone": 0,
+		"00000000000000aa HIT - 2\r\nno\r\n": 30, "00000000000000aa MAYBE - 0\r\n\r\n": 30, "00000000000000aa NONE - 3000000000\r\n": 0, "00000000000000aa NONE - 2\r\nnone": 0,
 	} {
-		if a, n, err := parseAnswer([]byte(text + "next")); err == nil || errors.Is(err, errShort) || n != size || n > 0 && a.id != "0a" {
+		if a, n, err := parseAnswer([]byte(text + "next")); err == nil || errors.Is(err, errShort) || n != size || n > 0 && a.id != "00000000000000aa" {
 			t.Errorf("%q: %+v, %d, %v", text, a, n, err)
 		}
 	}
@@ -103,7 +105,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := NewBulletin("", terms, facade.Start(1, terms.Router), &memory.Caches{}, &memory.Purges{Keep: time.Minute})
+	g := clock.NewSystem(io.Discard, 0)
+	b := NewBulletin(g, "", terms, facade.Start(g, 1, terms.Router, nil), &memory.Caches{}, &memory.Purges{Keep: time.Minute, Clock: g})
 	b.Last = 40
 	return b
 }
@@ -154,8 +157,8 @@
 }
 
 func FuzzAnswer(f *testing.F) {
-	f.Add([]byte("0a HIT ver=4be0,born=1764576000123 5\r\na\r\nb\n\r\n"))
-	f.Add([]byte("0a HIT - 2\r\nno\r\n0b HIT ver=v,born=9 3000000000\r\n"))
+	f.Add([]byte("00000000000000aa HIT ver=4be0,born=1764576000123 5\r\na\r\nb\n\r\n"))
+	f.Add([]byte("00000000000000aa HIT - 2\r\nno\r\n00000000000000bb HIT ver=v,born=9 3000000000\r\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		a, n, err := parseAnswer(b)
 		if err == nil && (n <= len(a.body) || a.end == 0) || n > len(b) || n > 0 && a.id == "" || len(a.body) > MostObject {
