--- /dev/null
+++ b/cli/faults.go
@@ -0,0 +1,364 @@
+package cli
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+	"golang.org/x/sync/errgroup"
+
+	"foldslip/lab/day"
+)
+
+type faults struct {
+	Run    faultsRun    `cmd:"" help:"Play the days of many seeds and check every rule after each step."`
+	Replay faultsReplay `cmd:"" help:"Play one day again, from its seed or from a file."`
+	Shrink faultsShrink `cmd:"" help:"Make the smallest day that still breaks the rule that a seed or file breaks, and write it to a file."`
+	Kinds  faultsKinds  `cmd:"" help:"List the kinds of days, of faults, and of faults that can be planted in the gateway."`
+}
+
+type dayFlags struct {
+	Days  string `default:"mixed" help:"Kind of days; foldslip faults kinds lists them."`
+	Plant string `help:"Plant a fault in the gateway, to see the referee find it."`
+	JSON  bool   `help:"Print JSON."`
+}
+
+func (f dayFlags) draw(seed uint64) (day.Plan, error) {
+	p := day.Draw(seed, f.Days)
+	p.Plant = f.Plant
+	if err := p.Check(); err != nil {
+		return p, usage("%v", err)
+	}
+	return p, nil
+}
+
+// load gives the plan that a seed or a file names.
+func (f dayFlags) load(what string) (day.Plan, error) {
+	if seed, err := strconv.ParseUint(what, 10, 64); err == nil {
+		return f.draw(seed)
+	}
+	text, err := os.ReadFile(what)
+	if err != nil {
+		return day.Plan{}, usage("%s is no seed, and as a file: %v", what, err)
+	}
+	p, err := day.Read(text)
+	if err != nil {
+		return p, usage("%s: %v", what, err)
+	}
+	if f.Plant != "" {
+		p.Plant = f.Plant
+		if err := p.Check(); err != nil {
+			return p, usage("%v", err)
+		}
+	}
+	return p, nil
+}
+
+type faultsRun struct {
+	dayFlags
+	Seeds    string `required:"" help:"Seeds, as 1-3000 or 7."`
+	Jobs     int    `default:"0" help:"Days played at once; 0: as many as there are processors."`
+	Pairs    bool   `help:"Print how often each pair of kinds met in a day."`
+	Thorough bool   `help:"Go on after the first seed that breaks a rule ten times over; otherwise the run stops at ten."`
+}
+
+// tally is what many days were.
+type tally struct {
+	Days     int            `json:"days"`
+	Broken   []brokenDay    `json:"broken"`
+	Kinds    map[string]int `json:"kinds"`
+	Pairs    map[string]int `json:"pairs"`
+	Reasons  map[string]int `json:"reasons"`
+	Ends     map[string]int `json:"ends"`
+	Lookups  int            `json:"lookups"`
+	Steps    uint64         `json:"steps"`
+	Virtual  time.Duration  `json:"virtual_ns"`
+	Real     time.Duration  `json:"real_ns"`
+	MemoryMB float64        `json:"memory_mb"` // taken from the system
+	Digest   string         `json:"digest"`    // over the days' digests, in the order of their seeds
+}
+
+type brokenDay struct {
+	Seed   uint64       `json:"seed"`
+	Digest string       `json:"digest"`
+	Broken []day.Broken `json:"broken"`
+	Story  []string     `json:"story"`
+}
+
+func readSeeds(text string) (from, to uint64, err error) {
+	a, b, two := strings.Cut(text, "-")
+	if !two {
+		b = a
+	}
+	from, err1 := strconv.ParseUint(a, 10, 64)
+	to, err2 := strconv.ParseUint(b, 10, 64)
+	if err1 != nil || err2 != nil || from > to || to-from >= 10_000_000 {
+		return 0, 0, usage("--seeds %q: expected A-B with A not above B and at most ten million seeds, or one seed", text)
+	}
+	return from, to, nil
+}
+
+func (f *faultsRun) Run(to *streams) error {
+	first, last, err := readSeeds(f.Seeds)
+	if err != nil {
+		return err
+	}
+	if _, err := f.draw(first); err != nil {
+		return err
+	}
+	if f.Jobs < 0 || f.Jobs > 1024 {
+		return usage("--jobs %d: expected 0 to 1024", f.Jobs)
+	}
+	t, err := f.play(first, last, progress(to.errs, int64(last-first+1), f.JSON))
+	if err != nil {
+		return err
+	}
+	if f.JSON {
+		err = json.NewEncoder(to.out).Encode(t)
+	} else {
+		f.print(to.out, t)
+	}
+	if err == nil && len(t.Broken) > 0 {
+		err = fmt.Errorf("%d of %d seeds broke a rule", len(t.Broken), t.Days)
+	}
+	return err
+}
+
+func progress(errs io.Writer, most int64, silent bool) *progressbar.ProgressBar {
+	if silent {
+		errs = io.Discard
+	}
+	return progressbar.NewOptions64(most, progressbar.OptionSetWriter(errs), progressbar.OptionShowCount(),
+		progressbar.OptionSetDescription("days"), progressbar.OptionThrottle(500*time.Millisecond),
+		progressbar.OptionOnCompletion(func() { fmt.Fprintln(errs) }))
+}
+
+func (f *faultsRun) play(first, last uint64, bar *progressbar.ProgressBar) (*tally, error) {
+	t := &tally{Kinds: map[string]int{}, Pairs: map[string]int{}, Reasons: map[string]int{}, Ends: map[string]int{}}
+	defer debug.SetGCPercent(debug.SetGCPercent(400)) // days make much that is short-lived
+	began := time.Now()
+	var mu sync.Mutex
+	var next atomic.Uint64
+	var enough atomic.Bool
+	digests := make([]string, last-first+1)
+	var group errgroup.Group
+	for range cmp.Or(f.Jobs, runtime.GOMAXPROCS(0)) {
+		group.Go(func() error {
+			for !enough.Load() {
+				seed := first + next.Add(1) - 1
+				if seed > last {
+					return nil
+				}
+				p, err := f.draw(seed)
+				if err != nil {
+					return err
+				}
+				r, err := day.Play(p, day.Look{})
+				if err != nil {
+					return err
+				}
+				mu.Lock()
+				digests[seed-first] = r.Digest
+				t.add(r)
+				if len(t.Broken) >= 10 && !f.Thorough {
+					enough.Store(true)
+				}
+				mu.Unlock()
+				bar.Add(1)
+			}
+			return nil
+		})
+	}
+	err := group.Wait()
+	t.Real = time.Since(began)
+	t.Digest = day.Sum(digests)
+	slices.SortFunc(t.Broken, func(a, b brokenDay) int { return cmp.Compare(a.Seed, b.Seed) })
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	t.MemoryMB = float64(m.Sys) / (1 << 20)
+	return t, err
+}
+
+func (t *tally) add(r day.Result) {
+	t.Days++
+	t.Steps += r.Steps
+	t.Virtual += r.Virtual
+	t.Lookups += r.Lookups
+	var kinds []string
+	for _, f := range r.Plan.Faults {
+		t.Kinds[f.Kind]++
+		if !slices.Contains(kinds, f.Kind) {
+			kinds = append(kinds, f.Kind)
+		}
+	}
+	slices.Sort(kinds)
+	for i, a := range kinds {
+		for _, b := range kinds[i+1:] {
+			t.Pairs[a+" "+b]++
+		}
+	}
+	for k, n := range r.Reasons {
+		t.Reasons[k] += n
+	}
+	for k, n := range r.Ends {
+		t.Ends[k] += n
+	}
+	if len(r.Broken) > 0 {
+		t.Broken = append(t.Broken, brokenDay{r.Plan.Seed, r.Digest, r.Broken, r.Story})
+	}
+}
+
+func (f *faultsRun) print(out io.Writer, t *tally) {
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	defer w.Flush()
+	table := func(title string, m map[string]int) {
+		fmt.Fprintf(w, "%s\ttimes\n", title)
+		keys := make([]string, 0, len(m))
+		for k := range m {
+			keys = append(keys, k)
+		}
+		slices.Sort(keys)
+		for _, k := range keys {
+			fmt.Fprintf(w, "  %s\t%d\n", k, m[k])
+		}
+	}
+	all := map[string]int{}
+	for _, k := range day.Kinds {
+		if day.Belongs(f.Days, k.Name) {
+			all[k.Name] = t.Kinds[k.Name]
+		}
+	}
+	table("fault", all)
+	if f.Pairs {
+		table("pair", t.Pairs)
+	}
+	table("reason or mode in the logs", t.Reasons)
+	table("what became of lookups", t.Ends)
+	w.Flush()
+	none, least, pairs := day.Unmet(f.Days, t.Pairs)
+	fmt.Fprintf(out, "pairs of kinds: %d, never met %d, the rarest met %d times\n", pairs, len(none), least)
+	for _, b := range t.Broken {
+		fmt.Fprintf(out, "seed %d broke:\n", b.Seed)
+		for _, x := range b.Broken {
+			fmt.Fprintf(out, "  %s\n", x)
+		}
+	}
+	fmt.Fprintf(out, "%d days, %d lookups, %d steps, digest %s\n", t.Days, t.Lookups, t.Steps, t.Digest)
+	fmt.Fprintf(out, "%.0f s virtual in %.1f s real: %.0f times; %.0f steps a second; %.0f MB\n", t.Virtual.Seconds(),
+		t.Real.Seconds(), t.Virtual.Seconds()/t.Real.Seconds(), float64(t.Steps)/t.Real.Seconds(), t.MemoryMB)
+}
+
+type faultsReplay struct {
+	dayFlags
+	Day   string  `arg:"" help:"Seed, or a file that shrink wrote."`
+	Trace bool    `help:"Print every step."`
+	From  float64 `help:"Print steps from that virtual second on."`
+}
+
+func (f *faultsReplay) Run(to *streams) error {
+	p, err := f.load(f.Day)
+	if err != nil {
+		return err
+	}
+	var look day.Look
+	if f.Trace {
+		look.Trace = func(at time.Duration, line string) {
+			if at.Seconds() >= f.From {
+				fmt.Fprintf(to.out, "%12.6f %s\n", at.Seconds(), line)
+			}
+		}
+	}
+	r, err := day.Play(p, look)
+	if err != nil {
+		return err
+	}
+	return tellDay(to.out, r, f.JSON)
+}
+
+func tellDay(out io.Writer, r day.Result, asJSON bool) error {
+	if asJSON {
+		if err := json.NewEncoder(out).Encode(r); err != nil {
+			return err
+		}
+	} else {
+		for _, f := range r.Plan.Faults {
+			fmt.Fprintf(out, "fault %s\n", f)
+		}
+		for _, l := range r.Story {
+			fmt.Fprintln(out, l)
+		}
+		fmt.Fprintf(out, "seed %d: %d lookups, %d steps, digest %s, ends %v\n", r.Plan.Seed, r.Lookups, r.Steps, r.Digest, r.Ends)
+	}
+	if len(r.Broken) > 0 {
+		return fmt.Errorf("broke %s", r.Broken[0])
+	}
+	return nil
+}
+
+type faultsShrink struct {
+	dayFlags
+	Day string `arg:"" help:"Seed, or a file."`
+	Out string `help:"File to write; by default fault-SEED.json in the current folder."`
+}
+
+func (f *faultsShrink) Run(to *streams) error {
+	p, err := f.load(f.Day)
+	if err != nil {
+		return err
+	}
+	small, r, tried, err := day.Shrink(p, func(text string) { fmt.Fprintln(to.errs, text) })
+	if err != nil {
+		return usage("%v", err)
+	}
+	name := cmp.Or(f.Out, fmt.Sprintf("fault-%d.json", p.Seed))
+	text, err := json.MarshalIndent(small, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(name, append(text, '\n'), 0o644); err != nil {
+		return usage("the file cannot be written: %v", err)
+	}
+	fmt.Fprintf(to.out, "%d days tried; %d of %d faults, %d s and %d gateways are left, in %s\n", tried, len(small.Faults),
+		len(p.Faults), small.Seconds, small.Gateways, name)
+	if err := tellDay(to.out, r, f.JSON); err == nil {
+		return fmt.Errorf("the smallest day breaks nothing") // cannot be: Shrink gives a day that does
+	}
+	return nil
+}
+
+type faultsKinds struct {
+	JSON bool `help:"Print JSON."`
+}
+
+func (f *faultsKinds) Run(to *streams) error {
+	faults, planted := map[string]string{}, day.PlantHelp()
+	for _, k := range day.Kinds {
+		faults[k.Name] = k.Help
+	}
+	if f.JSON {
+		return json.NewEncoder(to.out).Encode(map[string]any{"days": day.Days, "faults": faults, "plants": planted})
+	}
+	w := tabwriter.NewWriter(to.out, 0, 8, 2, ' ', 0)
+	for _, part := range []struct {
+		title string
+		of    map[string]string
+	}{{"days (--days)", day.Days}, {"faults", faults}, {"faults of the gateway (--plant)", planted}} {
+		fmt.Fprintln(w, part.title)
+		for _, name := range day.Names(part.of) {
+			fmt.Fprintf(w, "  %s\t%s\n", name, part.of[name])
+		}
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/lab/day/cache.go
@@ -0,0 +1,660 @@
+package day
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"foldslip/lab/world"
+)
+
+const (
+	edgeCopies = 120 // places for copies
+	parCopies  = 600
+	edgeFills  = 8 // fills at once
+	parFills   = 24
+	mostQueue  = 30 // sends that wait at a cache before it turns more away
+	mostBody   = 100000
+)
+
+// cache is an edge cache, a parent or the origin.
+type cache struct {
+	d        *Day
+	id, zone string
+	flavor   string
+	host     *world.Host
+	size     float64
+	cell     int
+	started  time.Duration // a late start; 0: long ago
+	up       bool
+	phase    string // as published
+	hung     bool   // takes everything and answers nothing
+	errs     bool   // answers everything with an error
+	slow     float64
+	copies   map[string]*copied
+	uses     uint64
+	conns    []*cacheConn
+	running  int
+	filling  int
+	fills    map[string]*fill
+	work     []workAt // sends lately, for rule 4
+	effects  map[string]int
+	keyed    map[string]bool // lookups whose effect this cache's circle knows
+	cleared  []purge         // purges that it has carried out itself
+}
+
+type workAt struct {
+	at   time.Duration
+	work time.Duration
+}
+
+// copied is a copy of a part that the origin gave out at born.
+type copied struct {
+	ver     string
+	born    time.Time
+	size    int
+	used    uint64
+	rank    int
+	content string
+}
+
+type fill struct {
+	wait []func(c *copied, note string)
+}
+
+func (d *Day) newCache(flavor, zone, ip string, size float64) *cache {
+	d.ids++
+	c := &cache{d: d, id: fmt.Sprintf("%s-%d", flavor, d.ids), zone: zone, flavor: flavor, size: size, cell: d.ids, slow: 1,
+		host: d.w.Host(ip, flavor+"s"), copies: map[string]*copied{}, fills: map[string]*fill{}, effects: map[string]int{},
+		phase: "up"}
+	d.byID[c.id] = c
+	c.rise(0)
+	return c
+}
+
+func (c *cache) addr() string { return c.host.IP + ":10080" }
+
+func (c *cache) member(phase string) member {
+	since := int64(0)
+	if c.started > 0 {
+		since = world.Epoch.Add(c.started).UnixMilli()
+	}
+	return member{ID: c.id, HostPort: c.addr(), Locality: c.zone, Flavor: c.flavor, Cell: c.cell, Phase: phase, Size: c.size,
+		UpSince: since}
+}
+
+// rise starts the machine, cold where at is above 0.
+func (c *cache) rise(at time.Duration) {
+	c.up, c.hung, c.started = true, false, at
+	c.host.Mute = false
+	clear(c.copies)
+	c.work, c.running, c.filling = nil, 0, 0
+	c.fills = map[string]*fill{}
+	c.host.Serve("10080", func(e *world.End) world.Handler {
+		k := &cacheConn{c: c, e: e}
+		e.Arrived = k.arrived
+		for _, g := range c.d.gateways {
+			if g.host == e.Peer {
+				k.l = g.its
+			}
+		}
+		if k.l != nil {
+			k.l.conns[k] = true
+		}
+		c.conns = append(c.conns, k)
+		return k
+	})
+}
+
+// fall ends the machine: its connections are reset, or go silent with it.
+func (c *cache) fall(silent bool) {
+	if !c.up {
+		return
+	}
+	c.up = false
+	c.host.Unserve("10080")
+	c.host.Mute = silent
+	for _, k := range append([]*cacheConn(nil), c.conns...) {
+		if !silent {
+			k.e.Reset()
+		}
+		k.over(silent)
+	}
+}
+
+// say publishes the cache's phase after the time that the list lags.
+func (c *cache) say(phase string, lag time.Duration) {
+	c.d.after(lag, func() {
+		c.phase = phase
+		c.d.publish(event{Roster: &roster{Revision: len(c.d.events) + 1, Members: []member{c.member(phase)}}})
+	})
+}
+
+// share is how much of its work a cold cache can do.
+func (c *cache) share(now time.Duration) float64 {
+	from, span := coldFrom, coldFor
+	if c.flavor == "parent" {
+		from, span = rampFrom, rampFor
+	}
+	if c.started == 0 || now >= c.started+span {
+		return 1
+	}
+	return from + (1-from)*float64(now-c.started)/float64(span)
+}
+
+// bear counts work that was sent to a cold cache; too much breaks rule 4.
+func (c *cache) bear(work time.Duration) {
+	now := c.d.w.Now()
+	share := c.share(now)
+	if share >= 1 || c.flavor == "origin" {
+		c.work = nil
+		return
+	}
+	c.work = append(c.work, workAt{now, work})
+	sum := time.Duration(0)
+	kept := c.work[:0]
+	for _, w := range c.work {
+		if now-w.at <= fallFor {
+			kept = append(kept, w)
+			sum += w.work
+		}
+	}
+	c.work = kept
+	more := fallMore
+	if c.flavor == "parent" {
+		more = rampMore
+	}
+	if most := more * share * c.size * fallFor.Seconds(); sum.Seconds() > most {
+		c.d.ref.broken("rule 4", "cold %s was sent %.2f s of work within %v, bears %.2f", c.id, sum.Seconds(), fallFor, most)
+	}
+}
+
+// do is a send as it reached the cache.
+type do struct {
+	id, kind, object, from, seen, mode string
+	part, rank                         int
+	wait, oldest                       time.Duration
+	k                                  *cacheConn
+	kind_                              int
+	work                               time.Duration
+	came                               time.Duration
+	over                               bool
+}
+
+func (q *do) key() string { return q.object + "/" + strconv.Itoa(q.part) }
+
+// readDo reads the line of a send; the line's end and its empty body are cut off.
+func readDo(line string) (*do, error) {
+	words := strings.Split(line, " ")
+	if len(words) != 4 || words[0] != "do" || words[3] != "0" {
+		return nil, fmt.Errorf("%q is no send", line)
+	}
+	q := &do{id: words[1], kind_: -1}
+	for _, f := range strings.Split(words[2], ",") {
+		name, v, _ := strings.Cut(f, "=")
+		n := 0
+		var err error
+		switch name {
+		case "p", "w", "rank", "oldest":
+			n, err = strconv.Atoi(v)
+		}
+		if err != nil || n < 0 {
+			return nil, fmt.Errorf("%q in a send cannot be read", f)
+		}
+		switch name {
+		case "c":
+			q.kind = v
+		case "k":
+			q.object = v
+		case "p":
+			q.part = n
+		case "w":
+			q.wait = time.Duration(n) * time.Millisecond
+		case "from":
+			q.from = v
+		case "rank":
+			q.rank = n
+		case "oldest":
+			q.oldest = time.Duration(n) * time.Millisecond
+		case "mode":
+			q.mode = v
+		case "seen":
+			q.seen = v
+		default:
+			return nil, fmt.Errorf("field %q of a send is unknown", name)
+		}
+	}
+	for i, k := range kinds {
+		if k.name == q.kind {
+			q.kind_ = i
+		}
+	}
+	if q.kind_ < 0 || q.rank > 3 || q.wait <= 0 || q.object == "" {
+		return nil, fmt.Errorf("%q has fields that cannot be used", line)
+	}
+	return q, nil
+}
+
+// take works on a send.
+func (c *cache) take(q *do) {
+	q.came = c.d.w.Now()
+	switch {
+	case c.hung:
+		return
+	case c.errs || c.d.spoil.fault(c):
+		c.d.after(2*time.Millisecond, func() { c.end(q, "FAULT", "-") })
+		return
+	case c.running >= mostQueue:
+		c.end(q, "SHED", "-")
+		return
+	}
+	if kinds[q.kind_].passOn {
+		c.passOn(q)
+		return
+	}
+	if held := c.copies[q.key()]; held != nil && c.fresh(held, q) {
+		c.uses++
+		held.used, held.rank = c.uses, q.rank
+		note := "hit"
+		if k := kinds[q.kind_]; k.fresh > 0 && c.d.w.Unix().Sub(held.born) > k.fresh {
+			note = "stale"
+		}
+		if strings.Contains(q.mode, "r") && note == "stale" && q.from != "" {
+			c.fill(q, func(*copied, string) {})
+		}
+		c.serve(q, held, note, 0)
+		return
+	}
+	if q.from == "" {
+		c.d.after(500*time.Microsecond, func() { c.end(q, "NONE", "-") })
+		return
+	}
+	if f := c.fills[q.key()]; f != nil && strings.Contains(q.mode, "j") {
+		began := c.d.w.Now()
+		f.wait = append(f.wait, func(got *copied, note string) {
+			if note == "filled" || note == "via_origin" {
+				note = "joined"
+			}
+			c.filled(q, got, note, began)
+		})
+		return
+	}
+	if c.filling >= edgeFills {
+		c.end(q, "SHED", "note=no_slot")
+		return
+	}
+	began := c.d.w.Now()
+	c.fill(q, func(got *copied, note string) { c.filled(q, got, note, began) })
+}
+
+func (c *cache) filled(q *do, got *copied, note string, began time.Duration) {
+	if got == nil {
+		c.end(q, "FAULT", "note="+note)
+		return
+	}
+	c.serve(q, got, note, c.d.w.Now()-began)
+}
+
+// fresh tells whether a copy will do.
+func (c *cache) fresh(held *copied, q *do) bool {
+	age := c.d.w.Unix().Sub(held.born)
+	if q.oldest > 0 {
+		return age <= q.oldest
+	}
+	k := kinds[q.kind_]
+	return k.fresh == 0 || age <= k.fresh
+}
+
+// fill gets a copy from the source that the gateway named.
+func (c *cache) fill(q *do, done func(*copied, string)) {
+	d, from := c.d, c.d.byID[q.from]
+	f := &fill{wait: []func(*copied, string){done}}
+	key := q.key()
+	if c.fills[key] == nil {
+		c.fills[key] = f
+	}
+	c.filling++
+	ended := false
+	end := func(got *copied, note string) {
+		if ended || c.fills == nil {
+			return
+		}
+		ended = true
+		c.filling--
+		if c.fills[key] == f {
+			delete(c.fills, key)
+		}
+		if !c.up {
+			return
+		}
+		if got != nil {
+			c.keep(key, got, q.rank, edgeCopies)
+		}
+		for _, w := range f.wait {
+			w(got, note)
+		}
+	}
+	d.after(6*time.Second, func() { end(nil, "src_broke") }) // a source that says nothing
+	from.give(c, q, func(got *copied, note string) {
+		if got == nil {
+			end(nil, note)
+			return
+		}
+		d.after(time.Duration(float64(q.work)*from.slow/4), func() { end(got, note) }) // fills run faster than sends to clients
+	})
+}
+
+// give is a source giving a copy to a cache; what is lost gets no call.
+func (c *cache) give(to *cache, q *do, done func(*copied, string)) {
+	d := c.d
+	if !c.up {
+		if !c.host.Mute {
+			d.after(3*time.Millisecond, func() { done(nil, "src_broke") })
+		}
+		return
+	}
+	if c.hung {
+		return
+	}
+	if c.errs {
+		d.after(3*time.Millisecond, func() { done(nil, "src_refused") })
+		return
+	}
+	if c.flavor == "origin" {
+		wait := time.Duration(float64(20*time.Millisecond)*c.slow) + time.Duration(d.chance(20))*time.Millisecond
+		d.after(wait, func() {
+			if !c.up {
+				done(nil, "origin_failed")
+				return
+			}
+			if kinds[q.kind_].passOn {
+				c.effects[q.object]++
+				d.ref.effect(q, c.effects[q.object])
+			}
+			done(d.current(q), "via_origin")
+		})
+		return
+	}
+	c.bear(q.work)
+	if held := c.copies[q.key()]; held != nil && c.fresh(held, q) && !kinds[q.kind_].passOn {
+		c.uses++
+		held.used = c.uses
+		d.after(time.Duration(float64(2*time.Millisecond)*c.slow), func() { done(held, "filled") })
+		return
+	}
+	if c.filling >= parFills {
+		d.after(time.Millisecond, func() { done(nil, "src_refused") })
+		return
+	}
+	c.filling++
+	d.origin.give(c, q, func(got *copied, note string) {
+		c.filling--
+		if got != nil && !kinds[q.kind_].passOn {
+			c.keep(q.key(), got, q.rank, parCopies)
+		}
+		if got == nil && note == "src_broke" {
+			note = "origin_failed"
+		}
+		done(got, note)
+	})
+}
+
+// passOn runs a lookup that is never kept at the origin; a cache's circle knows the deduplicated ones that ran.
+func (c *cache) passOn(q *do) {
+	if kinds[q.kind_].effect == "deduplicated" {
+		if c.d.ref.known[c.zone+q.id] {
+			c.serve(q, c.d.current(q), "hit", 0)
+			return
+		}
+		c.d.ref.known[c.zone+q.id] = true
+	}
+	from := c.d.byID[q.from]
+	if from == nil {
+		from = c.d.origin
+	}
+	began := c.d.w.Now()
+	from.give(c, q, func(got *copied, note string) { c.filled(q, got, note, began) })
+}
+
+// clear drops what a purge makes old, as every cache does within the time that the settings promise.
+func (c *cache) clear(p purge) {
+	c.cleared = append(c.cleared, p)
+	for key, got := range c.copies { // each by itself: the order does not matter
+		if p.covers(key) && got.born.Before(p.issued) {
+			delete(c.copies, key)
+		}
+	}
+}
+
+// keep keeps a copy; where places are out the lowest rank goes, within it the one used longest ago.
+func (c *cache) keep(key string, got *copied, rank, most int) {
+	for _, p := range c.cleared {
+		if p.covers(key) && got.born.Before(p.issued) {
+			return
+		}
+	}
+	c.uses++
+	kept := *got
+	kept.used, kept.rank = c.uses, rank
+	c.copies[key] = &kept
+	if len(c.copies) <= most {
+		return
+	}
+	var last *copied
+	var lastKey string
+	for k, o := range c.copies { // one and only one is least: uses are all different
+		if last == nil || o.rank < last.rank || o.rank == last.rank && o.used < last.used {
+			last, lastKey = o, k
+		}
+	}
+	delete(c.copies, lastKey)
+}
+
+// serve sends a copy to the gateway, in the time that the cache's load makes of it.
+func (c *cache) serve(q *do, got *copied, note string, waited time.Duration) {
+	d := c.d
+	c.running++
+	able := c.size * c.share(d.w.Now())
+	took := time.Duration(float64(q.work) * max(1, float64(c.running)/max(0.5, able)/3) * c.slow)
+	if note == "joined" || note == "filled" || note == "via_origin" {
+		took /= 4
+	}
+	same := q.seen != "" && q.seen == got.ver
+	if same {
+		took /= 20
+	}
+	d.after(took, func() {
+		c.running--
+		if q.over || !c.up || c.hung || d.w.Now() > q.came+q.wait {
+			return
+		}
+		fields := fmt.Sprintf("note=%s,waited=%.3f,ver=%s,born=%d", note, float64(waited.Microseconds())/1000, got.ver,
+			got.born.UnixMilli())
+		if same {
+			d.ref.answered(q, got, true)
+			c.end(q, "VALID", fields)
+			return
+		}
+		body := got.body(q.key())
+		if d.spoil.answer(q, fields, body) {
+			return
+		}
+		d.ref.answered(q, got, false)
+		q.over = true
+		q.k.say(q, fmt.Sprintf("%s HIT %s %d\r\n%s\r\n", q.id, fields, len(body), body))
+	})
+}
+
+// end answers with a word that brings no bytes.
+func (c *cache) end(q *do, word, fields string) {
+	if q.over || !c.up || c.hung {
+		return
+	}
+	q.over = true
+	q.k.say(q, fmt.Sprintf("%s %s %s 0\r\n\r\n", q.id, word, fields))
+}
+
+// body is what a copy consists of: its name, its version, and as many bytes as it is long.
+func (got *copied) body(key string) string {
+	head := key + " " + got.ver + " " + strconv.FormatInt(got.born.UnixMilli(), 10) + "|"
+	return head + strings.Repeat("x", max(0, got.size-len(head)))
+}
+
+// current is the copy that the origin gives out now.
+func (d *Day) current(q *do) *copied {
+	return &copied{ver: fmt.Sprintf("v%d-%s-%d", q.part, q.object, d.ref.version(q.object)),
+		born: d.w.Unix().Truncate(time.Millisecond), size: sizeOf(q.object, q.part)}
+}
+
+// cacheConn is a gateway's connection to a cache, seen from the cache.
+type cacheConn struct {
+	c      *cache
+	e      *world.End
+	l      *life
+	in     []byte
+	open   map[string]*do
+	wire   []byte // what the gateway has written and is not yet a whole line
+	since  time.Duration
+	sent   int // bytes to the gateway, and how many have arrived
+	got    int
+	due    []due
+	out    []*send // sends that are out on it, as seen on the wire
+	closed bool
+}
+
+func (k *cacheConn) Opened() {}
+
+// over is the end at the cache's side; where it is silent the gateway cannot know.
+func (k *cacheConn) over(silent bool) {
+	for i, o := range k.c.conns {
+		if o == k {
+			k.c.conns = append(k.c.conns[:i:i], k.c.conns[i+1:]...)
+			break
+		}
+	}
+	for _, q := range k.open {
+		q.over = true
+	}
+	k.open = nil
+	if !silent {
+		k.c.d.ref.connOver(k)
+	}
+	for _, s := range k.out {
+		s.out = false
+	}
+}
+
+func (k *cacheConn) Closed(bool) {
+	k.over(false)
+	k.e.Close()
+	if k.l != nil {
+		delete(k.l.conns, k)
+	}
+}
+
+// Data is what reaches the cache.
+func (k *cacheConn) Data(b []byte) {
+	k.in = append(k.in, b...)
+	for {
+		i := bytes.Index(k.in, []byte("\r\n"))
+		if i < 0 {
+			return
+		}
+		line := string(k.in[:i])
+		if id, undo := strings.CutPrefix(line, "undo "); undo {
+			k.in = k.in[i+2:]
+			if q := k.open[id]; q != nil {
+				q.over = true
+				delete(k.open, id)
+			}
+			continue
+		}
+		if len(k.in) < i+4 {
+			return
+		}
+		k.in = k.in[i+4:]
+		q, err := readDo(line)
+		if err != nil {
+			k.c.d.ref.broken("protocol", "%s reads: %v", k.c.id, err)
+			k.e.Reset()
+			k.over(false)
+			return
+		}
+		q.k = k
+		q.work = workOf(q.object, q.part)
+		if k.open == nil {
+			k.open = map[string]*do{}
+		}
+		k.open[q.id] = q
+		k.c.bear(meanWork[q.kind_]) // what the rule counts for a send to a cold cache
+		k.c.take(q)
+		if k.e.Gone() {
+			return
+		}
+	}
+}
+
+// say writes an answer, or what a fault makes of it.
+func (k *cacheConn) say(q *do, text string) {
+	if k.open[q.id] == q {
+		delete(k.open, q.id)
+	}
+	k.sent += len(text)
+	k.c.d.ref.sendOver(q, k.sent)
+	k.e.Send([]byte(text))
+}
+
+// due is a send whose answer has reached the gateway once so many bytes have.
+type due struct {
+	end int
+	s   *send
+}
+
+func (k *cacheConn) arrived(b []byte) {
+	k.got += len(b)
+	for len(k.due) > 0 && k.due[0].end <= k.got {
+		k.c.d.ref.heard(k.due[0].s)
+		k.due = k.due[1:]
+	}
+}
+
+// Written is what the gateway has just written, on its wire.
+func (k *cacheConn) Written(n int, b []byte) {
+	if n < 0 {
+		k.closed = true
+		k.c.d.ref.connOver(k)
+		return
+	}
+	if len(k.wire) == 0 {
+		k.since = k.c.d.w.Now()
+	}
+	k.wire = append(k.wire, b...)
+	for {
+		i := bytes.Index(k.wire, []byte("\r\n"))
+		if i < 0 {
+			return
+		}
+		line := string(k.wire[:i])
+		if id, undo := strings.CutPrefix(line, "undo "); undo {
+			k.wire = k.wire[i+2:]
+			k.c.d.ref.undone(k, id)
+			continue
+		}
+		if len(k.wire) < i+4 {
+			return
+		}
+		k.wire = k.wire[i+4:]
+		if q, err := readDo(line); err == nil {
+			k.c.d.ref.sent(k, q, k.since)
+		}
+		k.since = k.c.d.w.Now()
+	}
+}
+
+// stray writes an answer to nothing.
+func (k *cacheConn) stray(text string) {
+	k.sent += len(text)
+	k.e.Send([]byte(text))
+}
--- /dev/null
+++ b/lab/day/gateway.go
@@ -0,0 +1,135 @@
+package day
+
+import (
+	"fmt"
+	"time"
+
+	"foldslip/clock"
+	"foldslip/lab/world"
+	"foldslip/service"
+)
+
+// gateway is a place where a gateway runs, one life after another.
+type gateway struct {
+	d        *Day
+	no, zone int
+	name, ip string
+	host     *world.Host
+	skew     time.Duration
+	bulletin int
+	memory   float64
+	fds      int
+	its      *life
+	lives    int
+}
+
+// life is one process of a gateway, from its start to its end.
+type life struct {
+	g         *gateway
+	p         *world.Proc
+	its       *service.Gateway
+	began     time.Duration
+	ready     bool
+	term      time.Duration // when it was told to stop; 0: not yet
+	over      bool
+	told      []time.Duration // by number of the event, 0: not yet
+	sick      time.Duration   // since when it could not hear, or until when
+	links     int             // connections to caches whose wires are known to be clean
+	conns     map[*cacheConn]bool
+	clientsAt int
+}
+
+func newGateway(d *Day, no int) *gateway {
+	g := &gateway{d: d, no: no, zone: no % d.zones, name: fmt.Sprintf("n%d", no), ip: fmt.Sprintf("10.0.%d.%d", no%d.zones, no+1),
+		memory: d.Plan.MemoryMB, fds: d.Plan.FDs}
+	g.host = d.w.Host(g.ip, "gateways")
+	return g
+}
+
+func (g *gateway) addr() string { return g.ip + ":10080" }
+
+// config is the text of its configuration file now.
+func (g *gateway) config() []byte {
+	items := []event{}
+	for _, e := range g.d.events {
+		items = append(items, e)
+	}
+	return must(map[string]any{"name": g.name, "listen": g.addr(), "seed": fmt.Sprintf("%016x", g.d.w.Chance.Uint64()),
+		"limits":   map[string]any{"cores": 1, "memory_mb": g.memory, "sockets": g.fds},
+		"bulletin": g.d.bulletins[g.bulletin].addr(), "flow_bytes_per_s": 310000, "link_bytes_per_s": 1240000,
+		"known":    map[string]any{"no": len(g.d.events), "items": items},
+		"settings": g.d.settings(g.zone)})
+}
+
+// start begins a life, if none is under way.
+func (g *gateway) start() {
+	if g.its != nil && !g.its.over {
+		return
+	}
+	d := g.d
+	g.lives++
+	l := &life{g: g, began: d.w.Now(), told: make([]time.Duration, len(d.events)+1), conns: map[*cacheConn]bool{}}
+	for i := range l.told {
+		l.told[i] = max(1, d.w.Now()) // known from the start
+	}
+	g.its = l
+	g.host.Mute = false
+	l.p = &world.Proc{Name: fmt.Sprintf("%s.%d", g.name, g.lives), FDs: g.fds, Skew: g.skew,
+		Env_:  map[string]string{"ROUTER_CONFIG": "/config.json"},
+		Files: map[string][]byte{"/config.json": g.config()}, Line: d.line,
+		Done: func(_ *world.Proc, err error) { d.ref.ended(l, err) }}
+	watch := service.Watch{Up: func(its *service.Gateway) { l.its, l.ready = its, true }}
+	var ground func(clock.Ground) clock.Ground
+	if d.Plan.Plant != "" {
+		watch.Between, ground = plants[d.Plan.Plant].make(d, l)
+	}
+	d.w.Start(g.host, l.p, func(under clock.Ground) error {
+		if ground != nil {
+			under = ground(under)
+		}
+		return service.Run(under, watch)
+	})
+}
+
+// kill ends the life at once; what it had taken is lost, and not owed.
+func (g *gateway) kill() {
+	if l := g.its; l != nil && !l.over {
+		l.over = true
+		l.p.Kill()
+		g.d.ref.killed(l)
+	}
+}
+
+// term stops the gateway as the platform does, and starts it again if asked.
+func (g *gateway) term(again bool) {
+	l := g.its
+	if l == nil || l.over || l.term > 0 {
+		return
+	}
+	d := g.d
+	l.term = d.w.Now()
+	l.p.Signal(clock.Stop)
+	longest := 3 * time.Second
+	for _, k := range kinds {
+		longest = max(longest, k.deadline)
+	}
+	d.after(longest+700*time.Millisecond, func() {
+		if !l.over {
+			d.ref.broken("stop", "%s still runs when the platform kills it, %s", l.p.Name, l.p.Names())
+			l.over = true
+			l.p.Kill()
+			d.ref.killed(l)
+		}
+		if again {
+			d.after(50*time.Millisecond, g.start)
+		}
+	})
+}
+
+// reread puts a file in place of the configuration and says so.
+func (g *gateway) reread(text []byte) {
+	if l := g.its; l != nil && !l.over && l.ready && l.term == 0 {
+		l.p.Files["/config.json"] = text
+		l.p.Signal(clock.Reread)
+	}
+}
--- /dev/null
+++ b/lab/day/plant.go
@@ -0,0 +1,401 @@
+package day
+
+import (
+	"bytes"
+	"net"
+	"slices"
+	"time"
+
+	"foldslip/clock"
+	"foldslip/facade"
+	"foldslip/logic"
+)
+
+// plant is a fault of the gateway itself, planted at its seams (its ground, or between facade and module) to prove that
+// the referee sees it. Nothing of this is in the gateway's own code.
+type plant struct {
+	help string
+	make func(d *Day, l *life) (facade.Between, func(clock.Ground) clock.Ground)
+}
+
+// Plants are the names of the faults that can be planted.
+func Plants() []string { return sorted(plants) }
+
+// ground is a process's ground with some of it replaced.
+type ground struct {
+	clock.Ground
+	conn    func(c clock.Conn, dialled bool) clock.Conn
+	timer   func(t clock.Timer) clock.Timer
+	group   func(g clock.Group) clock.Group
+	signals func(hear func(clock.Signal)) func(clock.Signal)
+	fds     func(n uint64) uint64
+}
+
+func (g *ground) Dial(life *clock.Life, addr string, within time.Duration) (net.Conn, error) {
+	c, err := g.Ground.Dial(life, addr, within)
+	if err == nil && g.conn != nil {
+		return g.conn(c.(clock.Conn), true), nil
+	}
+	return c, err
+}
+
+type tampered struct {
+	net.Listener
+	g *ground
+}
+
+func (t tampered) Accept() (net.Conn, error) {
+	c, err := t.Listener.Accept()
+	if err == nil && t.g.conn != nil {
+		return t.g.conn(c.(clock.Conn), false), nil
+	}
+	return c, err
+}
+
+func (g *ground) Listen(addr string) (net.Listener, error) {
+	l, err := g.Ground.Listen(addr)
+	return tampered{l, g}, err
+}
+
+func (g *ground) AfterFunc(d time.Duration, f func()) clock.Timer {
+	t := g.Ground.AfterFunc(d, f)
+	if g.timer != nil {
+		return g.timer(t)
+	}
+	return t
+}
+
+func (g *ground) Group() clock.Group {
+	if g.group != nil {
+		return g.group(g.Ground.Group())
+	}
+	return g.Ground.Group()
+}
+
+func (g *ground) Signals(hear func(clock.Signal)) func() {
+	if g.signals != nil {
+		hear = g.signals(hear)
+	}
+	return g.Ground.Signals(hear)
+}
+
+func (g *ground) Descriptors() uint64 {
+	if g.fds != nil {
+		return g.fds(g.Ground.Descriptors())
+	}
+	return g.Ground.Descriptors()
+}
+
+// wired is a connection whose bytes or end are tampered with.
+type wired struct {
+	clock.Conn
+	write func(c clock.Conn, b []byte) (int, error)
+	read  func(b []byte) []byte // of the same length
+	close func(c clock.Conn) error
+}
+
+func (w *wired) Write(b []byte) (int, error) {
+	if w.write != nil {
+		return w.write(w.Conn, b)
+	}
+	return w.Conn.Write(b)
+}
+
+func (w *wired) Read(b []byte) (int, error) {
+	n, err := w.Conn.Read(b)
+	if n > 0 && w.read != nil {
+		copy(b[:n], w.read(b[:n]))
+	}
+	return n, err
+}
+
+func (w *wired) Close() error {
+	if w.close != nil {
+		return w.close(w.Conn)
+	}
+	return w.Conn.Close()
+}
+
+// told stands before the module: it passes on what it is told, but for what a plant replaces.
+type told struct {
+	facade.Module
+	rows   func(rows []logic.Row) []logic.Row
+	purged func() bool // whether a purge is passed on
+	ended  func() bool
+}
+
+func (t *told) Listed(now logic.Micros, what logic.ListKind, rows []logic.Row) {
+	if t.rows != nil {
+		rows = t.rows(slices.Clone(rows))
+	}
+	t.Module.Listed(now, what, rows)
+}
+
+func (t *told) Purged(now logic.Micros, name string, group int, ago logic.Micros) {
+	if t.purged == nil || t.purged() {
+		t.Module.Purged(now, name, group, ago)
+	}
+}
+
+func (t *told) Ended(now logic.Micros, lk *logic.Lookup, n int, e logic.Ending, remark logic.Remark, took,
+	waited logic.Micros, closed bool) {
+	if t.ended == nil || t.ended() {
+		t.Module.Ended(now, lk, n, e, remark, took, waited, closed)
+	}
+}
+
+// says stands before the facade: it does what the module asks for, but for what a plant replaces.
+type says struct {
+	logic.Host
+	fetch func(h logic.Host, lk *logic.Lookup, to, source *logic.Cache, rank int, how logic.How, patience, hush, oldest logic.Micros)
+	nack  func(h logic.Host, lk *logic.Lookup, in logic.Micros)
+}
+
+func (s *says) Fetch(lk *logic.Lookup, to, source *logic.Cache, rank int, how logic.How, patience, hush, oldest logic.Micros) {
+	if s.fetch != nil {
+		s.fetch(s.Host, lk, to, source, rank, how, patience, hush, oldest)
+		return
+	}
+	s.Host.Fetch(lk, to, source, rank, how, patience, hush, oldest)
+}
+
+func (s *says) Nack(lk *logic.Lookup, in logic.Micros) {
+	if s.nack != nil {
+		s.nack(s.Host, lk, in)
+		return
+	}
+	s.Host.Nack(lk, in)
+}
+
+// onAnswers plants at the connections of clients, for one answer in so many.
+func onAnswers(one int, do func(d *Day, l *life, g clock.Ground, c clock.Conn, b []byte) (int, error)) func(*Day, *life) (
+	facade.Between, func(clock.Ground) clock.Ground) {
+	return onConns(func(d *Day, l *life, g clock.Ground, c clock.Conn, dialled bool) clock.Conn {
+		if dialled {
+			return c
+		}
+		return &wired{Conn: c, write: func(c clock.Conn, b []byte) (int, error) {
+			if bytes.HasPrefix(b, []byte("HTTP/1.1 ")) && d.chance(one) == 0 {
+				return do(d, l, g, c, b)
+			}
+			return c.Write(b)
+		}}
+	})
+}
+
+func onConns(do func(d *Day, l *life, g clock.Ground, c clock.Conn, dialled bool) clock.Conn) func(*Day, *life) (
+	facade.Between, func(clock.Ground) clock.Ground) {
+	return func(d *Day, l *life) (facade.Between, func(clock.Ground) clock.Ground) {
+		return nil, func(under clock.Ground) clock.Ground {
+			g := &ground{Ground: under}
+			g.conn = func(c clock.Conn, dialled bool) clock.Conn { return do(d, l, under, c, dialled) }
+			return g
+		}
+	}
+}
+
+func onGround(change func(d *Day, g *ground)) func(*Day, *life) (facade.Between, func(clock.Ground) clock.Ground) {
+	return func(d *Day, _ *life) (facade.Between, func(clock.Ground) clock.Ground) {
+		return nil, func(under clock.Ground) clock.Ground {
+			g := &ground{Ground: under}
+			change(d, g)
+			return g
+		}
+	}
+}
+
+func onTold(change func(d *Day, l *life, t *told)) func(*Day, *life) (facade.Between, func(clock.Ground) clock.Ground) {
+	return func(d *Day, l *life) (facade.Between, func(clock.Ground) clock.Ground) {
+		return func(h logic.Host, start func(logic.Host) facade.Module) facade.Module {
+			t := &told{Module: start(h)}
+			change(d, l, t)
+			return t
+		}, nil
+	}
+}
+
+func onSays(change func(d *Day, s *says)) func(*Day, *life) (facade.Between, func(clock.Ground) clock.Ground) {
+	return func(d *Day, _ *life) (facade.Between, func(clock.Ground) clock.Ground) {
+		return func(h logic.Host, start func(logic.Host) facade.Module) facade.Module {
+			s := &says{Host: h}
+			change(d, s)
+			return start(s)
+		}, nil
+	}
+}
+
+type stuckTimer struct{ clock.Timer }
+
+func (stuckTimer) Stop() bool { return true }
+
+type leakyGroup struct {
+	clock.Group
+	d *Day
+	g clock.Ground
+}
+
+func (l leakyGroup) Go(name string, f func() error) {
+	if name == "lookup" && l.d.chance(50) == 0 {
+		l.g.AfterFunc(0, func() { l.g.Bell().Wait(time.Hour) })
+	}
+	l.Group.Go(name, f)
+}
+
+var plants map[string]plant
+
+func init() {
+	plants = map[string]plant{
+		"answer_lost": {"an answer is not written", onAnswers(60, func(_ *Day, _ *life, _ clock.Ground, _ clock.Conn, b []byte) (int, error) {
+			return len(b), nil
+		})},
+		"answer_twice": {"an answer is written twice", onAnswers(60, func(_ *Day, _ *life, _ clock.Ground, c clock.Conn, b []byte) (int, error) {
+			c.Write(b)
+			return c.Write(b)
+		})},
+		"answer_late": {"an answer is held up past its time", onAnswers(60, func(_ *Day, _ *life, g clock.Ground, c clock.Conn, b []byte) (int, error) {
+			g.Bell().Wait(5100 * time.Millisecond)
+			return c.Write(b)
+		})},
+		"answer_spoilt": {"a byte of an answer is changed", onAnswers(60, func(_ *Day, _ *life, _ clock.Ground, c clock.Conn, b []byte) (int, error) {
+			b = slices.Clone(b)
+			b[len(b)-1] ^= 1
+			return c.Write(b)
+		})},
+		"answer_mixed": {"an answer brings another's bytes", func() func(*Day, *life) (facade.Between, func(clock.Ground) clock.Ground) {
+			return func(d *Day, l *life) (facade.Between, func(clock.Ground) clock.Ground) {
+				var last []byte
+				return onAnswers(1, func(d *Day, _ *life, _ clock.Ground, c clock.Conn, b []byte) (int, error) {
+					was := last
+					if last = slices.Clone(b); was != nil && bytes.HasPrefix(b, []byte("HTTP/1.1 200")) && d.chance(80) == 0 {
+						c.Write(was)
+						return len(b), nil
+					}
+					return c.Write(b)
+				})(d, l)
+			}
+		}()},
+		"nack_kept_back": {"a nack is written near the deadline", onConns(func(d *Day, _ *life, g clock.Ground, c clock.Conn, dialled bool) clock.Conn {
+			if dialled {
+				return c
+			}
+			return &wired{Conn: c, write: func(c clock.Conn, b []byte) (int, error) {
+				if bytes.HasPrefix(b, []byte("HTTP/1.1 503 ")) && bytes.Contains(b, []byte("X-Wait-Ms")) {
+					g.Bell().Wait(1200 * time.Millisecond)
+				}
+				return c.Write(b)
+			}}
+		})},
+		"drain_unheard": {"a drain does not reach the module", onTold(func(_ *Day, _ *life, t *told) {
+			t.rows = func(rows []logic.Row) []logic.Row {
+				for i := range rows {
+					if rows[i].State == logic.Draining {
+						rows[i].State = logic.Ready
+					}
+				}
+				return rows
+			}
+		})},
+		"gone_unheard": {"word that a cache has gone does not reach the module", onTold(func(_ *Day, _ *life, t *told) {
+			t.rows = func(rows []logic.Row) []logic.Row {
+				return slices.DeleteFunc(rows, func(r logic.Row) bool { return r.State != logic.Ready })
+			}
+		})},
+		"purge_unheard": {"recalls are read as of another object", onConns(func(_ *Day, _ *life, _ clock.Ground, c clock.Conn, _ bool) clock.Conn {
+			return &wired{Conn: c, read: func(b []byte) []byte {
+				for _, old := range []string{`"item":"s`, `"item":"p`} {
+					b = bytes.ReplaceAll(b, []byte(old), []byte(old[:len(old)-1]+"z"))
+				}
+				return b
+			}}
+		})},
+		"purge_late": {"the bulletin is read three seconds late", onConns(func(_ *Day, _ *life, g clock.Ground, c clock.Conn, dialled bool) clock.Conn {
+			if !dialled || c.RemoteAddr().String()[:5] != "10.7." {
+				return c
+			}
+			return &wired{Conn: c, read: func(b []byte) []byte {
+				if bytes.Contains(b, []byte("recall")) {
+					g.Bell().Wait(3 * time.Second)
+				}
+				return b
+			}}
+		})},
+		"doubled_send": {"a side-effecting send goes out twice", onSays(func(_ *Day, s *says) {
+			s.fetch = func(h logic.Host, lk *logic.Lookup, to, source *logic.Cache, rank int, how logic.How, patience, hush, oldest logic.Micros) {
+				h.Fetch(lk, to, source, rank, how, patience, hush, oldest)
+				if oldest == 0 && rank == 0 && how == 0 {
+					h.Fetch(lk, to, source, rank, how, patience, hush, oldest)
+				}
+			}
+		})},
+		"two_at_once": {"an idempotent send goes out twice at once", onSays(func(d *Day, s *says) {
+			s.fetch = func(h logic.Host, lk *logic.Lookup, to, source *logic.Cache, rank int, how logic.How, patience, hush, oldest logic.Micros) {
+				h.Fetch(lk, to, source, rank, how, patience, hush, oldest)
+				if rank > 0 && d.chance(40) == 0 {
+					h.Fetch(lk, to, source, rank, how, patience, hush, oldest)
+				}
+			}
+		})},
+		"undo_unsaid": {"a send that is given up is not undone", onConns(func(_ *Day, _ *life, _ clock.Ground, c clock.Conn, dialled bool) clock.Conn {
+			return &wired{Conn: c, write: func(c clock.Conn, b []byte) (int, error) {
+				if bytes.HasPrefix(b, []byte("undo ")) {
+					return len(b), nil
+				}
+				return c.Write(b)
+			}}
+		})},
+		"cold_cache": {"the module is not told that a cache is cold", onTold(func(d *Day, l *life, t *told) {
+			t.rows = func(rows []logic.Row) []logic.Row {
+				for i := range rows {
+					if rows[i].Kind == 0 {
+						rows[i].Started = 0
+					}
+				}
+				return rows
+			}
+		})},
+		"cold_parent": {"the module is not told that a parent is cold, nor that it failed", onTold(func(d *Day, l *life, t *told) {
+			t.rows = func(rows []logic.Row) []logic.Row {
+				for i := range rows {
+					if rows[i].Kind == 1 {
+						rows[i].Started = 0
+					}
+				}
+				return rows
+			}
+		})},
+		"conn_leaked": {"a connection is not closed", onConns(func(d *Day, _ *life, _ clock.Ground, c clock.Conn, _ bool) clock.Conn {
+			return &wired{Conn: c, close: func(c clock.Conn) error {
+				if d.chance(20) == 0 {
+					return nil
+				}
+				return c.Close()
+			}}
+		})},
+		"timer_leaked": {"timers are not stopped", onGround(func(d *Day, g *ground) {
+			g.timer = func(t clock.Timer) clock.Timer { return stuckTimer{t} }
+		})},
+		"goroutine_leaked": {"a goroutine stays", onGround(func(d *Day, g *ground) {
+			g.group = func(of clock.Group) clock.Group { return leakyGroup{of, d, g.Ground} }
+		})},
+		"ending_untold": {"the module is not told how a send ended", onTold(func(d *Day, _ *life, t *told) {
+			t.ended = func() bool { return d.chance(100) > 0 }
+		})},
+		"stop_unheard": {"SIGTERM is not heard", onGround(func(_ *Day, g *ground) {
+			g.signals = func(hear func(clock.Signal)) func(clock.Signal) {
+				return func(s clock.Signal) {
+					if s != clock.Stop {
+						hear(s)
+					}
+				}
+			}
+		})},
+		"reread_ends": {"SIGHUP ends the gateway", onGround(func(_ *Day, g *ground) {
+			g.signals = func(hear func(clock.Signal)) func(clock.Signal) {
+				return func(s clock.Signal) { hear(clock.Stop) }
+			}
+		})},
+		"wait_untold": {"a nack does not say when to come back", onSays(func(_ *Day, s *says) {
+			s.nack = func(h logic.Host, lk *logic.Lookup, _ logic.Micros) { h.Nack(lk, 0) }
+		})},
+	}
+}
--- /dev/null
+++ b/lab/day/shrink.go
@@ -0,0 +1,118 @@
+package day
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Shrink makes the smallest day that still breaks the rule which p breaks: faults, gateways, caches and time are taken
+// away as long as the rule breaks, and spans are halved. It tells how many days it played.
+func Shrink(p Plan, tell func(string)) (Plan, Result, int, error) {
+	best, err := Play(p, Look{})
+	if err != nil {
+		return p, best, 0, err
+	}
+	if len(best.Broken) == 0 {
+		return p, best, 1, errors.New("this day breaks no rule: nothing to shrink")
+	}
+	rule, tried := best.Broken[0].Rule, 1
+	try := func(q Plan) bool {
+		if q.Check() != nil {
+			return false
+		}
+		tried++
+		r, err := Play(q, Look{})
+		if err != nil || len(r.Broken) == 0 || r.Broken[0].Rule != rule {
+			return false
+		}
+		p, best = q, r
+		return true
+	}
+	for again := true; again; {
+		again = false
+		// Nothing after the break matters.
+		if last := int((best.Broken[0].At - warmup).Seconds()) + 1; last >= 1 && last < p.Seconds {
+			q := p
+			q.Seconds = last
+			q.Faults = slices.DeleteFunc(slices.Clone(p.Faults), func(f Fault) bool { return f.At > last*1000 })
+			again = try(q) || again
+		}
+		for size := max(1, len(p.Faults)/2); size >= 1; size /= 2 { // by halves, then one by one
+			for i := 0; i+size <= len(p.Faults); {
+				q := p
+				q.Faults = slices.Delete(slices.Clone(p.Faults), i, i+size)
+				if try(q) {
+					again = true
+				} else {
+					i += size
+				}
+			}
+		}
+		for _, less := range []func(*Plan){func(q *Plan) { q.Gateways = (q.Gateways + 1) / 2 }, func(q *Plan) { q.Gateways-- },
+			func(q *Plan) { q.Caches = (q.Caches + 1) / 2 }, func(q *Plan) { q.Caches-- }, func(q *Plan) { q.Parents-- },
+			func(q *Plan) { q.Rate /= 2 }} {
+			q := p
+			if less(&q); q.Gateways != p.Gateways || q.Caches != p.Caches || q.Parents != p.Parents || q.Rate >= 0.5 && q.Rate != p.Rate {
+				again = try(q) || again
+			}
+		}
+		for i := range p.Faults {
+			if p.Faults[i].For > 100 {
+				q := p
+				q.Faults = slices.Clone(p.Faults)
+				q.Faults[i].For /= 2
+				try(q)
+			}
+		}
+		tell(fmt.Sprintf("%d days tried: %d faults, %d s, %d gateways, %d caches left", tried, len(p.Faults), p.Seconds, p.Gateways,
+			p.Caches))
+	}
+	return p, best, tried, nil
+}
+
+// Sum is a digest over digests.
+func Sum(digests []string) string {
+	h := xxhash.New()
+	for _, d := range digests {
+		h.WriteString(d)
+	}
+	return fmt.Sprintf("%016x", h.Sum64())
+}
+
+// Unmet are the pairs of kinds that never met, of how many, and how often the rarest did.
+func Unmet(days string, pairs map[string]int) (none []string, least, all int) {
+	least = -1
+	for i, a := range Kinds {
+		for _, b := range Kinds[i+1:] {
+			if !belongs(days, a.Name) || !belongs(days, b.Name) {
+				continue
+			}
+			key := min(a.Name, b.Name) + " " + max(a.Name, b.Name)
+			if all++; pairs[key] == 0 {
+				none = append(none, key)
+			}
+			if least < 0 || pairs[key] < least {
+				least = pairs[key]
+			}
+		}
+	}
+	return none, max(least, 0), all
+}
+
+// Belongs tells whether a kind of days draws a kind of fault.
+func Belongs(days, kind string) bool { return belongs(days, kind) }
+
+// Names are a table's names, in order.
+func Names(of map[string]string) []string { return sorted(of) }
+
+// PlantHelp is what each planted fault does.
+func PlantHelp() map[string]string {
+	help := map[string]string{}
+	for name, p := range plants {
+		help[name] = p.help
+	}
+	return help
+}
