--- /dev/null
+++ b/cli/list.go
@@ -0,0 +1,258 @@
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"foldslip/store/record"
+	"foldslip/store/roster"
+	"foldslip/trust"
+)
+
+// listName is the record's name in its folder.
+const listName = "list"
+
+type list struct {
+	Show   listShow   `cmd:"" help:"Print the caches, drains and purges that a folder holds, with the standing each cache would have now."`
+	Check  listCheck  `cmd:"" help:"Tell whether a folder can be read, and what of it was torn. Changes nothing."`
+	Export listExport `cmd:"" help:"Print the list as JSON that import reads."`
+	Import listImport `cmd:"" help:"Take caches from a file that export wrote. What a bulletin told counts more, and a drain stays one."`
+	Forget listForget `cmd:"" help:"Remove the list from a folder."`
+}
+
+type listFolder struct {
+	Folder string `arg:"" help:"Folder that holds the list."`
+}
+
+// open is the folder, which must be there.
+func (f listFolder) open() (record.Folder, error) {
+	if at, err := os.Stat(f.Folder); err != nil {
+		return record.Folder{}, usage("%v: name the folder that holds the list", err)
+	} else if !at.IsDir() {
+		return record.Folder{}, usage("%s is no folder", f.Folder)
+	}
+	return record.Folder{Path: f.Folder}, nil
+}
+
+// read reads what a folder holds, without its lock: the files of a running gateway can be looked at.
+func (f listFolder) read() (*roster.State, record.Kept, error) {
+	disk, err := f.open()
+	if err != nil {
+		return nil, record.Kept{}, err
+	}
+	kept, err := record.Read(disk, listName)
+	if err != nil {
+		return nil, kept, fmt.Errorf("%s: %w", f.Folder, err)
+	}
+	if kept.Generation == 0 {
+		return roster.New(), kept, nil
+	}
+	s, err := roster.Restore(kept.Snapshot, kept.Changes)
+	if err != nil {
+		err = fmt.Errorf("%s: generation %d: %w", f.Folder, kept.Generation, err)
+	}
+	return s, kept, err
+}
+
+// listed is a list for people and machines.
+type listed struct {
+	Bulletin string      `json:"bulletin,omitempty"`
+	Last     int64       `json:"last"`
+	Stood    string      `json:"stood,omitempty"` // until when its bulletin stood with it
+	Caches   []listedRow `json:"caches"`
+	Left     []listedOld `json:"left"`
+	Purges   int         `json:"purges"`
+}
+
+type listedRow struct {
+	ID       string  `json:"id"`
+	Addr     string  `json:"host_port"`
+	Zone     string  `json:"locality"`
+	Machine  string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+	Phase    string  `json:"phase"`
+	Imported bool    `json:"imported,omitempty"`
+	Ill      bool    `json:"ill,omitempty"`
+	Standing string  `json:"standing,omitempty"`
+	Budget   float64 `json:"budget,omitempty"`
+}
+
+type listedOld struct {
+	ID   string `json:"id"`
+	At   string `json:"at"`
+	Gone bool   `json:"gone"`
+}
+
+func when(ms int64) string {
+	if ms == 0 {
+		return ""
+	}
+	return time.UnixMilli(ms).UTC().Format(time.RFC3339)
+}
+
+func view(s *roster.State, now time.Time) listed {
+	v := listed{Bulletin: s.Bulletin, Last: s.Last, Stood: when(s.Stood), Caches: []listedRow{}, Left: []listedOld{}, Purges: len(s.Purges)}
+	all := trust.List{Hours: s.Hours, Departed: s.Departed}
+	for _, k := range s.Sorted() {
+		standing, budget := trust.Weigh(all, trust.Entry{Age: now.Sub(time.UnixMilli(s.Stood)), Imported: k.Source == roster.Imported,
+			Ill: k.Ill > 0, Left: k.Phase != roster.Up || s.Tombs[k.ID].ID != ""})
+		v.Caches = append(v.Caches, listedRow{k.ID, k.Addr, k.Zone, k.Machine, k.Cell, k.Size, k.UpSince,
+			[...]string{"up", "draining", "removed"}[k.Phase], k.Source == roster.Imported, k.Ill > 0, standing.String(), budget})
+	}
+	for _, t := range s.SortedTombs() {
+		v.Left = append(v.Left, listedOld{t.ID, when(t.At), t.Gone})
+	}
+	return v
+}
+
+type listShow struct {
+	listFolder
+	JSON bool `help:"Print JSON."`
+}
+
+func (f *listShow) Run(to *streams) error {
+	s, _, err := f.read()
+	if err != nil {
+		return err
+	}
+	v := view(s, time.Now())
+	if f.JSON {
+		return json.NewEncoder(to.out).Encode(v)
+	}
+	w := tabwriter.NewWriter(to.out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "cache\taddress\tlocality\tmachine\tphase\tstanding\tbudget")
+	for _, k := range v.Caches {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%.2f\n", k.ID, k.Addr, k.Zone, k.Machine, k.Phase, k.Standing, k.Budget)
+	}
+	w.Flush()
+	fmt.Fprintf(to.out, "%d caches, %d left, %d purges; last event %d of %s, stood until %s\n", len(v.Caches), len(v.Left), v.Purges,
+		v.Last, v.Bulletin, v.Stood)
+	return nil
+}
+
+type listCheck struct {
+	listFolder
+	JSON bool `help:"Print JSON."`
+}
+
+func (f *listCheck) Run(to *streams) error {
+	s, kept, err := f.read()
+	if err != nil {
+		return err
+	}
+	if f.JSON {
+		return json.NewEncoder(to.out).Encode(map[string]any{"generation": kept.Generation, "changes": len(kept.Changes),
+			"lost_bytes": kept.Lost, "skipped": kept.Skipped, "caches": len(s.Caches)})
+	}
+	for _, x := range kept.Skipped {
+		fmt.Fprintf(to.out, "not whole, passed over: %s\n", x)
+	}
+	fmt.Fprintf(to.out, "generation %d, %d changes since its snapshot, %d bytes behind the last whole one, %d caches\n", kept.Generation,
+		len(kept.Changes), kept.Lost, len(s.Caches))
+	if len(kept.Skipped) > 0 || kept.Lost > 0 {
+		return errors.New("a part was torn; the newest whole state above is what a gateway starts from")
+	}
+	return nil
+}
+
+type listExport struct{ listFolder }
+
+func (f *listExport) Run(to *streams) error {
+	s, _, err := f.read()
+	if err != nil {
+		return err
+	}
+	v := view(s, time.Now())
+	for i := range v.Caches {
+		v.Caches[i].Standing, v.Caches[i].Budget = "", 0
+	}
+	e := json.NewEncoder(to.out)
+	e.SetIndent("", " ")
+	return e.Encode(v)
+}
+
+type listImport struct {
+	listFolder
+	File string `arg:"" help:"File that export wrote, or - for standard input."`
+}
+
+func (f *listImport) Run(to *streams) error {
+	in := io.Reader(os.Stdin)
+	if f.File != "-" {
+		file, err := os.Open(f.File)
+		if err != nil {
+			return usage("%v", err)
+		}
+		defer file.Close()
+		in = file
+	}
+	var v listed
+	d := json.NewDecoder(io.LimitReader(in, record.MostEntry))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&v); err != nil {
+		return usage("%s: not a list as export writes it: %v", f.File, err)
+	}
+	c := roster.Change{At: time.Now().UnixMilli()}
+	for i, k := range v.Caches {
+		if _, err := netip.ParseAddrPort(k.Addr); err != nil || k.ID == "" || k.Zone == "" || k.Machine == "" {
+			return usage("%s: caches[%d] %q: id, host_port (an address and a port), locality and flavor must be told", f.File, i, k.ID)
+		}
+		if k.Phase == "up" {
+			c.Rows = append(c.Rows, roster.Cache{ID: k.ID, Addr: k.Addr, Zone: k.Zone, Machine: k.Machine, Cell: k.Cell, Size: k.Size,
+				UpSince: k.UpSince, Source: roster.Imported})
+		}
+	}
+	disk, err := record.OpenFolder(f.Folder)
+	if err != nil {
+		return usage("%v", err)
+	}
+	r, kept, err := record.Open(disk, listName)
+	if errors.Is(err, record.ErrLocked) {
+		return usage("%v: stop the gateway that uses it first", err)
+	}
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	s, err := roster.Restore(kept.Snapshot, kept.Changes)
+	if err != nil {
+		return fmt.Errorf("%s: %w", f.Folder, err)
+	}
+	before := len(s.Caches)
+	s.Import(c)
+	snap, err := s.Snapshot()
+	if err != nil {
+		return err
+	}
+	if err := r.Begin(snap); err != nil {
+		return fmt.Errorf("%s: %w", f.Folder, err)
+	}
+	fmt.Fprintf(to.out, "%d caches taken of %d, %d in all\n", len(s.Caches)-before, len(v.Caches), len(s.Caches))
+	return nil
+}
+
+type listForget struct{ listFolder }
+
+func (f *listForget) Run(to *streams) error {
+	disk, err := f.open()
+	if err != nil {
+		return err
+	}
+	n, err := record.Forget(disk, listName)
+	if errors.Is(err, record.ErrLocked) {
+		return usage("%v: stop the gateway that uses it first", err)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(to.out, "%d files removed\n", n)
+	return nil
+}
--- a/lab/day/client.go
+++ b/lab/day/client.go
@@ -171,6 +171,10 @@
 
 func (c *clientConn) Opened() {
 	c.up = true
+	if c.l != c.g.its { // the gateway has died meanwhile, and another life of it has taken the connection
+		c.shut("gateway gone")
+		return
+	}
 	c.e.Arrived = func(b []byte) {
 		c.arrived += len(b)
 		if c.a != nil && c.a.taken == 0 && c.arrived >= c.sent {
--- a/lab/day/plant_test.go
+++ b/lab/day/plant_test.go
@@ -6,7 +6,30 @@
 var foundAt = map[string]struct {
 	seed uint64
 	rule string
-}{}
+}{
+	"answer_late":      {1, "rule 1"},
+	"answer_lost":      {1, "rule 1"},
+	"answer_mixed":     {1, "rule 1"},
+	"answer_spoilt":    {1, "rule 1"},
+	"answer_twice":     {1, "rule 1"},
+	"cold_cache":       {13, "rule 4"},
+	"cold_parent":      {3, "rule 4"},
+	"conn_leaked":      {1, "leak"},
+	"doubled_send":     {1, "in flight"},
+	"drain_unheard":    {3, "rule 3"},
+	"ending_untold":    {1, "in flight"},
+	"gone_unheard":     {3, "rule 3"},
+	"goroutine_leaked": {1, "leak"},
+	"nack_kept_back":   {1, "rule 1"},
+	"purge_late":       {1, "rule 5"},
+	"purge_unheard":    {1, "rule 5"},
+	"reread_ends":      {8, "crash"},
+	"stop_unheard":     {1, "stop"},
+	"timer_leaked":     {9, "leak"},
+	"two_at_once":      {1, "rule 2"},
+	"undo_unsaid":      {1, "rule 2"},
+	"wait_untold":      {1, "held back"},
+}
 
 func TestPlantedFaultsAreFound(t *testing.T) {
 	for _, name := range Plants() {
--- /dev/null
+++ b/lab/world/world_test.go
@@ -0,0 +1,282 @@
+package world
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"foldslip/clock"
+)
+
+// echo is a party that sends back what it gets.
+type echo struct {
+	e      *End
+	got    int
+	closed string
+}
+
+// echoed is one connection of it.
+type echoed struct {
+	x *echo
+	e *End
+}
+
+func (x echoed) Opened()             {}
+func (x echoed) Data(b []byte)       { x.x.got += len(b); x.e.Send(b) }
+func (x echoed) Closed(reset bool)   { x.x.closed = fmt.Sprint("closed, reset ", reset); x.e.Close() }
+func (x echoed) Written(int, []byte) {}
+
+// room is a world with a process on one host and an echo on another.
+func room(t *testing.T, seed uint64, main func(g clock.Ground, dial func() (net.Conn, error))) (*World, *echo, *Proc) {
+	t.Helper()
+	w := New(seed)
+	t.Cleanup(w.Close)
+	w.Crashed = func(p *Proc, text string) { t.Error(text) }
+	x := &echo{}
+	w.Host("10.0.0.2", "far").Serve("80", func(e *End) Handler { x.e = e; return echoed{x, e} })
+	p := w.Start(w.Host("10.0.0.1", "near"), &Proc{Name: "p", FDs: 3}, func(g clock.Ground) error {
+		life := clock.NewLife(nil)
+		defer life.End()
+		main(g, func() (net.Conn, error) { return g.Dial(life, "10.0.0.2:80", time.Second) })
+		return nil
+	})
+	return w, x, p
+}
+
+func TestConnections(t *testing.T) {
+	t.Run("what is written comes back whole, past any window, and the end is an EOF", func(t *testing.T) {
+		done := false
+		text := strings.Repeat("0123456789", 30000)
+		w, x, p := room(t, 1, func(g clock.Ground, dial func() (net.Conn, error)) {
+			c, err := dial()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			all := g.Group()
+			all.Go("write", func() error { _, err := io.WriteString(c, text); return err })
+			got := make([]byte, len(text))
+			if _, err := io.ReadFull(c, got); err != nil || string(got) != text {
+				t.Errorf("%v, equal %v", err, string(got) == text)
+			}
+			if err := all.Wait(); err != nil {
+				t.Error(err)
+			}
+			x := c.(clock.Conn)
+			x.CloseWrite()
+			if n, err := c.Read(got); err != io.EOF {
+				t.Errorf("%d, %v", n, err)
+			}
+			c.Close()
+			done = true
+		})
+		w.Run(time.Minute)
+		if n, timers, fds := p.Held(); !done || x.got != len(text) || n+timers+fds != 0 {
+			t.Errorf("done %v, %d bytes, holds %d %d %d", done, x.got, n, timers, fds)
+		}
+	})
+	t.Run("errors are those of the net package", func(t *testing.T) {
+		met := 0
+		w, x, _ := room(t, 2, func(g clock.Ground, dial func() (net.Conn, error)) {
+			is := func(what string, err, want error) {
+				met++
+				if !errors.Is(err, want) {
+					t.Errorf("%s: %v", what, err)
+				}
+			}
+			life := clock.NewLife(nil)
+			_, err := g.Dial(life, "10.0.0.2:81", time.Second)
+			is("nobody listens", err, syscall.ECONNREFUSED)
+			_, err = g.Dial(life, "10.0.0.9:80", time.Second)
+			is("no such machine", err, os.ErrDeadlineExceeded)
+			c, _ := dial()
+			c.SetReadDeadline(g.Now().Add(time.Second))
+			_, err = c.Read(make([]byte, 1))
+			is("nothing comes", err, os.ErrDeadlineExceeded)
+			d, _ := dial()
+			e, _ := dial()
+			_, err = dial()
+			is("no descriptor is left", err, syscall.EMFILE)
+			d.Close()
+			_, err = d.Write([]byte("x"))
+			is("closed here", err, net.ErrClosed)
+			e.SetReadDeadline(time.Time{})
+			g.AfterFunc(time.Second, func() { e.Close() })
+			_, err = e.Read(make([]byte, 1))
+			is("closed while reading", err, net.ErrClosed)
+			c.SetReadDeadline(time.Time{})
+			_, err = c.Read(make([]byte, 1))
+			is("reset by the peer", err, syscall.ECONNRESET)
+		})
+		w.After(20*time.Second, func() { w.hosts["10.0.0.2"].Unserve("80") })
+		w.After(10*time.Second, func() { w.procs[0].conns[0].peer.Reset() })
+		w.Run(time.Minute)
+		if met != 7 {
+			t.Errorf("%d of 7 errors met, %+v", met, x)
+		}
+	})
+	t.Run("a split holds bytes back, a heal brings them", func(t *testing.T) {
+		var at time.Duration
+		var w *World
+		w, _, _ = room(t, 3, func(g clock.Ground, dial func() (net.Conn, error)) {
+			c, _ := dial()
+			g.Bell().Wait(2 * time.Second)
+			io.WriteString(c, "x")
+			c.Read(make([]byte, 1))
+			at = w.Now()
+			c.Close()
+		})
+		w.After(time.Second, func() { w.Split("near", "far") })
+		w.After(5*time.Second, func() { w.Heal("near", "far") })
+		w.Run(time.Minute)
+		if at < 5*time.Second || at > 6*time.Second {
+			t.Errorf("came back at %v", at)
+		}
+	})
+	t.Run("a reset at a byte lets the bytes before it through", func(t *testing.T) {
+		n, failed := 0, error(nil)
+		w, x, _ := room(t, 4, func(g clock.Ground, dial func() (net.Conn, error)) {
+			c, _ := dial()
+			io.WriteString(c, "0123456789")
+			b := make([]byte, 10)
+			for failed == nil {
+				var m int
+				m, failed = c.Read(b)
+				n += m
+			}
+			c.Close()
+		})
+		w.After(100*time.Microsecond, func() {})
+		w.Quiet = func() {
+			if x.e != nil && x.e.CutIn == 0 && x.got == 0 {
+				x.e.CutIn = 4
+			}
+		}
+		w.Run(time.Minute)
+		if n > 4 || !errors.Is(failed, syscall.ECONNRESET) {
+			t.Errorf("%d bytes, then %v", n, failed)
+		}
+	})
+	t.Run("a killed process says nothing more, and its peers see a reset", func(t *testing.T) {
+		ran := 0
+		w, x, p := room(t, 5, func(g clock.Ground, dial func() (net.Conn, error)) {
+			c, _ := dial()
+			defer func() { ran = 100 }() // a killed process runs nothing that shows
+			for {
+				io.WriteString(c, "x")
+				ran++
+				g.Bell().Wait(time.Second)
+			}
+		})
+		w.After(3500*time.Millisecond, p.Kill)
+		w.Run(time.Minute)
+		if x.closed != "closed, reset true" || x.got != 4 {
+			t.Errorf("%q, %d bytes, ran %d", x.closed, x.got, ran)
+		}
+		if n, _, fds := p.Held(); n != 0 || fds != 0 {
+			t.Errorf("holds %d goroutines, %d descriptors", n, fds)
+		}
+	})
+	t.Run("a deaf peer blocks a write until its deadline", func(t *testing.T) {
+		n, failed := 0, error(nil)
+		w, x, _ := room(t, 6, func(g clock.Ground, dial func() (net.Conn, error)) {
+			c, _ := dial()
+			io.WriteString(c, "x")
+			g.Bell().Wait(time.Second)
+			c.SetWriteDeadline(g.Now().Add(time.Second))
+			n, failed = c.Write(make([]byte, 1000))
+			c.Close()
+		})
+		w.After(500*time.Millisecond, func() { x.e.Stalled, x.e.Window = true, 300 })
+		w.Run(time.Minute)
+		if n != 300 || !errors.Is(failed, os.ErrDeadlineExceeded) {
+			t.Errorf("%d bytes, %v", n, failed)
+		}
+	})
+}
+
+func TestBells(t *testing.T) {
+	t.Run("one ring wakes one, and a ring without waiters is kept", func(t *testing.T) {
+		woken, timely := 0, false
+		w, _, _ := room(t, 7, func(g clock.Ground, _ func() (net.Conn, error)) {
+			b, all := g.Bell(), g.Group()
+			for range 3 {
+				all.Go("waiter", func() error {
+					if b.Wait(10 * time.Second) {
+						woken++
+					}
+					return nil
+				})
+			}
+			g.Bell().Wait(time.Second)
+			b.Ring()
+			g.Bell().Wait(time.Second)
+			b.Ring()
+			all.Wait()
+			b.Ring()
+			timely = b.Wait(0) && !b.Wait(0)
+		})
+		w.Run(time.Minute)
+		if woken != 2 || !timely {
+			t.Errorf("%d woken, %v", woken, timely)
+		}
+	})
+	t.Run("a stopped timer does not come, and says so once", func(t *testing.T) {
+		came := 0
+		w, _, p := room(t, 8, func(g clock.Ground, _ func() (net.Conn, error)) {
+			a := g.AfterFunc(time.Second, func() { came += 10 })
+			g.AfterFunc(2*time.Second, func() { came++ })
+			if !a.Stop() || a.Stop() {
+				t.Error("Stop")
+			}
+			g.Bell().Wait(3 * time.Second)
+		})
+		w.Run(time.Minute)
+		if _, timers, _ := p.Held(); came != 1 || timers != 0 {
+			t.Errorf("%d, %d timers", came, timers)
+		}
+	})
+	t.Run("a wait outside the world's goroutines is a fault of the rig", func(t *testing.T) {
+		w, _, p := room(t, 9, func(clock.Ground, func() (net.Conn, error)) {})
+		w.Run(time.Second)
+		defer func() {
+			if recover() == nil {
+				t.Error("waited")
+			}
+		}()
+		p.Bell().Wait(time.Second)
+	})
+}
+
+// Two worlds of one seed are the same step by step; the order of what is due at one instant is the seed's.
+func TestSeeds(t *testing.T) {
+	run := func(seed uint64) (string, uint64) {
+		order := ""
+		w, _, _ := room(t, seed, func(g clock.Ground, _ func() (net.Conn, error)) {
+			for _, name := range []string{"a", "b", "c", "d"} {
+				g.AfterFunc(time.Second, func() { order += name })
+			}
+			g.Bell().Wait(2 * time.Second)
+		})
+		w.Run(time.Minute)
+		return order, w.Digest()
+	}
+	orders := map[string]bool{}
+	for seed := range uint64(40) {
+		a, x := run(seed)
+		b, y := run(seed)
+		if a != b || x != y {
+			t.Fatalf("seed %d: %s %x, then %s %x", seed, a, x, b, y)
+		}
+		orders[a] = true
+	}
+	if len(orders) < 10 {
+		t.Errorf("only %d of 24 orders in 40 seeds", len(orders))
+	}
+}
