--- a/clock/system.go
+++ b/clock/system.go
@@ -87,25 +87,25 @@
 func (*System) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
 
 func (*System) Signals(hear func(Signal)) (stop func()) {
-	come := make(chan os.Signal, 4)
+	hup, term := make(chan os.Signal, 1), make(chan os.Signal, 1) // one that waits stands for all of its kind
 	over := make(chan struct{})
-	signal.Notify(come, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(hup, syscall.SIGHUP)
+	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		for {
 			select {
-			case s := <-come:
-				if s == syscall.SIGHUP {
-					hear(Reread)
-				} else {
-					hear(Stop)
-				}
+			case <-hup:
+				hear(Reread)
+			case <-term:
+				hear(Stop)
 			case <-over:
 				return
 			}
 		}
 	}()
 	return func() {
-		signal.Stop(come)
+		signal.Stop(hup)
+		signal.Stop(term)
 		close(over)
 	}
 }
--- a/lab/day/faults.go
+++ b/lab/day/faults.go
@@ -19,12 +19,12 @@
 		{"reload_half", "SIGHUP while the file is half written, and again with the whole of it after the span", 20, 800, 1, false, (*Day).reloadHalf},
 		{"reload_bad", "SIGHUP with a file that cannot be used", 1000, 1000, 1, false, (*Day).reloadBad},
 		{"clock_step", "clocks step by seconds: gateways started from then on have another time of day", 2000, 9000, 1, false, (*Day).clockStep},
-		{"cache_kill", "a cache dies, is told gone later and a new one takes its place", 500, 3000, 3, false, (*Day).cacheKill},
-		{"cache_back", "a cache dies and comes back cold under its id", 800, 6000, 2, false, (*Day).cacheBack},
-		{"cache_vanish", "a cache vanishes in silence and comes back cold", 1500, 6000, 2, false, (*Day).cacheVanish},
-		{"cache_hang", "a cache takes lookups and answers none", 1000, 6000, 2, false, (*Day).cacheHang},
-		{"cache_drain", "a cache drains, goes and is replaced", 800, 5000, 3, false, (*Day).cacheDrain},
-		{"cache_replace", "a cache is replaced under a new id at its old address", 300, 3000, 2, false, (*Day).cacheReplace},
+		{"cache_kill", "a cache dies, is told gone later and a new one takes its place", 500, 3000, 3, false, free((*Day).cacheKill)},
+		{"cache_back", "a cache dies and comes back cold under its id", 800, 6000, 2, false, free((*Day).cacheBack)},
+		{"cache_vanish", "a cache vanishes in silence and comes back cold", 1500, 6000, 2, false, free((*Day).cacheVanish)},
+		{"cache_hang", "a cache takes lookups and answers none", 1000, 6000, 2, false, free((*Day).cacheHang)},
+		{"cache_drain", "a cache drains, goes and is replaced", 800, 5000, 3, false, free((*Day).cacheDrain)},
+		{"cache_replace", "a cache is replaced under a new id at its old address", 300, 3000, 2, false, free((*Day).cacheReplace)},
 		{"cache_slow", "a cache is slow", 2000, 8000, 2, false, (*Day).cacheSlow},
 		{"cache_errors", "a cache answers everything with an error", 1000, 6000, 2, false, (*Day).cacheErrors},
 		{"cold_mass", "half of the caches start cold at once", 1000, 1000, 1, false, (*Day).coldMass},
@@ -36,7 +36,7 @@
 		{"split_caches", "the network splits gateways from caches", 200, 4000, 2, false, split("gateways", "edges")},
 		{"split_clients", "the network splits clients from gateways", 200, 3000, 1, false, split("clients", "gateways")},
 		{"split_bulletin", "the network splits gateways from the bulletin", 200, 4000, 1, false, split("gateways", "bulletin")},
-		{"cache_deaf", "a cache reads nothing on its connections", 1000, 4000, 1, false, (*Day).cacheDeaf},
+		{"cache_deaf", "a cache reads nothing on its connections", 1000, 4000, 1, false, free((*Day).cacheDeaf)},
 		{"close_cache", "caches close connections in order, with sends open on them or not", 500, 4000, 2, false, (*Day).closeCache},
 		{"reset_cache", "connections to caches are reset at any byte, in either direction", 500, 4000, 3, false, (*Day).resetCache},
 		{"reset_client", "connections of clients are reset at any byte, in either direction", 500, 4000, 2, false, (*Day).resetClient},
@@ -182,55 +182,44 @@
 // free tells whether a cache is in its usual state, so that a fault can begin.
 func (c *cache) free() bool { return c.up && c.phase == "up" && !c.hung }
 
-func (d *Day) cacheKill(f Fault) {
-	c := pick(d.caches, f.Who)
-	if !c.free() {
-		return
+// free makes a fault of a cache that begins only where the one drawn is in its usual state.
+func free(begin func(*Day, *cache, Fault)) func(*Day, Fault) {
+	return func(d *Day, f Fault) {
+		if c := pick(d.caches, f.Who); c.free() {
+			begin(d, c, f)
+		}
 	}
+}
+
+// back is a machine that starts again, cold, under its id.
+func (c *cache) back() {
+	c.rise(c.d.w.Now())
+	c.say("up", 0)
+}
+
+func (d *Day) cacheKill(c *cache, f Fault) {
 	c.phase = "going"
 	c.fall(false)
 	d.drained(c, "removed", f.span())
 	d.after(f.span()+time.Second, func() { d.successor(c, d.newIP(c)) })
 }
 
-func (d *Day) cacheBack(f Fault) {
-	c := pick(d.caches, f.Who)
-	if !c.free() {
-		return
-	}
+func (d *Day) cacheBack(c *cache, f Fault) {
 	c.fall(false)
-	d.after(f.span(), func() {
-		c.rise(d.w.Now())
-		c.say("up", 0)
-	})
+	d.after(f.span(), c.back)
 }
 
-func (d *Day) cacheVanish(f Fault) {
-	c := pick(d.caches, f.Who)
-	if !c.free() {
-		return
-	}
+func (d *Day) cacheVanish(c *cache, f Fault) {
 	c.fall(true)
-	d.after(f.span(), func() {
-		c.rise(d.w.Now())
-		c.say("up", 0)
-	})
+	d.after(f.span(), c.back)
 }
 
-func (d *Day) cacheHang(f Fault) {
-	c := pick(d.caches, f.Who)
-	if !c.free() {
-		return
-	}
+func (d *Day) cacheHang(c *cache, f Fault) {
 	c.hung = true
 	d.after(f.span(), func() { c.hung = false })
 }
 
-func (d *Day) cacheDrain(f Fault) {
-	c := pick(d.caches, f.Who)
-	if !c.free() {
-		return
-	}
+func (d *Day) cacheDrain(c *cache, f Fault) {
 	c.phase = "draining"
 	d.drained(c, "draining", 0)
 	d.after(f.span()+2500*time.Millisecond, func() {
@@ -240,11 +229,7 @@
 	})
 }
 
-func (d *Day) cacheReplace(f Fault) {
-	c := pick(d.caches, f.Who)
-	if !c.free() {
-		return
-	}
+func (d *Day) cacheReplace(c *cache, f Fault) {
 	c.phase = "going"
 	d.drained(c, "draining", 0)
 	d.after(f.span(), func() {
@@ -270,10 +255,7 @@
 	for i, c := range append([]*cache(nil), d.caches...) {
 		if i%2 == f.Who%2 && c.free() {
 			c.fall(false)
-			d.after(time.Duration(500+f.More%1500)*time.Millisecond, func() {
-				c.rise(d.w.Now())
-				c.say("up", 0)
-			})
+			d.after(time.Duration(500+f.More%1500)*time.Millisecond, c.back)
 		}
 	}
 }
@@ -284,10 +266,7 @@
 		return
 	}
 	p.fall(false)
-	d.after(f.span(), func() {
-		p.rise(d.w.Now())
-		p.say("up", 0)
-	})
+	d.after(f.span(), p.back)
 }
 
 func (d *Day) parentSlow(f Fault) {
@@ -554,11 +533,7 @@
 	d.after(f.span(), func() { d.front.muting = 0 })
 }
 
-func (d *Day) cacheDeaf(f Fault) {
-	c := pick(d.caches, f.Who)
-	if !c.free() {
-		return
-	}
+func (d *Day) cacheDeaf(c *cache, f Fault) {
 	c.deaf = true
 	for _, k := range c.conns {
 		k.e.Stalled, k.e.Window = true, 150
--- a/lab/day/gateway.go
+++ b/lab/day/gateway.go
@@ -27,18 +27,16 @@
 
 // life is one process of a gateway, from its start to its end.
 type life struct {
-	g         *gateway
-	p         *world.Proc
-	its       *service.Gateway
-	began     time.Duration
-	ready     bool
-	term      time.Duration // when it was told to stop; 0: not yet
-	over      bool
-	told      []time.Duration // by number of the event, 0: not yet
-	sick      time.Duration   // since when it could not hear, or until when
-	links     int             // connections to caches whose wires are known to be clean
-	conns     map[*cacheConn]bool
-	clientsAt int
+	g     *gateway
+	p     *world.Proc
+	its   *service.Gateway
+	began time.Duration
+	ready bool
+	term  time.Duration // when it was told to stop; 0: not yet
+	over  bool
+	told  []time.Duration // by number of the event, 0: not yet
+	sick  time.Duration   // since when it could not hear, or until when
+	conns map[*cacheConn]bool
 }
 
 func newGateway(d *Day, no int) *gateway {
--- a/lab/day/referee.go
+++ b/lab/day/referee.go
@@ -21,7 +21,6 @@
 	known    map[string]bool // deduplicated lookups by zone and id
 	purges   []purge
 	quiets   uint64
-	ranOnce  map[string]bool
 	drained  map[string]int // by cache: number of the event that told it drains or is gone
 }
 
@@ -64,7 +63,7 @@
 
 func newReferee(d *Day) *referee {
 	return &referee{d: d, asks: map[string]*ask{}, ends: map[string]int{}, versions: map[string]int{}, known: map[string]bool{},
-		ranOnce: map[string]bool{}, drained: map[string]int{}}
+		drained: map[string]int{}}
 }
 
 // broken notes a broken rule; the first one ends the day.
--- a/lab/world/net.go
+++ b/lab/world/net.go
@@ -80,12 +80,6 @@
 	}
 }
 
-func (y *way) drop() {
-	y.dropped, y.queue = true, nil
-	y.w.Drop(y.pump)
-	y.pump = nil
-}
-
 // Conn is a process's end of a connection.
 type Conn struct {
 	p             *Proc
@@ -114,7 +108,6 @@
 	c       *Conn
 	w       *World
 	waiting []byte // written, beyond the window
-	unread  int    // arrived and not taken, while Stalled
 	Stalled bool   // takes nothing
 	Window  int    // bytes from the process that may be on their way or not taken; 0: as usual
 	closed  bool
--- a/wire/bulletin.go
+++ b/wire/bulletin.go
@@ -53,11 +53,12 @@
 // anew: what was told meanwhile comes at once.
 func (b *Bulletin) Move(addr string) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	its := b.its
 	b.addr, b.moved = addr, true
+	b.mu.Unlock()
 	b.turn.Ring()
-	if b.its != nil {
-		b.its.End()
+	if its != nil {
+		its.End()
 	}
 }
 
--- a/wire/links.go
+++ b/wire/links.go
@@ -66,8 +66,8 @@
 	no     int64 // in the order of boarding
 	on     *link
 	// Under the link's lock:
-	at     *line // queued; nil while the connection is not up
-	hushed bool  // it has waited for its hush
+	at     line // its number is 0 while the connection is not up
+	hushed bool // it has waited for its hush
 }
 
 // stop ends its timers.
@@ -176,7 +176,8 @@
 // put queues a send once the connection is up, under the link's lock.
 func (l *link) put(f *flight) {
 	f.sent = l.ls.g.Now()
-	f.at = l.write(f.line)
+	f.at.text = f.line
+	l.write(&f.at)
 }
 
 // line is a line to a cache, with its number on the connection.
@@ -186,16 +187,15 @@
 }
 
 // write queues a line, under the link's lock. A peer that takes so few that they pile up has its connection ended.
-func (l *link) write(text []byte) *line {
+func (l *link) write(one *line) {
 	l.queued++
-	one := &line{l.queued, text}
+	one.no = l.queued
 	l.out = append(l.out, one)
-	if l.waiting += len(text); l.waiting > mostQueued {
+	if l.waiting += len(one.text); l.waiting > mostQueued {
 		l.stuck.Store(true)
 		l.conn.Close()
 	}
 	l.turn.Ring()
-	return one
 }
 
 // pour writes what is queued until the connection ends; what does not go out soon ends it.
@@ -203,6 +203,7 @@
 	for {
 		var text []byte
 		l.mu.Lock()
+		out := l.settled(false)             // what the write before has brought out
 		for len(l.out) > 0 && text == nil { // one at a time: what waits behind a peer that takes nothing can be withdrawn
 			text = l.out[0].text
 			l.begun = l.out[0].no
@@ -211,11 +212,11 @@
 		l.waiting -= len(text)
 		dead := l.dead
 		l.mu.Unlock()
+		l.tell(out)
 		if dead {
 			return
 		}
 		if text == nil {
-			l.tell(l.settled(false))
 			l.turn.Wait(-1)
 			continue
 		}
@@ -227,7 +228,6 @@
 			conn.Close()
 			return // end tells what was undone
 		}
-		l.tell(l.settled(false))
 	}
 }
 
@@ -291,13 +291,15 @@
 	}
 	l.mu.Lock()
 	switch {
-	case f.at != nil && f.at.no > l.begun: // it waits behind what the cache does not take
+	case f.at.no > l.begun: // it waits behind what the cache does not take
 		l.waiting -= len(f.at.text)
 		f.at.text, how = nil, logic.NeverSent
-	case ls.terms.Router.Cancelling && f.at != nil && !l.dead:
+	case ls.terms.Router.Cancelling && f.at.no > 0 && !l.dead:
 		// Behind its own line, which it cannot overtake. It has ended once that is out: the next send of the lookup
 		// must not be on its way before.
-		l.undone = append(l.undone, undone{f, how, l.write(appendUndo(nil, f.open.req.ID)).no})
+		undo := &line{text: appendUndo(nil, f.open.req.ID)}
+		l.write(undo)
+		l.undone = append(l.undone, undone{f, how, undo.no})
 		l.mu.Unlock()
 		return
 	}
@@ -312,10 +314,8 @@
 	no  int64
 }
 
-// settled takes the undone sends whose undo is out, or all of them.
+// settled takes the undone sends whose undo is out, or all of them; under the link's lock.
 func (l *link) settled(all bool) (out []undone) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	n := 0
 	for n < len(l.undone) && (all || l.undone[n].no <= l.begun) {
 		n++
@@ -402,14 +402,15 @@
 	lost, unsent := inOrder(l.flights), map[*flight]bool{}
 	l.flights = nil
 	for _, f := range lost {
-		if f.stop(); how == logic.Reset && (f.at == nil || f.at.no > l.begun) {
+		if f.stop(); how == logic.Reset && (f.at.no == 0 || f.at.no > l.begun) {
 			unsent[f] = true
 		}
 	}
 	l.out = nil
+	undone := l.settled(true)
 	l.mu.Unlock()
 	l.turn.Ring()
-	l.tell(l.settled(true))
+	l.tell(undone)
 	for _, f := range lost {
 		its := how
 		if unsent[f] {
