A line that a cache takes at once is written by its lookup's goroutine; a disk joins the seam

Need: each send paid the wake of the connection's writer. The list kept on disk needs folders behind the same seam as time and network. Change: clock.Ground.Direct writes without waiting; links.flush writes what is queued if nobody else does, and pour, which waits, takes what a cache does not take at once. An undone send is told once its undo is out whole. clock.Disk and clock.Folder, before in store/record; virtual processes have disks.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -9,6 +9,7 @@
 
 import (
 	"container/list"
+	"errors"
 	"log/slog"
 	"net"
 	"sync"
@@ -27,16 +28,22 @@
 	Group() Group
 	// Dial connects over TCP within a time, or until life ends. Its errors are those of the net package.
 	Dial(life *Life, addr string, within time.Duration) (net.Conn, error)
+	// Direct is how to write to a connection without ever waiting; nil where it cannot be.
+	Direct(conn net.Conn) Direct
 	// Listen takes TCP connections at an address.
 	Listen(addr string) (net.Listener, error)
 	// Env is a variable of the environment, or "".
 	Env(name string) string
+	// Folder is a folder to keep files in; it is made if it is not there.
+	Folder(path string) (Disk, error)
 	// ReadFile is os.ReadFile.
 	ReadFile(path string) ([]byte, error)
 	// Signals calls hear for each signal from now on, one at a time and never waiting; stop ends that.
 	Signals(hear func(Signal)) (stop func())
 	// Limit tells the runtime what the process may use: cores and bytes, 0 for what there is.
 	Limit(cores int, memory int64)
+	// Tidy gives memory that is no longer needed back to the machine.
+	Tidy()
 	// Descriptors is how many the process may hold; 0: not known.
 	Descriptors() uint64
 	// Log takes the log's lines.
@@ -67,12 +74,41 @@
 	Wait() error
 }
 
+// Direct writes what a connection takes at once and tells how many bytes that were, 0 also where it is broken: a Write
+// tells why. One goroutine at a time.
+type Direct func(b []byte) int
+
 // Conn is what connections of a Ground can do beside net.Conn, as *net.TCPConn does.
 type Conn interface {
 	net.Conn
 	CloseWrite() error
 }
 
+// Disk is a folder. Its errors are those of the os package.
+type Disk interface {
+	// Names are the files in the folder.
+	Names() ([]string, error)
+	Read(name string) ([]byte, error)
+	// Create makes a file, or empties it.
+	Create(name string) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// Sync makes renames and removals last.
+	Sync() error
+	// Lock takes the folder for this process; ErrLocked where another has it.
+	Lock() (unlock func(), err error)
+}
+
+// File is a file that is written from its front to its end.
+type File interface {
+	Write(b []byte) (int, error)
+	Sync() error
+	Close() error
+}
+
+// ErrLocked tells that another process has the folder.
+var ErrLocked = errors.New("another process has this folder open")
+
 // Life is the time something lives: it ends once, by itself or with its parent. What is hung on it runs at the end, in
 // order, in the goroutine that ends it, and must not wait.
 type Life struct {
--- a/clock/system.go
+++ b/clock/system.go
@@ -80,10 +80,36 @@
 	return dial.DialContext(ctx, "tcp", addr)
 }
 
+func (*System) Direct(conn net.Conn) Direct {
+	its, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := its.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	var b []byte
+	n := 0
+	write := func(fd uintptr) bool { // made once a connection
+		n, _ = syscall.Write(int(fd), b)
+		return true
+	}
+	return func(text []byte) int {
+		b, n = text, 0
+		if raw.Write(write) != nil {
+			return 0
+		}
+		return max(0, n)
+	}
+}
+
 func (*System) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 
 func (*System) Env(name string) string { return os.Getenv(name) }
 
+func (*System) Folder(path string) (Disk, error) { return OpenFolder(path) }
+
 func (*System) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
 
 func (*System) Signals(hear func(Signal)) (stop func()) {
@@ -119,6 +145,8 @@
 	}
 }
 
+func (*System) Tidy() { debug.FreeOSMemory() }
+
 func (*System) Descriptors() uint64 {
 	var own syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own) != nil {
--- a/lab/world/proc.go
+++ b/lab/world/proc.go
@@ -83,7 +83,8 @@
 	Name  string
 	Env_  map[string]string
 	Files map[string][]byte
-	FDs   int // descriptors it may hold
+	Disks map[string]*Disk // by the path of a folder
+	FDs   int              // descriptors it may hold
 	// Skew is how far the clock of its machine was from the true time when it started.
 	Skew time.Duration
 	// Line gets each line of its log.
@@ -168,6 +169,9 @@
 	}
 	p.w.Note("kill", p.Name, 0)
 	p.dead = true
+	for _, d := range p.Disks {
+		d.locked = false
+	}
 	for _, l := range append([]*listener(nil), p.listens...) {
 		l.shut()
 	}
@@ -317,6 +321,15 @@
 
 func (p *Proc) Env(name string) string { return p.Env_[name] }
 
+// Folder is the disk that the process's machine has at a path.
+func (p *Proc) Folder(path string) (clock.Disk, error) {
+	d := p.Disks[path]
+	if d == nil {
+		return nil, &fs.PathError{Op: "mkdir", Path: path, Err: fs.ErrPermission}
+	}
+	return d, nil
+}
+
 func (p *Proc) ReadFile(path string) ([]byte, error) {
 	b, ok := p.Files[path]
 	if !ok {
@@ -332,6 +345,8 @@
 
 func (p *Proc) Limit(int, int64) {}
 
+func (p *Proc) Tidy() {}
+
 func (p *Proc) Descriptors() uint64 { return uint64(p.FDs) }
 
 func (p *Proc) Log() *slog.Logger { return p.logger }
--- a/store/record/record.go
+++ b/store/record/record.go
@@ -20,6 +20,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"foldslip/clock"
 )
 
 const (
@@ -32,30 +34,14 @@
 	MostEntry = 16 << 20
 )
 
-// Disk is the folder of a record. Its errors are those of the os package.
-type Disk interface {
-	// Names are the files in the folder.
-	Names() ([]string, error)
-	Read(name string) ([]byte, error)
-	// Create makes a file, or empties it.
-	Create(name string) (File, error)
-	Rename(from, to string) error
-	Remove(name string) error
-	// Sync makes renames and removals last.
-	Sync() error
-	// Lock takes the folder for this process; ErrLocked where another has it.
-	Lock() (unlock func(), err error)
-}
-
-// File is a file that is written from its front to its end.
-type File interface {
-	Write(b []byte) (int, error)
-	Sync() error
-	Close() error
-}
+// Disk is the folder of a record, and File a file in it.
+type (
+	Disk = clock.Disk
+	File = clock.File
+)
 
 // ErrLocked tells that another process has the folder.
-var ErrLocked = errors.New("another process has this folder open")
+var ErrLocked = clock.ErrLocked
 
 // ErrNewer tells that the files are of a newer form than this program reads.
 var ErrNewer = errors.New("the files are of a newer form than this program reads")
--- a/wire/links.go
+++ b/wire/links.go
@@ -88,13 +88,17 @@
 	doubted bool      // takes no more sends
 	flights map[string]*flight
 	late    map[string]time.Time // given up, an answer may still come
-	out     []*line              // to be written; a goroutine writes them, so that no lookup waits for a peer
+	out     []*line              // to be written, so that no lookup waits for a peer
 	waiting int                  // their bytes
-	queued  int64                // lines so far, and how many of them have been handed to the connection
+	queued  int64                // lines so far, how many of them have begun to be written, and how many are out whole
 	begun   int64
-	undone  []undone    // given up, the undo not yet written
-	turn    clock.Bell  // rung when there are lines, and at the end
-	stuck   atomic.Bool // lines did not go out in time
+	gone    int64
+	rest    []byte       // of the last line begun
+	writing bool         // one goroutine at a time writes
+	now     clock.Direct // writes what the connection takes at once; nil: it cannot
+	undone  []undone     // given up, the undo not yet written
+	turn    clock.Bell   // rung when there are lines, and at the end
+	stuck   atomic.Bool  // lines did not go out in time
 	served  int
 	strays  int // answers to no send: given up, given twice, another's
 	buf     memory.Buffer
@@ -170,6 +174,7 @@
 		l.put(f)
 	}
 	l.mu.Unlock()
+	l.flush()
 	return true
 }
 
@@ -195,24 +200,64 @@
 		l.stuck.Store(true)
 		l.conn.Close()
 	}
-	l.turn.Ring()
 }
 
-// pour writes what is queued until the connection ends; what does not go out soon ends it.
+// next takes what is to be written next, under the link's lock; nil where there is nothing.
+func (l *link) next() (text []byte) {
+	if l.rest != nil {
+		text, l.rest = l.rest, nil
+		return text
+	}
+	for len(l.out) > 0 && text == nil { // one at a time: what waits behind a peer that takes nothing can be withdrawn
+		text = l.out[0].text
+		l.begun = l.out[0].no
+		l.out = l.out[1:]
+	}
+	l.waiting -= len(text)
+	return text
+}
+
+// flush writes what is queued, as far as the connection takes it at once; where it does not, pour goes on. So the wake of
+// a goroutine is paid for lines to a cache that is slow to read, not for each send.
+func (l *link) flush() {
+	l.mu.Lock()
+	if l.writing || l.dead || l.now == nil {
+		if !l.writing && l.conn != nil {
+			l.turn.Ring()
+		}
+		l.mu.Unlock()
+		return
+	}
+	l.writing = true
+	for text := l.next(); text != nil; text = l.next() {
+		l.mu.Unlock()
+		n := l.now(text)
+		l.mu.Lock()
+		if l.rest = text[n:]; len(l.rest) > 0 {
+			break
+		}
+		l.rest, l.gone = nil, l.begun
+	}
+	l.writing = false
+	out := l.settled(false)
+	if l.rest != nil || l.dead {
+		l.turn.Ring()
+	}
+	l.mu.Unlock()
+	l.tell(out)
+}
+
+// pour writes what flush left until the connection ends; what does not go out soon ends it.
 func (l *link) pour(conn net.Conn) {
 	for {
-		var text []byte
 		l.mu.Lock()
-		out := l.settled(false)             // what the write before has brought out
-		for len(l.out) > 0 && text == nil { // one at a time: what waits behind a peer that takes nothing can be withdrawn
-			text = l.out[0].text
-			l.begun = l.out[0].no
-			l.out = l.out[1:]
+		var text []byte
+		if !l.writing {
+			text = l.next()
 		}
-		l.waiting -= len(text)
+		l.writing = l.writing || text != nil
 		dead := l.dead
 		l.mu.Unlock()
-		l.tell(out)
 		if dead {
 			return
 		}
@@ -221,7 +266,17 @@
 			continue
 		}
 		conn.SetWriteDeadline(l.ls.g.Now().Add(writeWithin))
-		if _, err := conn.Write(text); err != nil {
+		_, err := conn.Write(text)
+		conn.SetWriteDeadline(time.Time{}) // one that has passed would stop flush too
+		l.mu.Lock()
+		l.writing = false
+		if err == nil {
+			l.gone = l.begun
+		}
+		out := l.settled(false)
+		l.mu.Unlock()
+		l.tell(out)
+		if err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				l.stuck.Store(true)
 			}
@@ -301,6 +356,7 @@
 		l.write(undo)
 		l.undone = append(l.undone, undone{f, how, undo.no})
 		l.mu.Unlock()
+		l.flush()
 		return
 	}
 	l.mu.Unlock()
@@ -317,7 +373,7 @@
 // settled takes the undone sends whose undo is out, or all of them; under the link's lock.
 func (l *link) settled(all bool) (out []undone) {
 	n := 0
-	for n < len(l.undone) && (all || l.undone[n].no <= l.begun) {
+	for n < len(l.undone) && (all || l.undone[n].no <= l.gone) {
 		n++
 	}
 	out, l.undone = l.undone[:n:n], l.undone[n:]
@@ -374,11 +430,12 @@
 	defer ls.life.OnEnd(func() { conn.Close() })()
 	defer conn.Close()
 	l.mu.Lock()
-	l.conn, l.heard = conn, ls.g.Now()
+	l.conn, l.heard, l.now = conn, ls.g.Now(), ls.g.Direct(conn)
 	for _, f := range inOrder(l.flights) {
 		l.put(f)
 	}
 	l.mu.Unlock()
+	l.flush()
 	ls.group.Go("pour", func() error { l.pour(conn); return nil })
 	reason := l.read(conn)
 	l.end(logic.Reset, reason, began)
