The kept list is never told after the bulletin's; drains in it hold ten minutes from the start

Cause: Members took the kept list's rows under its lock and told them after it, so that a bulletin's whole list told in between could be undone, drains with it. Change: a lock for telling the list; a whole list lays it aside before the router hears of it; drains hold from the start, however old.

--- a/lab/day/gateway.go
+++ b/lab/day/gateway.go
@@ -24,6 +24,7 @@
 	its      *life
 	lives    int
 	disk     *world.Disk
+	barred   map[string]bool // caches that its list on disk knows to drain
 }
 
 // life is one process of a gateway, from its start to its end.
@@ -35,6 +36,7 @@
 	ready bool
 	term  time.Duration // when it was told to stop; 0: not yet
 	over  bool
+	ended time.Duration
 	told  []time.Duration // by number of the event, 0: not yet
 	sick  time.Duration   // since when it could not hear, or until when
 	conns map[*cacheConn]bool
@@ -43,7 +45,7 @@
 func newGateway(d *Day, no int) *gateway {
 	g := &gateway{d: d, no: no, zone: no % d.zones, name: fmt.Sprintf("n%d", no), ip: fmt.Sprintf("10.0.%d.%d", no%d.zones, no+1),
 		memory: d.Plan.MemoryMB, fds: d.Plan.FDs}
-	g.host, g.disk = d.w.Host(g.ip, "gateways"), world.NewDisk()
+	g.host, g.disk, g.barred = d.w.Host(g.ip, "gateways"), world.NewDisk(), map[string]bool{}
 	return g
 }
 
@@ -75,6 +77,9 @@
 		return
 	}
 	d := g.d
+	if d.Plan.Morning != nil {
+		g.wake(g.its)
+	}
 	g.lives++
 	l := &life{g: g, began: d.w.Now(), told: make([]time.Duration, len(d.events)+1), conns: map[*cacheConn]bool{}}
 	for i := range l.told {
@@ -117,7 +122,7 @@
 // kill ends the life at once; what it had taken is lost, and not owed.
 func (g *gateway) kill() {
 	if l := g.its; l != nil && !l.over {
-		l.over = true
+		l.over, l.ended = true, g.d.w.Now()
 		l.p.Kill()
 		g.d.ref.killed(l)
 	}
--- a/lab/day/morning.go
+++ b/lab/day/morning.go
@@ -17,20 +17,22 @@
 type Morning struct {
 	// From is what gateways start from: "list" (kept on disk), or for comparison "wait" (nothing, they wait for the bulletin),
 	// "trust" (the same list, taken as told this moment), "true" (the list as it is, taken so).
-	From  string  `json:"from"`
-	Age   int     `json:"age_s"`   // of the list
-	Wrong float64 `json:"wrong"`   // share of its edges and parents that are no more what it says
-	Away  int     `json:"away_ms"` // of the bulletin, from the start; 0: all day
-	Cold  bool    `json:"cold"`    // what is wrong is that they have just started, cold
-	Torn  bool    `json:"torn"`    // the last bytes of the list are torn
-	Skew  int     `json:"skew_s"`  // the clock that wrote it was wrong by
-	Spans bool    `json:"spans"`   // its numbers run beyond the bulletin's, which began anew
+	From   string  `json:"from"`
+	Age    int     `json:"age_s"`   // of the list
+	Wrong  float64 `json:"wrong"`   // share of its edges and parents that are no more what it says
+	Away   int     `json:"away_ms"` // of the bulletin, from the start; 0: all day
+	Cold   bool    `json:"cold"`    // what is wrong is that they have just started, cold
+	Torn   bool    `json:"torn"`    // the last bytes of the list are torn
+	Skew   int     `json:"skew_s"`  // the clock that wrote it was wrong by
+	Behind bool    `json:"behind"`  // the bulletin tells of the drain later than the list
+	Spans  bool    `json:"spans"`   // its numbers run beyond the bulletin's, which began anew
 }
 
 const (
 	settingsAt = "/etc/foldslip.jsonnet"
 	listAt     = "/var/lib/foldslip"
 	atDawn     = time.Duration(1) // the start of what is cold when the day begins
+	syncedBy   = 2 * time.Second  // what was told so long before a gateway's end is on its disk
 	fallenFor  = 3 * time.Second  // a cache that was pushed over, until it starts anew
 	earlyFor   = 30 * time.Second // from the first lookup; the share satisfied meanwhile is what a list is for
 )
@@ -98,7 +100,13 @@
 		c := d.caches[d.chance(len(d.caches))]
 		if c.startNo == 0 && rows[slices.Index(d.caches, c)].ID == c.id {
 			c.phase = "draining"
-			d.barred = c.id
+			if m.Behind {
+				c.phase = "up"
+				d.after(warmup+8*time.Second, func() { c.say("draining", 0) })
+			}
+			for _, g := range d.gateways {
+				g.barred[c.id] = true
+			}
 			gone := row(c)
 			gone.Phase = kept.Draining
 			left = append(left, gone)
@@ -217,6 +225,27 @@
 	p.Disks = map[string]*world.Disk{listAt: g.disk}
 }
 
+// wake takes a machine up again: its power may have gone with the process. What the life before was told of drains, long
+// enough before its end to have it on disk, holds for the next one.
+func (g *gateway) wake(was *life) {
+	d := g.d
+	if was == nil || g.disk == nil || d.Plan.Morning.From != "list" {
+		return
+	}
+	if d.chance(2) == 0 {
+		g.disk.Crash(d.w.Chance)
+	}
+	for _, e := range d.events {
+		told := was.toldOf(e.No)
+		if e.Roster == nil || told == 0 || told+syncedBy > was.ended {
+			continue
+		}
+		for _, m := range e.Roster.Members {
+			g.barred[m.ID] = m.Phase != "up"
+		}
+	}
+}
+
 // away takes the bulletins away at the start.
 func (d *Day) away() {
 	span := time.Duration(d.Plan.Morning.Away) * time.Millisecond
--- a/lab/day/stories_test.go
+++ b/lab/day/stories_test.go
@@ -133,3 +133,85 @@
 		}
 	}
 }
+
+// tellMorning plays a morning for some seeds; more tells what must be so beside the rules.
+func tellMorning(t *testing.T, m Morning, faults []Fault, more func(r Result) string) {
+	t.Helper()
+	t.Parallel()
+	for seed := uint64(1); seed <= 6; seed++ {
+		p := Draw(seed, "calm")
+		m := m
+		if m.From == "" {
+			m.From = "list"
+		}
+		p.Seconds, p.Morning, p.Faults = 30, &m, faults
+		r, err := Play(p, Look{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(r.Broken) > 0 {
+			t.Errorf("seed %d: %s", seed, r.Broken[0])
+			continue
+		}
+		if text := more(r); text != "" {
+			t.Errorf("seed %d: %s, %v, %+v", seed, text, r.Ends, r.Early)
+		}
+	}
+}
+
+func TestMornings(t *testing.T) {
+	least := func(share float64) func(r Result) string {
+		return func(r Result) string {
+			if float64(r.Early.Satisfied) < share*float64(r.Early.Asked) {
+				return fmt.Sprintf("under %.2f of the first lookups satisfied", share)
+			}
+			if r.Reasons["from_list"] == 0 {
+				return "not started from the list"
+			}
+			return ""
+		}
+	}
+	for _, story := range []struct {
+		name string
+		m    Morning
+		more func(r Result) string
+	}{
+		{"a list a minute old, and all as it says", Morning{Age: 60}, least(0.97)},
+		{"an hour old", Morning{Age: 3600}, least(0.97)},
+		{"a month old", Morning{Age: 30 * 86400}, least(0.9)},
+		{"half of it is wrong: gone, silent, strangers, other caches at old addresses", Morning{Age: 3600, Wrong: 0.5}, least(0.6)},
+		{"all that it calls warm has just started", Morning{Age: 60, Wrong: 1, Cold: true}, least(0.5)},
+		{"the clock that wrote it was two hours ahead", Morning{Age: 60, Skew: 7200}, least(0.9)},
+		{"or two hours behind", Morning{Age: 60, Skew: -7200}, least(0.97)},
+		{"the bulletin comes back with its numbers from 1", Morning{Age: 60, Away: 9000, Spans: true}, least(0.97)},
+		{"the bulletin comes back, behind the list by a drain", Morning{Age: 60, Away: 3000, Behind: true}, least(0.97)},
+		{"the last bytes of the list are torn", Morning{Age: 60, Torn: true, Away: 3000}, func(r Result) string {
+			if r.Reasons["list_torn"]+r.Reasons["from_list"] == 0 {
+				return "nothing was read"
+			}
+			return ""
+		}},
+		{"no list and no bulletin: all is nacked at once, until it speaks", Morning{From: "wait", Away: 9000}, func(r Result) string {
+			if r.Reasons["no_list"] == 0 || r.Ends["503"] == 0 || r.Early.Satisfied == 0 {
+				return "expected nacks first, then answers"
+			}
+			return ""
+		}},
+	} {
+		t.Run(story.name, func(t *testing.T) { tellMorning(t, story.m, nil, story.more) })
+	}
+	t.Run("a drain told, then all gateways killed with or without their machines", func(t *testing.T) {
+		tellMorning(t, Morning{Age: 60, Away: 1}, []Fault{{At: 5000, Kind: "cache_drain", Who: 1, For: 20000},
+			{At: 9000, Kind: "gateway_kill", Who: 0, For: 1000}, {At: 9000, Kind: "gateway_kill", Who: 1, For: 1000}, {At: 9000, Kind: "gateway_kill", Who: 2, For: 1000},
+			{At: 9100, Kind: "bulletin_gone", Who: 0, For: 12000}, {At: 9100, Kind: "bulletin_gone", Who: 1, For: 12000}}, func(r Result) string {
+			if r.Reasons["from_list"] < 4 {
+				return "nobody started from the list once more"
+			}
+			return ""
+		})
+	})
+	t.Run("all gateways restart from their lists while all caches are cold", func(t *testing.T) {
+		tellMorning(t, Morning{Age: 3600, Wrong: 1, Cold: true}, []Fault{{At: 1500, Kind: "gateway_kill", Who: 0, For: 500}, {At: 1500, Kind: "gateway_kill", Who: 1, For: 700},
+			{At: 1500, Kind: "gateway_kill", Who: 2, For: 900}}, least(0.3))
+	})
+}
--- /dev/null
+++ b/logic/standing_test.go
@@ -0,0 +1,73 @@
+package logic
+
+import "testing"
+
+func TestStanding(t *testing.T) {
+	relist := func(f *fake, all []*Cache, c *Cache, standing Standing, started Micros) {
+		var rows []Row
+		for _, o := range all {
+			row := o.Row
+			row.Cache = o
+			if o == c {
+				row.Standing, row.Started = standing, started
+			}
+			rows = append(rows, row)
+		}
+		f.r.Listed(f.now, CachedList, rows)
+	}
+	home := func(f *fake) *Cache {
+		f.ask(0, "a")
+		s := f.last()
+		f.end(s, Satisfied, Hit, 10*ms)
+		return s.to
+	}
+	t.Run("on trial: cold from the guessed start on, and warm once the guess is taken back", func(t *testing.T) {
+		f, all := play(t, nil)
+		c := home(f)
+		relist(f, all, c, OnTrial, f.now)
+		if c.coldFrom == 0 {
+			t.Fatal("it counts as warm")
+		}
+		relist(f, all, c, OnTrial, 0)
+		if c.coldFrom != 0 {
+			t.Error("it counts as cold")
+		}
+	})
+	t.Run("what a bulletin tells of the start counts more than the guess", func(t *testing.T) {
+		f, all := play(t, nil)
+		c := home(f)
+		relist(f, all, c, OnTrial, f.now)
+		relist(f, all, c, Told, 0)
+		if c.coldFrom != 0 {
+			t.Error("it counts as cold")
+		}
+	})
+	t.Run("a told start is not taken back by an older list", func(t *testing.T) {
+		f, all := play(t, nil)
+		c := home(f)
+		f.relist(c, Ready, f.now)
+		relist(f, all, c, Told, 0)
+		if c.coldFrom == 0 {
+			t.Error("it counts as warm")
+		}
+	})
+	t.Run("doubted: one trial at a time, until one succeeds", func(t *testing.T) {
+		f, all := play(t, nil)
+		c := home(f)
+		relist(f, all, c, Doubted, 0)
+		f.ask(0, "a")
+		trial := f.last()
+		f.ask(0, "a")
+		if trial.to != c || f.last().to == c {
+			t.Fatalf("first to %s, then to %s, in doubt is %s", trial.to.Name, f.last().to.Name, c.Name)
+		}
+		f.end(trial, Satisfied, Hit, 10*ms)
+		if c.out {
+			t.Error("it is out after a good trial")
+		}
+		relist(f, all, c, Doubted, 0)
+		if c.out {
+			t.Error("the same doubt told again puts it out again")
+		}
+	})
+}
--- a/member/member.go
+++ b/member/member.go
@@ -3,8 +3,8 @@
 // relied on is decided by package trust, and which cache gets a lookup by the module, which is told of doubts with its
 // rows. What is told goes to the keeper from here.
 //
-// Members is owned by the process; its lock is taken under the facade's (what sends show) and never held over a call to
-// the facade. It is bounded by the list.
+// Members is owned by the process; its lock mu is taken under the facade's (what sends show) and never held over a call to
+// the facade, listing is. It is bounded by the list.
 package member
 
 import (
@@ -29,7 +29,7 @@
 	// A parent not found warm counts as started so long after this process: it bears little for longest, and one large fill
 	// staked by each gateway at once weighs most there.
 	parentBy = 2 * time.Second
-	// A drain in the list holds against a bulletin that may be behind it for so long; then the bulletin's word counts.
+	// A drain in the list holds for so long from the start against a bulletin that may be behind it; then that one's word counts.
 	barFor = 10 * time.Minute
 	// Numbers told so often in a row as lower than the one held are those of a bulletin that began anew.
 	restartAfter = 3
@@ -43,10 +43,12 @@
 	caches *memory.Caches
 	keep   *keeper.Keeper
 
+	listing sync.Mutex // held while the kept list is told to the router, or laid aside
+
 	mu    sync.Mutex
 	rows  map[string]logic.Row // of the list, while it stands for the bulletin
 	book  *trust.Book          // nil once the bulletin has spoken
-	began time.Time
+	began time.Time            // the start
 	bars  map[string]*bar
 	last  int64 // number of the last event in the list
 	lower int
@@ -63,11 +65,9 @@
 	m := &Members{g: g, terms: terms, router: router, caches: caches, keep: keep, bars: map[string]*bar{}}
 	s := keep.State()
 	m.last = s.Last
-	now := g.Now().UnixMilli()
+	m.began = g.Now()
 	for _, t := range s.SortedTombs() {
-		if now-t.At < barFor.Milliseconds() {
-			m.bars[t.ID] = &bar{tomb: t}
-		}
+		m.bars[t.ID] = &bar{tomb: t}
 	}
 	return m
 }
@@ -103,7 +103,7 @@
 		return 0
 	}
 	m.mu.Lock()
-	m.book, m.rows, m.began = book, rows, now
+	m.book, m.rows = book, rows
 	list := m.list()
 	by, _, _ := book.Count()
 	m.mu.Unlock()
@@ -172,17 +172,21 @@
 
 // Hold changes rows that an event of a bulletin tells as up although the list knows that they drain: a list is newer
 // than a bulletin that is behind it. Events past the list's last number count as told, and so does a later start.
-func (m *Members) Hold(no int64, ids []string, rows []logic.Row) {
+// A whole list ends the time of the kept one before the router hears of it, so that the kept one is never told after it.
+func (m *Members) Hold(no int64, isWhole bool, ids []string, rows []logic.Row) {
 	if m == nil {
 		return
 	}
+	if isWhole {
+		m.finish(ids)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for i, id := range ids {
 		b := m.bars[id]
 		switch {
 		case b == nil:
-		case no > m.last || rows[i].State != logic.Ready || rows[i].Started > b.tomb.At*1000 || m.expired(b):
+		case no > m.last || rows[i].State != logic.Ready || rows[i].Started > b.tomb.At*1000 || m.unbarred():
 			delete(m.bars, id)
 		default:
 			row := rows[i]
@@ -192,34 +196,39 @@
 	}
 }
 
-func (m *Members) expired(b *bar) bool {
-	return m.g.Now().UnixMilli()-b.tomb.At >= barFor.Milliseconds()
+func (m *Members) unbarred() bool { return m.g.Now().Sub(m.began) >= barFor }
+
+// finish lays the kept list aside.
+func (m *Members) finish(told []string) {
+	m.listing.Lock()
+	defer m.listing.Unlock()
+	m.mu.Lock()
+	book, rows := m.book, m.rows
+	m.book, m.rows = nil, nil
+	m.mu.Unlock()
+	if book == nil {
+		return
+	}
+	m.router.See(nil)
+	both := 0
+	for _, id := range told {
+		if _, ok := rows[id]; ok {
+			both++
+		}
+	}
+	_, right, wrong := book.Count()
+	m.g.Log().Warn("from_bulletin", "after_ms", m.g.Now().Sub(m.began).Milliseconds(), "told", len(told), "listed", len(rows), "in_both", both,
+		"right", right, "wrong", wrong)
 }
 
-// Told takes what a bulletin has told, once the router knows it. A whole list ends the time of the kept one.
+// Told takes what a bulletin has told, once the router knows it.
 func (m *Members) Told(c roster.Change) {
 	if m == nil {
 		return
 	}
 	m.mu.Lock()
 	m.lower = 0
-	if book := m.book; book != nil && c.Whole {
-		named := 0
-		for _, r := range c.Rows {
-			if _, ok := m.rows[r.ID]; ok {
-				named++
-			}
-		}
-		_, right, wrong := book.Count()
-		m.g.Log().Warn("from_bulletin", "after_ms", m.g.Now().Sub(m.began).Milliseconds(), "told", len(c.Rows), "listed", len(m.rows),
-			"in_both", named, "right", right, "wrong", wrong)
-		m.book, m.rows = nil, nil
-	}
-	ended := m.book == nil
 	m.mu.Unlock()
-	if ended {
-		m.router.See(nil)
-	}
 	m.keep.Told(c)
 }
 
@@ -252,25 +261,18 @@
 	defer life.OnEnd(end.Ring)()
 	learnt := m.g.Now()
 	for !end.Wait(m.pause()) {
+		m.relist()
 		m.mu.Lock()
-		var list []logic.Row
-		if m.book != nil {
-			if len(m.book.Verdicts()) > 0 {
-				list = m.list()
-			}
-		}
 		var free []logic.Row
-		for id, b := range m.bars {
-			if m.expired(b) {
-				if delete(m.bars, id); b.row != nil {
+		if m.unbarred() {
+			for _, b := range m.bars {
+				if b.row != nil {
 					free = append(free, *b.row)
 				}
 			}
+			m.bars = nil
 		}
 		m.mu.Unlock()
-		if list != nil {
-			m.router.Relist(list)
-		}
 		if len(free) > 0 {
 			slices.SortFunc(free, func(a, b logic.Row) int { return cmp.Compare(a.Cache.Name, b.Cache.Name) })
 			m.router.Tick(free, false, nil)
@@ -283,6 +285,21 @@
 	return nil
 }
 
+// relist tells the router what has changed of the kept list, unless the bulletin has spoken.
+func (m *Members) relist() {
+	m.listing.Lock()
+	defer m.listing.Unlock()
+	m.mu.Lock()
+	var list []logic.Row
+	if m.book != nil && len(m.book.Verdicts()) > 0 {
+		list = m.list()
+	}
+	m.mu.Unlock()
+	if list != nil {
+		m.router.Relist(list)
+	}
+}
+
 func (m *Members) pause() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/store/roster/roster_test.go
+++ b/store/roster/roster_test.go
@@ -68,6 +68,19 @@
 			t.Errorf("%+v", s)
 		}
 	})
+	t.Run("a list read from its beginning counts no departures that were none", func(t *testing.T) {
+		s := New()
+		s.Apply(Change{At: 1, Whole: true, Rows: []Cache{told("a", "1:1"), told("b", "2:1")}})
+		s.Apply(Change{At: 2, Whole: true, Rows: []Cache{told("a", "1:1")}}) // its first event again
+		s.Apply(Change{At: 2, Rows: []Cache{told("b", "2:1")}})
+		if s.Departed != 0 {
+			t.Error(s.Departed)
+		}
+		s.Apply(Change{At: 3, Rows: []Cache{{ID: "b", Phase: Gone}}})
+		if s.Departed != 1 {
+			t.Error(s.Departed)
+		}
+	})
 	t.Run("a late start or another address is another life", func(t *testing.T) {
 		s := New()
 		s.Apply(Change{At: 1, Rows: []Cache{told("a", "1:1")}})
--- a/wire/bulletin.go
+++ b/wire/bulletin.go
@@ -193,7 +193,7 @@
 		for i, m := range e.Roster.Members {
 			ids[i] = m.ID
 		}
-		b.Members.Hold(*e.No, ids, rows)
+		b.Members.Hold(*e.No, whole, ids, rows)
 	}
 	b.Router.Tick(rows, whole, purges)
 	if e.Roster != nil && e.Roster.Complete {
