--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,6 +35,7 @@
 	leastOpen   = 2.0        // open sends, and fills, at one cache by all routers are not cut under this
 	coldAfter   = 3 * second // a parent out for longer may have started anew
 	coldRate    = 1.4        // of what a cold cache bears at least; the rule counts a multiple of it
+	stakePart   = 0.35       // of what it bears by the rule, for one lookup that the bucket is staked on
 	coldBurst   = 0.4        // of the rule's multiple above 1, at once
 	errorsMove  = 3          // so many plain errors of a cache in a row move lookups on, so many put it out:
 	errorsOut   = 10         // chance alone does not make them where one in four ends so everywhere
@@ -736,8 +737,10 @@
 	if c.tokens < depth || c.tokens >= work {
 		return c.tokens >= work
 	}
-	// A full bucket too small for this lookup is staked on it, so that many routers together keep the mean.
-	lucky := float64(r.chance.next())/(1<<32) < depth/work
+	// A full bucket too small for this lookup is staked on it, so that many routers together keep the mean; but not on one
+	// that a few routers with luck at once would push it over with.
+	bears := multiple * share * max(1, link) * float64(max(r.its.FallFor, 100*ms))
+	lucky := work < stakePart*bears && float64(r.chance.next())/(1<<32) < depth/work
 	if c.tokens = 0; lucky {
 		c.tokens = work
 	}
