--- a/store/roster/roster.go
+++ b/store/roster/roster.go
@@ -22,6 +22,7 @@
 	MostCaches = 16384
 	MostTombs  = 8192
 	MostPurges = 8192
+	slack      = 1024 // tombs over their bound before the oldest go
 )
 
 // Phase is what was told of a cache.
@@ -211,7 +212,7 @@
 
 // bound drops what is past the bounds: tombs and caches told longest ago.
 func (s *State) bound() {
-	if n := len(s.Tombs) - MostTombs; n > 0 {
+	if n := len(s.Tombs) - MostTombs; n > slack { // in one sort for many, since a change must cost little
 		all := slices.SortedFunc(maps.Values(s.Tombs), func(a, b Tomb) int {
 			return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.ID, b.ID))
 		})
