--- a/logic/logic.go
+++ b/logic/logic.go
@@ -86,9 +86,10 @@
 	named := map[*Cache]bool{}
 	for _, row := range rows {
 		c := row.Cache
-		if named[c] = true; !slices.Contains(r.caches, c) {
+		if c.State == Gone && !named[c] { // only those in the list are not
 			r.caches = append(r.caches, c)
 		}
+		named[c] = true
 		if row.Started > c.Started || c.Standing+row.Standing > Told && row.Started != c.Started {
 			c.coldFrom, c.tokens, c.tokensAt = row.Started, 0, now // its warming begins
 		}
--- a/member/member.go
+++ b/member/member.go
@@ -104,7 +104,7 @@
 	}
 	m.mu.Lock()
 	m.book, m.rows = book, rows
-	list := m.list()
+	list := m.list(book.Verdicts())
 	by, _, _ := book.Count()
 	m.mu.Unlock()
 	m.router.Relist(list)
@@ -114,14 +114,13 @@
 	return len(rows)
 }
 
-// list is the rows as far as they are relied on now, under the lock.
-func (m *Members) list() (list []logic.Row) {
-	m.book.Verdicts()
-	for _, v := range m.book.All() {
+// list is the rows of verdicts, under the lock.
+func (m *Members) list(all []trust.Verdict) (list []logic.Row) {
+	for _, v := range all {
 		row := m.rows[v.ID]
 		switch {
 		case v.Standing == trust.Barred:
-			continue
+			row.State = logic.Gone
 		case row.Kind == m.terms.Router.OriginKind: // there is no other
 		case v.Standing == trust.Doubted:
 			row.Standing = logic.Doubted
@@ -291,12 +290,12 @@
 	defer m.listing.Unlock()
 	m.mu.Lock()
 	var list []logic.Row
-	if m.book != nil && len(m.book.Verdicts()) > 0 {
-		list = m.list()
+	if m.book != nil {
+		list = m.list(m.book.Verdicts())
 	}
 	m.mu.Unlock()
-	if list != nil {
-		m.router.Relist(list)
+	if len(list) > 0 {
+		m.router.Tick(list, false, nil)
 	}
 }
 
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -25,7 +25,7 @@
 }
 
 func (m *module) Listed(now logic.Micros, what logic.ListKind, rows []logic.Row) {
-	if m.kind = what; what != logic.Changes {
+	if m.kind = what; what != logic.Changes || m.rows == nil {
 		m.rows = map[string]logic.Row{}
 	}
 	for _, r := range rows {
@@ -100,9 +100,10 @@
 	t.Run("what drained is not listed, the rest is on trial", func(t *testing.T) {
 		p := morning(t, whole)
 		p.members.Start(p.purges)
-		if p.told.kind != logic.CachedList || len(p.told.rows) != 2 {
+		if p.told.kind != logic.CachedList || len(p.told.rows) != 3 || p.told.rows["c"].State != logic.Gone {
 			t.Fatalf("%+v", p.told)
 		}
+		delete(p.told.rows, "c")
 		for _, r := range p.told.rows {
 			if r.Standing != logic.OnTrial || r.Started == 0 || r.State != logic.Ready {
 				t.Errorf("%+v", r)
@@ -137,12 +138,8 @@
 		for range 8 {
 			p.members.saw(a, a, logic.Satisfied, logic.Hit)
 		}
-		p.members.mu.Lock()
-		changed := len(p.members.book.Verdicts())
-		list := p.members.list()
-		p.members.mu.Unlock()
-		if changed != 1 || list[0].Cache != a || list[0].Started != 0 || list[1].Started == 0 {
-			t.Errorf("%d, %+v", changed, list)
+		if p.members.relist(); p.told.kind != logic.Changes || p.told.rows["a"].Started != 0 || p.told.rows["b"].Started == 0 {
+			t.Errorf("%+v", p.told)
 		}
 	})
 }
--- a/trust/book.go
+++ b/trust/book.go
@@ -148,12 +148,3 @@
 	}
 	return changed
 }
-
-// All are the verdicts as last given.
-func (b *Book) All() []Verdict {
-	all := make([]Verdict, len(b.entries))
-	for i, e := range b.entries {
-		all[i] = e.told
-	}
-	return all
-}
--- a/trust/book_test.go
+++ b/trust/book_test.go
@@ -18,12 +18,7 @@
 
 func (b *Book) of(id string) Standing {
 	b.Verdicts()
-	for _, v := range b.All() {
-		if v.ID == id {
-			return v.Standing
-		}
-	}
-	return -1
+	return b.by[id].told.Standing
 }
 
 func TestBook(t *testing.T) {
