What a lookup is when a proxy makes its sends: a desk of asks, reports and ends, without I/O

Change: retry.Desk takes asks, the module's steps, reports, ends of streams and the time, and tells what to tell router and streams; the contract stands in its comment. Bounds: lookups open, of these for one caller, as many remembered after their end.

--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,333 @@
+// Package retry keeps what a lookup is when its sends are made by somebody else: a proxy that asks this program where each
+// lookup should go, sends it there itself, and tells how that ended. It does no I/O: asks, steps of the module, reports, ends
+// of streams and the time go in; what is to be done comes out. The module decides each send, as at the users' door.
+//
+// The contract of a caller: it asks under the lookup's id, makes the one send it is told, reports its end on the same
+// stream, and asks again under the same id when it is told to. What holds without its help: one final answer a lookup,
+// nothing told to send after it, never two sends told at once, attempts limited, all freed in time. What only the caller can
+// keep: that a send told is made once and to that cache, and that its report is true. One that breaks off a stream with a
+// send out is taken at its worst: the send may have run.
+//
+// Desk is owned by the door, whose lock it is under. Bounds: Terms.Lookups open, as many remembered after their end, each for
+// Terms.Remember.
+package retry
+
+import (
+	"cmp"
+	"container/list"
+	"slices"
+	"time"
+
+	"foldslip/facade"
+	"foldslip/logic"
+)
+
+// Terms are the bounds of a desk.
+type Terms struct {
+	Lookups  int           // open at once; past it they are nacked
+	Each     int           // of these for one caller
+	AgainIn  time.Duration // a caller that is to ask again does so within
+	Remember time.Duration // an ended lookup is known for so long, so that a repeat is not taken for a new one
+}
+
+// Stream is one stream of a caller, a lookup's send at a time.
+type Stream struct {
+	Caller string
+	its    *Lookup // whose answer it waits for, or whose send it makes
+}
+
+// Say is what a stream is told.
+type Say struct {
+	To   *Stream
+	What What
+	Send facade.Step // where What is Go
+	Wait time.Duration
+}
+
+// What is said to a caller.
+type What int
+
+const (
+	Go       What = 1 + iota // make this send
+	Accepted                 // the report is taken and the answer is the lookup's: pass it on
+	Again                    // the report is taken, and the lookup goes on: ask again under the same id
+	Nack                     // final: trying again is harmless, after Wait if it is not 0
+	Fail                     // final
+	Twice                    // the lookup is open on another stream; nothing about it is said here
+	Known                    // it has been answered already
+	Full                     // no place; nothing was taken
+	Disorder                 // a phase out of order: the stream ends
+)
+
+var names = [...]string{"", "go", "accepted", "again", "nack", "fail", "twice", "known", "full", "disorder"}
+
+func (w What) String() string { return names[w] }
+
+// Final tells whether it ends the lookup for its caller.
+func (w What) Final() bool { return w == Accepted || w == Nack || w == Fail }
+
+// Tell is a report for the router: how send N of a lookup ended.
+type Tell struct {
+	Of     *Lookup
+	N      int
+	How    logic.Ending
+	Remark logic.Remark
+	Waited logic.Micros
+}
+
+// Do is what is to be done now, in this order.
+type Do struct {
+	Tell  []Tell    // to the router
+	Leave []*Lookup // the client has gone: to the router
+	Say   []Say     // to streams
+}
+
+func (d *Do) say(to *Stream, what What) {
+	if to != nil {
+		d.Say = append(d.Say, Say{To: to, What: what})
+	}
+}
+
+type stage int
+
+const (
+	deciding stage = iota // the module has the word
+	handed                // a send is at its caller
+	waiting               // a send or an end is decided, and the caller is to ask for it
+	over
+)
+
+// Lookup is a lookup between its first ask and some time after its end.
+type Lookup struct {
+	Key   string // caller and id
+	Lk    *facade.Lookup
+	who   string
+	at    stage
+	on    *Stream // that waits for an answer, or makes the send
+	step  facade.Step
+	n     int       // of the send that is handed
+	due   time.Time // by then its caller must have come
+	until time.Time // its own time is over
+	end   What
+	wait  time.Duration
+	place *list.Element
+	asked bool // on waits for what follows its report
+}
+
+// Desk holds the lookups of all callers.
+type Desk struct {
+	terms Terms
+	by    map[string]*Lookup
+	open  int
+	each  map[string]int
+	ended list.List // *Lookup, oldest first
+	// Odd counts what callers did against the contract, by what it was.
+	Odd map[string]int
+}
+
+// New makes an empty desk.
+func New(terms Terms) *Desk {
+	return &Desk{terms: terms, by: map[string]*Lookup{}, each: map[string]int{}, Odd: map[string]int{}}
+}
+
+// Open is how many lookups are open.
+func (d *Desk) Open() int { return d.open }
+
+// Ask is a caller's word that it has a lookup, or again has it. Where it returns a lookup, that is new: the door hands it to
+// the router and sets Lk, or calls Refused.
+func (d *Desk) Ask(now time.Time, on *Stream, id string, until time.Time) (*Lookup, Do) {
+	var do Do
+	if on.its != nil {
+		d.Odd["ask_on_busy_stream"]++
+		do.say(on, Disorder)
+		return nil, do
+	}
+	key := on.Caller + " " + id
+	lk := d.by[key]
+	switch {
+	case lk == nil && (d.open >= d.terms.Lookups || d.each[on.Caller] >= d.terms.Each):
+		do.say(on, Full)
+	case lk == nil:
+		lk = &Lookup{Key: key, who: on.Caller, on: on, until: until}
+		d.by[key], on.its = lk, lk
+		d.open++
+		d.each[lk.who]++
+		return lk, do
+	case lk.at == over && lk.end == Accepted:
+		d.Odd["ask_after_answer"]++
+		do.say(on, Known)
+	case lk.at == over: // the same end once more harms nobody
+		do.Say = append(do.Say, Say{To: on, What: lk.end, Wait: lk.wait})
+	case lk.on != nil:
+		d.Odd["ask_twice"]++
+		do.say(on, Twice)
+	default:
+		lk.on, on.its = on, lk
+		lk.due = time.Time{}
+		d.speak(now, lk, &do)
+	}
+	return nil, do
+}
+
+// Refused drops a lookup that the router did not take.
+func (d *Desk) Refused(lk *Lookup) {
+	if lk.on != nil {
+		lk.on.its = nil
+	}
+	d.drop(lk)
+	delete(d.by, lk.Key)
+}
+
+// Step is the router's next step of a lookup.
+func (d *Desk) Step(now time.Time, lk *Lookup, s facade.Step) (do Do) {
+	switch {
+	case lk.at == over:
+		if s.What == facade.Send { // it was decided before the end was told
+			do.Tell = append(do.Tell, Tell{Of: lk, N: s.N, How: logic.NeverSent})
+		}
+	case s.What == facade.Cancel:
+		// The send is at its caller, which cannot be called back: it ends with its report, or with its stream. One not handed
+		// yet is taken back.
+		if lk.at == waiting && lk.step.What == facade.Send && lk.step.N == s.N {
+			lk.at = deciding
+			do.Tell = append(do.Tell, Tell{Of: lk, N: s.N, How: logic.NeverSent})
+		}
+	default:
+		lk.step, lk.at = s, waiting
+		d.speak(now, lk, &do)
+	}
+	return do
+}
+
+// speak tells the stream that waits what has been decided; without one the caller has some time to come.
+func (d *Desk) speak(now time.Time, lk *Lookup, do *Do) {
+	if lk.at != waiting {
+		return
+	}
+	if lk.step.What == facade.Send && lk.on != nil && lk.asked { // that stream's send is over: the next needs an ask of its own
+		do.say(lk.on, Again)
+		lk.on.its, lk.on, lk.asked = nil, nil, false
+	}
+	if lk.on == nil && lk.step.What == facade.Send {
+		lk.due = now.Add(d.terms.AgainIn)
+		return
+	}
+	s := lk.step
+	if s.What == facade.Send {
+		lk.at, lk.n = handed, s.N
+		do.Say = append(do.Say, Say{To: lk.on, What: Go, Send: s})
+		return
+	}
+	end := map[facade.What]What{facade.Satisfied: Accepted, facade.Nacked: Nack, facade.Failed: Fail, facade.Departed: Fail}[s.What]
+	lk.wait = time.Duration(s.RetryIn) * time.Microsecond
+	if lk.on != nil {
+		do.Say = append(do.Say, Say{To: lk.on, What: end, Wait: lk.wait})
+		lk.on.its, lk.on, lk.asked = nil, nil, false
+	}
+	d.finish(now, lk, end)
+}
+
+// Report is a caller's word how the send on a stream ended. What follows is said once the module has decided: that its answer
+// is the lookup's, that it is to ask again, or the end.
+func (d *Desk) Report(now time.Time, on *Stream, how logic.Ending, remark logic.Remark, waited logic.Micros) (do Do) {
+	lk := on.its
+	if lk == nil || lk.at != handed || lk.on != on {
+		d.Odd["report_of_nothing"]++
+		do.say(on, Disorder)
+		return do
+	}
+	if how == logic.Cancelled || how < logic.Satisfied || how > logic.Missed || remark < logic.Untold || remark > logic.OriginFailed {
+		d.Odd["report_unknown"]++ // it may have run
+		how, remark = logic.Errored, logic.Untold
+	}
+	lk.at, lk.asked = deciding, true // the module has the word; the stream waits for it
+	do.Tell = append(do.Tell, Tell{Of: lk, N: lk.n, How: how, Remark: remark, Waited: max(0, waited)})
+	return do
+}
+
+// End is the end of a stream, however it came.
+func (d *Desk) End(now time.Time, on *Stream) (do Do) {
+	lk := on.its
+	if lk == nil {
+		return do
+	}
+	on.its, lk.on, lk.asked = nil, nil, false
+	switch lk.at {
+	case handed: // it may have reached its cache
+		d.Odd["stream_ended_with_send"]++
+		lk.at = deciding
+		do.Tell = append(do.Tell, Tell{Of: lk, N: lk.n, How: logic.Reset})
+		lk.due = now.Add(d.terms.AgainIn)
+	case deciding, waiting: // nobody waits for a first word any more
+		d.leave(now, lk, &do)
+	}
+	return do
+}
+
+// leave gives a lookup up for its client.
+func (d *Desk) leave(now time.Time, lk *Lookup, do *Do) {
+	if lk.at == waiting && lk.step.What == facade.Send {
+		do.Tell = append(do.Tell, Tell{Of: lk, N: lk.step.N, How: logic.NeverSent})
+	}
+	do.Leave = append(do.Leave, lk)
+	d.finish(now, lk, Fail)
+}
+
+// finish ends a lookup here; it is remembered for a while.
+func (d *Desk) finish(now time.Time, lk *Lookup, end What) {
+	if lk.at == over {
+		return
+	}
+	d.drop(lk)
+	lk.at, lk.end = over, end
+	lk.due = now.Add(d.terms.Remember)
+	lk.place = d.ended.PushBack(lk)
+	for d.ended.Len() > d.terms.Lookups {
+		d.forget(d.ended.Front().Value.(*Lookup))
+	}
+}
+
+func (d *Desk) drop(lk *Lookup) {
+	d.open--
+	if d.each[lk.who]--; d.each[lk.who] <= 0 {
+		delete(d.each, lk.who)
+	}
+}
+
+func (d *Desk) forget(lk *Lookup) {
+	d.ended.Remove(lk.place)
+	delete(d.by, lk.Key)
+}
+
+// Tick brings the time: callers that were to come and did not are given up, sends whose lookup's time is over have timed out
+// without a report, what ended long ago is forgotten. It tells when to come next.
+func (d *Desk) Tick(now time.Time) (do Do, next time.Time) {
+	for e := d.ended.Front(); e != nil && !e.Value.(*Lookup).due.After(now); e = d.ended.Front() {
+		d.forget(e.Value.(*Lookup))
+	}
+	next = now.Add(time.Second)
+	var late []*Lookup
+	for _, lk := range d.by { // a bounded table; what is late goes in the order of its keys
+		switch {
+		case lk.at == over:
+		case lk.on == nil && !lk.due.IsZero() && !lk.due.After(now), lk.at == handed && !lk.until.After(now):
+			late = append(late, lk)
+		case lk.on == nil && !lk.due.IsZero() && lk.due.Before(next):
+			next = lk.due
+		case lk.at == handed && lk.until.Before(next):
+			next = lk.until
+		}
+	}
+	slices.SortFunc(late, func(a, b *Lookup) int { return cmp.Compare(a.Key, b.Key) })
+	for _, lk := range late {
+		if lk.at == handed { // its caller never reported
+			d.Odd["never_reported"]++
+			do.Tell = append(do.Tell, Tell{Of: lk, N: lk.n, How: logic.TimedOut})
+			lk.at = deciding
+			continue
+		}
+		d.Odd["never_asked_again"]++
+		d.leave(now, lk, &do)
+	}
+	return do, next
+}
