--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,7 +35,7 @@
 	leastOpen   = 2.0        // open sends, and fills, at one cache by all routers are not cut under this
 	coldAfter   = 3 * second // a parent out for longer may have started anew
 	coldRate    = 1.4        // of what a cold cache bears at least; the rule counts a multiple of it
-	stakePart   = 0.35       // of what it bears by the rule, for one lookup that the bucket is staked on
+	stakePart   = 0.35       // of what a parent bears by the rule, for one fill that the bucket is staked on
 	coldBurst   = 0.4        // of the rule's multiple above 1, at once
 	errorsMove  = 3          // so many plain errors of a cache in a row move lookups on, so many put it out:
 	errorsOut   = 10         // chance alone does not make them where one in four ends so everywhere
@@ -665,7 +665,7 @@
 		to.Zone == at.Zone && (k.Circle == SameZone || to.Cell == at.Cell))
 }
 
-// strike weighs one account: so many failures in a row put the cache out, a failed trial puts the next one off.
+// strike weighs one account: so many failures in a row put the cache out, a failed trial puts the next off.
 func (r *Router) strike(c *Cache, n, most int, why string) {
 	if c.out {
 		c.nextAt = r.now + trialEvery
@@ -738,10 +738,12 @@
 	if c.tokens < depth || c.tokens >= work {
 		return c.tokens >= work
 	}
-	// A full bucket too small for this lookup is staked on it, so that many routers together keep the mean; but not on one
-	// that a few routers with luck at once would push it over with.
+	// A full bucket too small for this lookup is staked on it, so that many routers together keep the mean; at a
+	// parent not on a fill that a few routers with luck at once would push it over with. An edge has no other in
+	// its place for what it holds, and its lookups are counted by their kind's mean.
 	bears := multiple * share * max(1, link) * float64(max(r.its.FallFor, 100*ms))
-	lucky := work < stakePart*bears && float64(r.chance.next())/(1<<32) < depth/work
+	lucky := float64(r.chance.next())/(1<<32) < depth/work &&
+		(c.Kind != r.its.ParentKind || work < stakePart*bears)
 	if c.tokens = 0; lucky {
 		c.tokens = work
 	}
