--- a/config/config.go
+++ b/config/config.go
@@ -8,12 +8,15 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/netip"
 	"path"
 	"reflect"
 	"slices"
 	"strings"
 
 	"github.com/google/go-jsonnet"
+
+	"foldslip/route"
 )
 
 const (
@@ -24,7 +27,19 @@
 
 // Settings are the operators' settings. What is absent is off or has the default that Read fills in.
 type Settings struct {
-	List *List `json:"list,omitempty"`
+	List              *List              `json:"list,omitempty"`
+	ExternalProcessor *ExternalProcessor `json:"external_processor,omitempty"`
+}
+
+// ExternalProcessor are the settings of the door for other proxies.
+type ExternalProcessor struct {
+	Listen     string       `json:"listen"`           // address and port of its own
+	Streams    int64        `json:"streams"`          // of one connection of a caller
+	Lookups    int64        `json:"lookups"`          // open at once
+	Each       int64        `json:"lookups_a_caller"` // of these
+	AgainMS    int64        `json:"again_within_ms"`  // a caller that is to ask again does so within
+	RememberMS int64        `json:"remember_ms"`      // an ended lookup's id is known for so long
+	Table      []route.Rule `json:"table"`            // what makes a lookup
 }
 
 // List are the settings of the list kept on disk.
@@ -145,6 +160,14 @@
 	for t.Kind() == reflect.Pointer {
 		t = t.Elem()
 	}
+	if rows, ok := tree.([]any); ok && t.Kind() == reflect.Slice {
+		for i, row := range rows {
+			if err := known(file, fmt.Sprintf("%s[%d]", at, i), row, t.Elem()); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
 	object, ok := tree.(map[string]any)
 	if t.Kind() != reflect.Struct {
 		return nil
@@ -181,6 +204,28 @@
 
 // check fills in defaults and tells the first value that cannot be.
 func (s *Settings) check(file string) error {
+	if x := s.ExternalProcessor; x != nil {
+		for _, n := range []struct {
+			name        string
+			to          *int64
+			usual, most int64
+		}{{"streams", &x.Streams, 256, 100_000}, {"lookups", &x.Lookups, 256, 100_000}, {"lookups_a_caller", &x.Each, 128, 100_000},
+			{"again_within_ms", &x.AgainMS, 300, 60_000}, {"remember_ms", &x.RememberMS, 5000, 600_000}} {
+			if *n.to == 0 {
+				*n.to = n.usual
+			}
+			if *n.to < 1 || *n.to > n.most {
+				return Fault{file, "external_processor." + n.name, fmt.Sprintf("is %d", *n.to), fmt.Sprintf("expected 1 to %d", n.most)}
+			}
+		}
+		if _, err := netip.ParseAddrPort(x.Listen); err != nil {
+			return Fault{file, "external_processor.listen", fmt.Sprintf("%q", x.Listen), "expected an address and a port, as 127.0.0.1:18200"}
+		}
+		var rule route.RuleFault
+		if _, err := route.Compile(x.Table, nil); errors.As(err, &rule) && rule.Field != "kind" { // kinds are the platform's to tell
+			return Fault{file, fmt.Sprintf("external_processor.table[%d].%s", rule.Rule, rule.Field), rule.Text, rule.Remedy}
+		}
+	}
 	if l := s.List; l != nil {
 		if l.Bytes == 0 {
 			l.Bytes = 8 << 20
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -67,3 +67,24 @@
 		t.Errorf("%+v, %v", s, err)
 	}
 }
+
+func TestExternalProcessor(t *testing.T) {
+	const good = `{ external_processor: { listen: '127.0.0.1:18200', table: [{ path: '/m/{o}', kind: 'page', object: 'path:o', id: 'header:i' }] } }`
+	s, err := Read("f", reader(map[string]string{"f": good}))
+	if err != nil || s.ExternalProcessor.Lookups != 256 || len(s.ExternalProcessor.Table) != 1 {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	for _, story := range []struct{ name, from, to, path string }{
+		{"a name in the table spelt wrong", "id:", "ids:", "external_processor.table[0].ids"},
+		{"a rule that cannot be used", "path:o", "path:x", "external_processor.table[0].object"},
+		{"no address", "127.0.0.1:18200", "here", "external_processor.listen"},
+		{"a count past its bound", "listen:", "lookups: 1e7, listen:", "external_processor.lookups"},
+	} {
+		t.Run(story.name, func(t *testing.T) {
+			var fault Fault
+			if _, err := Read("f", reader(map[string]string{"f": strings.Replace(good, story.from, story.to, 1)})); !errors.As(err, &fault) || fault.Path != story.path {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/service/service.go
+++ b/service/service.go
@@ -129,10 +129,31 @@
 	return l
 }
 
-// Watch is what may look on; both may be nil.
+// Watch is what may look on, and what further doors there are; all may be nil.
 type Watch struct {
 	Up      func(*Gateway)
 	Between facade.Between
+	Doors   func(Inside) ([]Door, error)
+}
+
+// Inside is what a door stands before.
+type Inside struct {
+	Ground clock.Ground
+	Terms  *charter.Terms
+	Router *facade.Facade
+	Caches *memory.Caches
+	Room   *memory.Room
+	Own    *config.Settings
+}
+
+// Door takes lookups beside the users' door.
+type Door interface {
+	// Run serves until life ends.
+	Run(life *clock.Life) error
+	// Drain takes no more callers; what is open goes on. It does not wait.
+	Drain()
+	// Wait waits for what is open to end.
+	Wait()
 }
 
 // Run runs a gateway on its ground until it is told to stop; every lookup taken by then is answered.
@@ -193,7 +214,14 @@
 		bytes = int64(s.Limits.MemoryMB * bodiesPart * (1 << 20))
 	}
 	links := wire.NewLinks(g, life, terms, router, caches, purges)
-	front := wire.NewFront(g, terms, router, links, memory.NewRoom(lookups, bytes), most)
+	room := memory.NewRoom(lookups, bytes)
+	front := wire.NewFront(g, terms, router, links, room, most)
+	var doors []Door
+	if watch.Doors != nil {
+		if doors, err = watch.Doors(Inside{g, terms, router, caches, room, own}); err != nil {
+			return err
+		}
+	}
 	g.Log().Info("started", "name", s.Name, "listen", s.Listen, "bulletin", s.Bulletin, "last", bulletin.Last)
 
 	group := g.Group()
@@ -210,6 +238,9 @@
 	start("tick", func() error { return tick(g, life, router) })
 	start("reread", func() error { return reread(g, life, told, s, bulletin) })
 	start("accept", func() error { return front.Accept(life, listener) })
+	for _, d := range doors {
+		start("door", func() error { return d.Run(life) })
+	}
 	if members != nil {
 		start("list", func() error { return list.Run(life) })
 		start("members", func() error { return members.Run(life) })
@@ -228,7 +259,7 @@
 		if !told.stop(life) {
 			return errors.New("a part of the gateway ended")
 		}
-		return drain(g, terms, router, front, listener)
+		return drain(g, terms, router, front, doors, listener)
 	})
 	err = group.Wait()
 	links.Wait()
@@ -300,7 +331,8 @@
 }
 
 // drain stops the gateway as the platform stops it.
-func drain(g clock.Ground, terms *charter.Terms, router *facade.Facade, front *wire.Front, listener net.Listener) error {
+func drain(g clock.Ground, terms *charter.Terms, router *facade.Facade, front *wire.Front, doors []Door,
+	listener net.Listener) error {
 	kill := leastKill
 	for _, k := range terms.Router.Kinds {
 		kill = max(kill, time.Duration(k.GiveUp)*time.Microsecond)
@@ -311,9 +343,15 @@
 	g.Bell().Wait(acceptOn)
 	listener.Close()
 	front.Drain()
+	for _, d := range doors {
+		d.Drain()
+	}
 	done, waiting := g.Bell(), g.Group()
 	waiting.Go("drained", func() error {
 		front.Wait()
+		for _, d := range doors {
+			d.Wait()
+		}
 		done.Ring()
 		return nil
 	})
