--- a/door/extproc/serve_test.go
+++ b/door/extproc/serve_test.go
@@ -67,8 +67,8 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	check := func() healthv1.HealthCheckResponse_ServingStatus {
-		ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+	check := func(within time.Duration) healthv1.HealthCheckResponse_ServingStatus {
+		ctx, stop := context.WithTimeout(context.Background(), within)
 		defer stop()
 		r, err := healthv1.NewHealthClient(conn).Check(ctx, &healthv1.HealthCheckRequest{}, grpc.WaitForReady(true))
 		if err != nil {
@@ -76,7 +76,7 @@
 		}
 		return r.Status
 	}
-	if got := check(); got != healthv1.HealthCheckResponse_SERVING {
+	if got := check(5 * time.Second); got != healthv1.HealthCheckResponse_SERVING {
 		t.Fatal(got, log.String())
 	}
 	p := &place{t: t, client: extprocv3.NewExternalProcessorClient(conn)}
@@ -90,7 +90,7 @@
 		t.Errorf("the lookup that was taken before: %+v", got)
 	}
 	c.stream.CloseSend()
-	if got := check(); got == healthv1.HealthCheckResponse_SERVING {
+	if got := check(200 * time.Millisecond); got == healthv1.HealthCheckResponse_SERVING {
 		t.Error("it says that it serves")
 	}
 	select {
