Waits of the service's stories are bounded: one that waits in vain names itself

Cause: a run hung for 600 s in a story that waits without an end, so that its name was lost; which one it was is still not known. Change: what a stand-in must bring is waited for at most 10 s, a ping's answer 1 s.

--- a/service/gateway_test.go
+++ b/service/gateway_test.go
@@ -133,6 +133,7 @@
 			return false
 		}
 		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(time.Second))
 		io.WriteString(conn, "GET /ping HTTP/1.1\r\nHost: x\r\n\r\n")
 		got, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		return err == nil && got.StatusCode == 200
@@ -303,7 +304,7 @@
 		s := begin(t, func(_ int, d standin.Do) { came <- d })
 		c := s.dial()
 		io.WriteString(c, s.lookup("segment", "o"))
-		d := <-came
+		d := soon(t, came)
 		c.Close()
 		select {
 		case id := <-s.edges[0].Undone:
@@ -317,7 +318,7 @@
 		io.WriteString(d.On, "")
 		c = s.dial()
 		io.WriteString(c, s.lookup("segment", "o"))
-		next := <-came
+		next := soon(t, came)
 		if next.Hit(time.Now(), "hit", "ok"); next.On != d.On {
 			t.Error("the late answer ended the connection")
 		}
@@ -341,7 +342,7 @@
 			map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 0.125, "sockets": 6}}) // one lookup
 		first := s.dial()
 		io.WriteString(first, s.lookup("segment", "o"))
-		d := <-came
+		d := soon(t, came)
 		second := s.dial()
 		for range 2 {
 			io.WriteString(second, s.lookup("segment", "o"))
@@ -353,7 +354,7 @@
 			t.Errorf("got %q", body)
 		}
 		io.WriteString(second, s.lookup("segment", "o"))
-		(<-came).Hit(time.Now(), "hit", "second")
+		soon(t, came).Hit(time.Now(), "hit", "second")
 		if _, body := second.answer(t); body != "second" {
 			t.Errorf("got %q", body)
 		}
@@ -363,7 +364,7 @@
 		s := begin(t, func(_ int, d standin.Do) { came <- d }, map[string]any{"limits": map[string]any{"sockets": 2}})
 		c := s.dial()
 		io.WriteString(c, s.lookup("segment", "o"))
-		d := <-came
+		d := soon(t, came)
 		got, _ := s.ask("segment", "o")
 		if s.expect(503, got); !got.Close {
 			t.Error("left open")
@@ -504,7 +505,7 @@
 		a, b := s.dial(), s.dial()
 		io.WriteString(a, s.lookup("segment", "o"))
 		io.WriteString(b, s.lookup("segment", "o"))
-		first, second := <-came, <-came
+		first, second := soon(t, came), soon(t, came)
 		for range 2 { // whichever of the two it is
 			first.On.Say("0123456789abcdef HIT - 2\r\nno\r\n")
 			first.Hit(time.Now(), "hit", "ok")
@@ -516,7 +517,7 @@
 			}
 		}
 		io.WriteString(a, s.lookup("segment", "o"))
-		if next := <-came; next.On != first.On || second.On != first.On {
+		if next := soon(t, came); next.On != first.On || second.On != first.On {
 			t.Error("the connection was given up")
 		}
 	})
@@ -555,9 +556,9 @@
 		s := begin(t, func(_ int, d standin.Do) { came <- d })
 		got, _ := s.ask("segment", "o", "X-Allow-Ms: 500\r\n")
 		s.expect(503, got)
-		first, c := <-came, s.dial()
+		first, c := soon(t, came), s.dial()
 		io.WriteString(c, s.lookup("segment", "o"))
-		next := <-came
+		next := soon(t, came)
 		if next.Hit(time.Now(), "hit", "ok"); next.On == first.On || next.On.LocalAddr().String() != first.On.LocalAddr().String() {
 			t.Error("sent on the silent connection, or to another cache")
 		}
@@ -687,7 +688,7 @@
 		s := begin(t, func(_ int, d standin.Do) { came <- d })
 		c := s.dial()
 		io.WriteString(c, s.lookup("segment", "before"))
-		d := <-came
+		d := soon(t, came)
 		s.bulletin.Tell(`{"recall":{"item":"x","issued":1764576000123}}`)
 		next := must(standin.NewBulletin("127.0.0.1:0", 1))
 		next.Tell(`{"recall":{"item":"x","issued":1764576000123}}`)
@@ -722,7 +723,7 @@
 		}
 		for i := range 8 {
 			io.WriteString(c, s.lookup("segment", fmt.Sprint("o", i)))
-			d := <-came
+			d := soon(t, came)
 			if d.Hit(time.Now(), "hit", ""); d.On.LocalAddr().String() == s.edges[0].Addr {
 				t.Error("a send to a cache that the new bulletin told draining")
 			}
@@ -737,12 +738,12 @@
 		s := begin(t, func(_ int, d standin.Do) { came <- d })
 		early, idle := s.dial(), s.dial()
 		io.WriteString(early, s.lookup("segment", "early"))
-		first := <-came
+		first := soon(t, came)
 		s.cmd.Process.Signal(syscall.SIGTERM)
 		s.until("word of stopping", func() bool { return strings.Contains(s.out.String(), "event=stopping") })
 		late := s.dial()
 		io.WriteString(late, s.lookup("segment", "late"))
-		second := <-came
+		second := soon(t, came)
 		time.Sleep(time.Second)
 		second.Hit(time.Now(), "hit", "late")
 		first.Hit(time.Now(), "hit", "early")
@@ -782,3 +783,14 @@
 		}
 	})
 }
+
+// soon takes what must come; a story that waits in vain says so and does not hang the whole run.
+func soon[T any](t *testing.T, from chan T) (got T) {
+	t.Helper()
+	select {
+	case got = <-from:
+	case <-time.After(10 * time.Second):
+		t.Fatal("waited in vain")
+	}
+	return got
+}
