Tests listen at loopback addresses of their own: a port asked for and given back was taken

Change: each stage has a loopback address of its own (from the process and a counter) and a port below those that connections are given by chance.

--- a/service/gateway_test.go
+++ b/service/gateway_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -141,10 +142,19 @@
 	return s
 }
 
+var addrs atomic.Uint32
+
+// freeAddr is an address that nothing else takes meanwhile: a loopback address of this stage's own, with a port below those
+// that connections are given by chance.
 func freeAddr() string {
-	l := must(net.Listen("tcp", "127.0.0.1:0"))
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		n, pid := addrs.Add(1), os.Getpid()
+		at := fmt.Sprintf("127.%d.%d.%d:10080", 1+pid>>8%250, pid%256, 1+n%250)
+		if l, err := net.Listen("tcp", at); err == nil {
+			l.Close()
+			return at
+		}
+	}
 }
 
 // config writes the example's configuration with the stage's parties, and changes to its top level.
