Room for lookups is shared out: max-min by weight among direct clients and callers

One counter served whoever came first. Change: memory.Shares, pure: what each holder wanted of late is filled up evenly by weight; one alone has all of it, so a gateway without a door is as before.

--- a/memory/memory.go
+++ b/memory/memory.go
@@ -184,30 +184,53 @@
 	return issued, told
 }
 
-// Room bounds the lookups open at once, and the bytes of answers held for them.
+// Room bounds the lookups open at once, shared out among those who hold them, and the bytes of answers held for them.
 type Room struct {
-	places chan struct{}
+	Clock  clock.Ground
+	mu     sync.Mutex // of shares
+	shares *Shares
 	most   int64
 	held   atomic.Int64
 }
 
+// Places is one holder's way into the room.
+type Places struct {
+	room *Room
+	its  *Holder
+}
+
 // NewRoom makes room for so many lookups and so many bytes.
-func NewRoom(lookups int, bytes int64) *Room {
-	return &Room{places: make(chan struct{}, lookups), most: bytes}
+func NewRoom(g clock.Ground, lookups int, bytes int64) *Room {
+	return &Room{Clock: g, shares: NewShares(lookups), most: bytes}
 }
 
-// Enter takes a place, if there is one.
-func (r *Room) Enter() bool {
-	select {
-	case r.places <- struct{}{}:
-		return true
-	default:
-		return false
-	}
+// For gives a holder its way in, by name; the first to ask is never forgotten.
+func (r *Room) For(name string, weight float64) *Places {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return &Places{r, r.shares.Holder(r.Clock.Now(), name, weight)}
+}
+
+// Enter takes a place, if there is one for this holder.
+func (p *Places) Enter() bool {
+	p.room.mu.Lock()
+	defer p.room.mu.Unlock()
+	return p.room.shares.Enter(p.room.Clock.Now(), p.its)
 }
 
 // Leave gives a place back.
-func (r *Room) Leave() { <-r.places }
+func (p *Places) Leave() {
+	p.room.mu.Lock()
+	defer p.room.mu.Unlock()
+	p.room.shares.Leave(p.room.Clock.Now(), p.its)
+}
+
+// Open is how many places are taken in all.
+func (r *Room) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.shares.Open()
+}
 
 // Hold takes room for an answer, if there is any.
 func (r *Room) Hold(bytes int) bool {
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"log/slog"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -123,11 +124,12 @@
 }
 
 func TestRoom(t *testing.T) {
-	r := NewRoom(1, 100)
-	if !r.Enter() || r.Enter() {
+	r := NewRoom(clock.NewSystem(io.Discard, slog.LevelInfo), 1, 100)
+	in := r.For("clients", 1)
+	if !in.Enter() || in.Enter() {
 		t.Error("one place, but not one entered")
 	}
-	if r.Leave(); !r.Enter() {
+	if in.Leave(); !in.Enter() {
 		t.Error("no place after one left")
 	}
 	if !r.Hold(60) || r.Hold(60) || !r.Hold(40) {
--- a/service/service.go
+++ b/service/service.go
@@ -142,6 +142,7 @@
 	Terms  *charter.Terms
 	Router *facade.Facade
 	Caches *memory.Caches
+	Purges *memory.Purges
 	Room   *memory.Room
 	Own    *config.Settings
 }
@@ -150,6 +151,8 @@
 type Door interface {
 	// Run serves until life ends.
 	Run(life *clock.Life) error
+	// Prepare reads the operators' settings anew; what it returns puts them in place. It changes nothing by itself.
+	Prepare(own *config.Settings) (func(), error)
 	// Drain takes no more callers; what is open goes on. It does not wait.
 	Drain()
 	// Wait waits for what is open to end.
@@ -214,11 +217,11 @@
 		bytes = int64(s.Limits.MemoryMB * bodiesPart * (1 << 20))
 	}
 	links := wire.NewLinks(g, life, terms, router, caches, purges)
-	room := memory.NewRoom(lookups, bytes)
+	room := memory.NewRoom(g, lookups, bytes)
 	front := wire.NewFront(g, terms, router, links, room, most)
 	var doors []Door
 	if watch.Doors != nil {
-		if doors, err = watch.Doors(Inside{g, terms, router, caches, room, own}); err != nil {
+		if doors, err = watch.Doors(Inside{g, terms, router, caches, purges, room, own}); err != nil {
 			return err
 		}
 	}
@@ -236,7 +239,7 @@
 	}
 	start("bulletin", func() error { return bulletin.Follow(life) })
 	start("tick", func() error { return tick(g, life, router) })
-	start("reread", func() error { return reread(g, life, told, s, bulletin) })
+	start("reread", func() error { return reread(g, life, told, s, bulletin, doors) })
 	start("accept", func() error { return front.Accept(life, listener) })
 	for _, d := range doors {
 		start("door", func() error { return d.Run(life) })
@@ -310,7 +313,7 @@
 
 // reread reads the configuration anew at each SIGHUP. The bulletin moves at once and nothing else is touched; what
 // is told of the rest counts from the next start. A file that cannot be used leaves all as it is.
-func reread(g clock.Ground, life *clock.Life, told *orders, was *start, bulletin *wire.Bulletin) error {
+func reread(g clock.Ground, life *clock.Life, told *orders, was *start, bulletin *wire.Bulletin, doors []Door) error {
 	defer life.OnEnd(told.rereading.Ring)()
 	for {
 		if !told.reread() {
@@ -319,7 +322,13 @@
 			}
 			continue
 		}
-		now, _, _, _, err := readAll(g)
+		now, _, _, own, err := readAll(g)
+		var changes []func()
+		for i := 0; i < len(doors) && err == nil; i++ { // all or none
+			var change func()
+			change, err = doors[i].Prepare(own)
+			changes = append(changes, change)
+		}
 		if err != nil {
 			g.Log().Warn("reread_failed", "text", err.Error())
 			continue
@@ -327,6 +336,9 @@
 		rest := now.Limits != was.Limits || now.Listen != was.Listen || !bytes.Equal(now.Settings, was.Settings)
 		g.Log().Info("reread", "bulletin", now.Bulletin, "restart_wanted", rest)
 		bulletin.Move(now.Bulletin)
+		for _, change := range changes {
+			change()
+		}
 	}
 }
 
--- a/wire/front.go
+++ b/wire/front.go
@@ -38,7 +38,8 @@
 	router   *facade.Facade
 	links    *Links
 	room     *memory.Room
-	most     int // connections
+	places   *memory.Places // in it, of direct clients
+	most     int            // connections
 	kinds    map[string]int
 	mu       sync.Mutex
 	clients  map[*client]bool
@@ -51,7 +52,7 @@
 
 // NewFront makes a front that takes so many connections at most.
 func NewFront(g clock.Ground, terms *charter.Terms, router *facade.Facade, links *Links, room *memory.Room, most int) *Front {
-	f := &Front{g: g, terms: terms, router: router, links: links, room: room, most: most, kinds: map[string]int{},
+	f := &Front{g: g, terms: terms, router: router, links: links, room: room, places: room.For("clients", 1), most: most, kinds: map[string]int{},
 		clients: map[*client]bool{}, group: g.Group(), accepted: g.Bell()}
 	for i, k := range terms.Kinds {
 		f.kinds[k] = i
@@ -392,12 +393,12 @@
 	case status != 0:
 	case req.Allow <= 0:
 		status, text = 503, "no time left"
-	case !f.room.Enter():
+	case !f.places.Enter():
 		status, text = 503, "too many lookups"
 	default:
 		o.lk = f.router.Take(req.ID, kind, req.Object, req.Part, req.Group, req.KB, came.Add(req.Allow))
 		if o.lk == nil {
-			f.room.Leave()
+			f.places.Leave()
 			status, text = 409, "this lookup is open already"
 		}
 	}
@@ -417,7 +418,7 @@
 	f.group.Go("lookup", func() error {
 		c.answer(o)
 		o.close()
-		f.room.Leave()
+		f.places.Leave()
 		c.done.Ring()
 		return nil
 	})
