--- a/config/config.go
+++ b/config/config.go
@@ -33,13 +33,26 @@
 
 // ExternalProcessor are the settings of the door for other proxies.
 type ExternalProcessor struct {
-	Listen     string       `json:"listen"`           // address and port of its own
-	Streams    int64        `json:"streams"`          // of one connection of a caller
-	Lookups    int64        `json:"lookups"`          // open at once
-	Each       int64        `json:"lookups_a_caller"` // of these
-	AgainMS    int64        `json:"again_within_ms"`  // a caller that is to ask again does so within
-	RememberMS int64        `json:"remember_ms"`      // an ended lookup's id is known for so long
-	Table      []route.Rule `json:"table"`            // what makes a lookup
+	Listen      string       `json:"listen"`            // address and port of its own, or unix:/path
+	TLS         *TLS         `json:"tls,omitempty"`     // none: on this machine only
+	Streams     int64        `json:"streams"`           // of one connection of a caller
+	StreamsEach int64        `json:"streams_a_caller"`  // on all its connections
+	Messages    float64      `json:"messages_a_second"` // of one caller; 0: any number
+	Bytes       float64      `json:"bytes_a_second"`    // of one caller's messages; 0: any number
+	SilentMS    int64        `json:"silent_ms"`         // a stream that says nothing for so long ends
+	Weight      float64      `json:"weight"`            // of a caller's part of the room, direct clients having 1
+	Lookups     int64        `json:"lookups"`           // open at once
+	Each        int64        `json:"lookups_a_caller"`  // of these
+	AgainMS     int64        `json:"again_within_ms"`   // a caller that is to ask again does so within
+	RememberMS  int64        `json:"remember_ms"`       // an ended lookup's id is known for so long
+	Table       []route.Rule `json:"table"`             // what makes a lookup
+}
+
+// TLS are the door's certificate and key, and whose certificates callers must show. Files are in PEM.
+type TLS struct {
+	Cert     string `json:"cert"`
+	Key      string `json:"key"`
+	ClientCA string `json:"client_ca,omitempty"` // none: callers are told apart by address only
 }
 
 // List are the settings of the list kept on disk.
@@ -202,6 +215,29 @@
 	return nil
 }
 
+// where checks where the door listens, and that only callers of this machine come without a certificate to show.
+func (x *ExternalProcessor) where(file string) error {
+	name, remedy := "external_processor.listen", "expected an address and a port, as 127.0.0.1:18200, or unix:/run/foldslip/door"
+	if socket, unix := strings.CutPrefix(x.Listen, "unix:"); unix {
+		if !path.IsAbs(socket) || len(socket) > 100 {
+			return Fault{file, name, fmt.Sprintf("%q", x.Listen), remedy}
+		}
+	} else if at, err := netip.ParseAddrPort(x.Listen); err != nil {
+		return Fault{file, name, fmt.Sprintf("%q", x.Listen), remedy}
+	} else if !at.Addr().IsLoopback() && (x.TLS == nil || x.TLS.ClientCA == "") {
+		return Fault{file, name, fmt.Sprintf("%s can be reached from other machines", x.Listen),
+			"set tls with client_ca, or listen on loopback or a Unix socket"}
+	}
+	if t := x.TLS; t != nil {
+		for _, f := range []struct{ name, path string }{{"cert", t.Cert}, {"key", t.Key}, {"client_ca", t.ClientCA}} {
+			if !path.IsAbs(f.path) && (f.path != "" || f.name != "client_ca") {
+				return Fault{file, "external_processor.tls." + f.name, fmt.Sprintf("%q", f.path), "name a file in PEM from the root"}
+			}
+		}
+	}
+	return nil
+}
+
 // check fills in defaults and tells the first value that cannot be.
 func (s *Settings) check(file string) error {
 	if x := s.ExternalProcessor; x != nil {
@@ -209,7 +245,7 @@
 			name        string
 			to          *int64
 			usual, most int64
-		}{{"streams", &x.Streams, 256, 100_000}, {"lookups", &x.Lookups, 256, 100_000}, {"lookups_a_caller", &x.Each, 128, 100_000},
+		}{{"streams", &x.Streams, 256, 100_000}, {"streams_a_caller", &x.StreamsEach, 1024, 100_000}, {"silent_ms", &x.SilentMS, 30_000, 3_600_000}, {"lookups", &x.Lookups, 256, 100_000}, {"lookups_a_caller", &x.Each, 128, 100_000},
 			{"again_within_ms", &x.AgainMS, 300, 60_000}, {"remember_ms", &x.RememberMS, 5000, 600_000}} {
 			if *n.to == 0 {
 				*n.to = n.usual
@@ -218,8 +254,17 @@
 				return Fault{file, "external_processor." + n.name, fmt.Sprintf("is %d", *n.to), fmt.Sprintf("expected 1 to %d", n.most)}
 			}
 		}
-		if _, err := netip.ParseAddrPort(x.Listen); err != nil {
-			return Fault{file, "external_processor.listen", fmt.Sprintf("%q", x.Listen), "expected an address and a port, as 127.0.0.1:18200"}
+		if err := x.where(file); err != nil {
+			return err
+		}
+		if x.Weight == 0 {
+			x.Weight = 1
+		}
+		if x.Weight < 0.01 || x.Weight > 100 {
+			return Fault{file, "external_processor.weight", fmt.Sprintf("is %g", x.Weight), "expected 0.01 to 100; direct clients have 1"}
+		}
+		if x.Messages < 0 || x.Bytes < 0 {
+			return Fault{file, "external_processor.messages_a_second", "or bytes_a_second is below 0", "0 allows any number"}
 		}
 		var rule route.RuleFault
 		if _, err := route.Compile(x.Table, nil); errors.As(err, &rule) && rule.Field != "kind" { // kinds are the platform's to tell
--- /dev/null
+++ b/door/door.go
@@ -0,0 +1,359 @@
+// Package door is what the doors for callers that make their sends themselves have in common: a proxy asks, for each lookup,
+// where it should go, sends it there, and tells how that ended. Messages of a stream come in and replies go out in plain
+// terms; how they stand on a wire is each door's own (door/extproc). What a lookup's sends may do is said by the desk
+// (package retry), which cache gets one by the module behind the facade; this package decides neither.
+//
+// A stream has two goroutines while it lives, one that receives and one that replies; a lookup has one, for the router's
+// steps. All stand on clock.Ground, so that the door plays on a virtual clock too. Bounds: Terms; a stream holds one message
+// and at most mostReplies replies, past which it is read no further.
+package door
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"foldslip/charter"
+	"foldslip/clock"
+	"foldslip/facade"
+	"foldslip/logic"
+	"foldslip/memory"
+	"foldslip/retry"
+	"foldslip/route"
+)
+
+// Prefix is that of headers that are this program's to set, on the way to caches and back.
+const Prefix = "x-foldslip-"
+
+// Terms are the bounds of a door.
+type Terms struct {
+	Desk     retry.Terms
+	Streams  int           // of one caller
+	Messages float64       // of one caller a second; 0: any number
+	Bytes    float64       // of one caller's messages a second; 0: any number
+	Silent   time.Duration // a stream on which a message is due and that says nothing for so long ends
+	Weight   float64       // of a caller's part of the room, direct clients having 1
+}
+
+// Door is the service behind one listener. It lives as long as the gateway.
+type Door struct {
+	g       clock.Ground
+	terms   Terms
+	its     *charter.Terms
+	router  *facade.Facade
+	caches  *memory.Caches
+	purges  *memory.Purges
+	room    *memory.Room
+	mu      sync.Mutex // of what follows; held over one call of the facade only, Take, which waits for nothing
+	table   *route.Table
+	desk    *retry.Desk
+	callers map[string]*caller
+	odd     map[string]int // what callers did against the contract, beside what the desk saw
+	group   clock.Group
+	trace   Tracer
+}
+
+// caller is one that has streams open, or had lately.
+type caller struct {
+	name     string
+	streams  int
+	messages *rate.Limiter
+	bytes    *rate.Limiter
+	gone     time.Time // since when it has no stream
+}
+
+const (
+	mostCallers = 1024 // remembered at once
+	callerKept  = time.Minute
+	mostReplies = 8
+	pace        = 50 * time.Millisecond
+)
+
+// New makes a door behind a table. purges may be nil.
+func New(g clock.Ground, its *charter.Terms, router *facade.Facade, caches *memory.Caches, purges *memory.Purges, room *memory.Room,
+	table *route.Table, terms Terms) *Door {
+	if terms.Weight <= 0 {
+		terms.Weight = 1
+	}
+	return &Door{g: g, terms: terms, its: its, router: router, caches: caches, purges: purges, room: room, table: table,
+		desk: retry.New(terms.Desk), callers: map[string]*caller{}, odd: map[string]int{}, group: g.Group(), trace: noTracer{}}
+}
+
+// Swap puts another table in place for the lookups to come; those open keep what they were read as.
+func (d *Door) Swap(table *route.Table) {
+	d.mu.Lock()
+	d.table = table
+	d.mu.Unlock()
+}
+
+// Open is how many lookups are open.
+func (d *Door) Open() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.desk.Open()
+}
+
+// Odd counts what callers did against the contract.
+func (d *Door) Odd() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	odd := maps.Clone(d.odd)
+	for k, n := range d.desk.Odd {
+		odd[k] += n
+	}
+	return odd
+}
+
+// Handed is how many sends are at their callers.
+func (d *Door) Handed() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.desk.Handed()
+}
+
+// Run brings the desk its time until life ends, and then waits for what goes on.
+func (d *Door) Run(life *clock.Life) error {
+	end := d.g.Bell()
+	defer life.OnEnd(end.Ring)()
+	for wait := time.Duration(0); !end.Wait(wait); {
+		d.mu.Lock()
+		now := d.g.Now()
+		do, next := d.desk.Tick(now)
+		d.mu.Unlock()
+		d.apply(do)
+		wait = min(pace, max(time.Millisecond, next.Sub(now)))
+	}
+	return d.group.Wait()
+}
+
+// apply carries out what the desk wants, without its lock.
+func (d *Door) apply(do retry.Do) {
+	for _, t := range do.Tell {
+		d.trace.Ended(t.Of, t)
+		d.router.Report(t.Of.Lk, t.N, t.How, t.Remark, t.Waited)
+	}
+	for _, lk := range do.Leave {
+		d.router.Leave(lk.Lk)
+	}
+	for _, say := range do.Say {
+		say.To.Said.(*stream).hear(say)
+	}
+}
+
+// caller finds or makes a caller and takes one more stream of it; nil where it has all that it may.
+func (d *Door) enter(name string) *caller {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.g.Now()
+	c := d.callers[name]
+	if c == nil {
+		if len(d.callers) >= mostCallers {
+			for _, n := range slices.Sorted(maps.Keys(d.callers)) {
+				if o := d.callers[n]; o.streams == 0 && now.Sub(o.gone) > callerKept {
+					delete(d.callers, n)
+				}
+			}
+		}
+		if len(d.callers) >= mostCallers {
+			d.odd["callers_full"]++
+			return nil
+		}
+		c = &caller{name: name, messages: limiter(d.terms.Messages), bytes: limiter(d.terms.Bytes)}
+		d.callers[name] = c
+	}
+	if d.terms.Streams > 0 && c.streams >= d.terms.Streams {
+		d.odd["streams_full"]++
+		return nil
+	}
+	c.streams++
+	return c
+}
+
+// limiter allows a second's worth at once.
+func limiter(a float64) *rate.Limiter {
+	if a <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(a), max(1, int(a)))
+}
+
+func (d *Door) leave(c *caller) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.streams--; c.streams == 0 {
+		c.gone = d.g.Now()
+	}
+}
+
+// spend takes a message of a caller from what it may send; a reason where it is past that.
+func (d *Door) spend(c *caller, size int) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.g.Now()
+	if c.messages != nil && !c.messages.AllowN(now, 1) {
+		d.odd["messages_past_rate"]++
+		return "messages_past_rate"
+	}
+	if c.bytes != nil && !c.bytes.AllowN(now, min(size, c.bytes.Burst())) {
+		d.odd["bytes_past_rate"]++
+		return "bytes_past_rate"
+	}
+	return ""
+}
+
+// ask takes the headers of a request: a reply at once, or none where the module is to be waited for.
+func (d *Door) ask(st *stream, m Message) (Reply, bool) {
+	came := d.g.Now()
+	d.mu.Lock()
+	table := d.table
+	d.mu.Unlock()
+	a, err := table.Lookup(m.Method, m.Path, m.Get)
+	var fault *route.Fault
+	if errors.As(err, &fault) {
+		return final(fault.Status, fault.Text), true
+	}
+	if most := time.Duration(d.its.Router.Kinds[a.Kind].GiveUp) * time.Microsecond; a.Allow < 0 || a.Allow > most {
+		a.Allow = most
+	}
+	until := came.Add(a.Allow)
+	d.mu.Lock()
+	if a.Allow <= 0 && !d.desk.Knows(&st.on, a.ID) { // one that is known hears of its end, however late it is asked for
+		d.mu.Unlock()
+		return final(503, "no time left"), true
+	}
+	lk, do := d.desk.Ask(came, &st.on, a.ID, until)
+	if lk == nil { // known already, or refused by the desk
+		d.mu.Unlock()
+		d.apply(do)
+		return Reply{}, false
+	}
+	places := d.room.For(st.caller.name, d.terms.Weight)
+	if !places.Enter() {
+		d.desk.Refused(lk)
+		d.mu.Unlock()
+		return d.full(), true
+	}
+	lk.Lk = d.router.Take(a.ID, a.Kind, a.Object, a.Part, a.Group, a.KB, until)
+	if lk.Lk == nil {
+		d.desk.Refused(lk)
+		d.mu.Unlock()
+		places.Leave()
+		return final(409, "this lookup is open already"), true
+	}
+	lk.Object, lk.Group, lk.Tag, lk.Asked = a.Object, a.Group, a.Tag, &a
+	d.trace.Began(lk, m.Get)
+	d.mu.Unlock()
+	d.group.Go("steps", func() error {
+		d.steps(lk)
+		places.Leave()
+		return nil
+	})
+	return Reply{}, false
+}
+
+// full is the answer to a lookup that there is no room for.
+func (d *Door) full() Reply {
+	r := final(503, "too many lookups")
+	if most := d.its.Router.MaxRetryIn; most > 0 {
+		r.Wait = time.Duration(most) * time.Microsecond
+	}
+	return r
+}
+
+// steps brings a lookup's steps to the desk, up to its end.
+func (d *Door) steps(lk *retry.Lookup) {
+	for {
+		step := d.router.Pick(lk.Lk)
+		d.mu.Lock()
+		do := d.desk.Step(d.g.Now(), lk, step)
+		d.mu.Unlock()
+		d.trace.Decided(lk, step)
+		d.apply(do)
+		if step.What != facade.Send && step.What != facade.Cancel {
+			return
+		}
+	}
+}
+
+// report takes the headers of a response. What is no use to the lookup counts for the module as at the users' door: an
+// answer older than a purge that was told past its grace as never sent, word of another copy than the client's as an error.
+func (d *Door) report(st *stream, m Message) {
+	r := readReport(m.Get)
+	d.mu.Lock()
+	lk := d.desk.Of(&st.on)
+	if lk != nil && r.how == logic.Satisfied {
+		if r.same && (r.tag != lk.Tag || lk.Tag == "") {
+			d.odd["valid_for_another_copy"]++
+			r.how = logic.Errored
+		}
+		if d.purges != nil {
+			issued, told := d.purges.Heeded(lk.Object, lk.Group)
+			switch {
+			case issued.IsZero():
+			case r.born.IsZero():
+				d.odd["birth_untold"]++ // with a purge about, an answer of no known age is not passed on
+				r.how, r.remark = logic.NeverSent, logic.Untold
+			case r.born.Before(issued):
+				now := d.g.Now()
+				d.g.Log().Warn("outdated_copy", "caller", st.caller.name, "older_ms", issued.Sub(r.born).Milliseconds(), "told_ms_ago",
+					now.Sub(told).Milliseconds())
+				r.how, r.remark = logic.NeverSent, logic.Untold
+			}
+		}
+	}
+	do := d.desk.Report(d.g.Now(), &st.on, r.how, r.remark, r.waited)
+	d.mu.Unlock()
+	d.apply(do)
+}
+
+// reply puts what is said into plain terms.
+func (d *Door) reply(say retry.Say) Reply {
+	switch say.What {
+	case retry.Go:
+		return d.decision(say.Send)
+	case retry.Accepted:
+		return Reply{}
+	case retry.Again:
+		r := final(503, "ask again")
+		r.Fields = []Field{{Prefix + "again", "1"}}
+		return r
+	case retry.Nack:
+		r := final(503, "nacked")
+		r.Wait = say.Wait
+		return r
+	case retry.Fail:
+		return final(502, "failed")
+	case retry.Twice:
+		return final(409, "this lookup is open already")
+	case retry.Known:
+		return final(409, "this lookup has been answered")
+	case retry.Full:
+		return d.full()
+	}
+	return Reply{Ends: Disorder}
+}
+
+// decision tells the caller what to send where.
+func (d *Door) decision(s facade.Step) Reply {
+	addr := ""
+	if c := d.caches.Find(s.To.Name); c != nil {
+		addr = c.Addr
+	}
+	return Reply{Send: decision(s, addr)}
+}
+
+// LogOdd is one line of what callers did against the contract, in one order.
+func (d *Door) LogOdd() string {
+	odd := d.Odd()
+	var b strings.Builder
+	for _, k := range slices.Sorted(maps.Keys(odd)) {
+		fmt.Fprintf(&b, "%s:%d,", k, odd[k])
+	}
+	return strings.TrimSuffix(b.String(), ",")
+}
--- a/door/extproc/serve.go
+++ b/door/extproc/serve.go
@@ -1,17 +1,23 @@
 package extproc
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
+	"os"
+	"strings"
 	"time"
 
 	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/health"
 	healthv1 "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/keepalive"
 
 	"foldslip/clock"
+	"foldslip/config"
+	"foldslip/door"
 	"foldslip/retry"
 	"foldslip/route"
 	"foldslip/service"
@@ -21,15 +27,21 @@
 	waitAgain   = 10 * time.Millisecond
 	idleCaller  = 5 * time.Minute
 	probeCaller = 20 * time.Second // a caller that says nothing is asked whether it is there
+	handshakeIn = 2 * time.Second
+	socketMode  = 0o660 // of a Unix socket: its owner and group may call
+	oddEvery    = 10 * time.Second
 )
 
-// Door is the service with its listener.
-type Door struct {
-	*Server
+// Listener is the service with where it listens.
+type Listener struct {
+	Server
 	g        clock.Ground
+	at       string
 	listener net.Listener
 	grpc     *grpc.Server
 	health   *health.Server
+	keys     *Keys
+	kinds    []string
 }
 
 // Doors opens the door that the operators' settings name, if they name one.
@@ -38,49 +50,147 @@
 	if x == nil {
 		return nil, nil
 	}
-	table, err := route.Compile(x.Table, in.Terms.Kinds)
+	l, err := Listen(in, x)
 	if err != nil {
 		return nil, err
 	}
-	at, err := in.Ground.Listen(x.Listen)
+	return []service.Door{l}, nil
+}
+
+// Listen opens the door as told.
+func Listen(in service.Inside, x *config.ExternalProcessor) (*Listener, error) {
+	table, err := route.Compile(x.Table, in.Terms.Kinds)
 	if err != nil {
 		return nil, err
 	}
+	l := &Listener{g: in.Ground, at: x.Listen, health: health.NewServer(), kinds: in.Terms.Kinds}
+	opts := []grpc.ServerOption{grpc.MaxRecvMsgSize(MostMessage), grpc.MaxConcurrentStreams(uint32(x.Streams)),
+		grpc.MaxHeaderListSize(MostMessage), grpc.ConnectionTimeout(handshakeIn), grpc.WaitForHandlers(true),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idleCaller, Time: probeCaller, Timeout: probeCaller})}
+	if x.TLS != nil {
+		if l.keys, err = ReadKeys(x.TLS); err != nil {
+			return nil, err
+		}
+		opts = append(opts, grpc.Creds(credentials.NewTLS(&tls.Config{MinVersion: tls.VersionTLS13, GetConfigForClient: l.keys.For})))
+	}
+	if l.listener, err = open(in.Ground, x.Listen); err != nil {
+		return nil, err
+	}
+	l.Server = Server{Door: door.New(in.Ground, in.Terms, in.Router, in.Caches, in.Purges, in.Room, table, terms(x))}
+	l.grpc = grpc.NewServer(opts...)
+	extprocv3.RegisterExternalProcessorServer(l.grpc, &l.Server)
+	healthv1.RegisterHealthServer(l.grpc, l.health)
+	in.Ground.Log().Info("door", "kind", "external_processor", "listen", l.listener.Addr().String(), "rules", len(x.Table), "tls", x.TLS != nil)
+	return l, nil
+}
+
+func terms(x *config.ExternalProcessor) door.Terms {
 	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
-	d := &Door{g: in.Ground, listener: at, health: health.NewServer(),
-		Server: New(in.Ground, in.Terms, in.Router, in.Caches, in.Room, table, retry.Terms{Lookups: int(x.Lookups), Each: int(x.Each),
-			AgainIn: ms(x.AgainMS), Remember: ms(x.RememberMS)}),
-		grpc: grpc.NewServer(grpc.MaxRecvMsgSize(MostMessage), grpc.MaxConcurrentStreams(uint32(x.Streams)),
-			grpc.MaxHeaderListSize(MostMessage), grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idleCaller, Time: probeCaller,
-				Timeout: probeCaller}))}
-	extprocv3.RegisterExternalProcessorServer(d.grpc, d.Server)
-	healthv1.RegisterHealthServer(d.grpc, d.health)
-	in.Ground.Log().Info("door", "kind", "external_processor", "listen", x.Listen, "rules", len(x.Table))
-	return []service.Door{d}, nil
+	return door.Terms{Streams: int(x.StreamsEach), Messages: x.Messages, Bytes: x.Bytes, Silent: ms(x.SilentMS), Weight: x.Weight,
+		Desk: retry.Terms{Lookups: int(x.Lookups), Each: int(x.Each), AgainIn: ms(x.AgainMS), Remember: ms(x.RememberMS)}}
+}
+
+// open listens at an address, or at a Unix socket that owner and group may use. A socket that nobody listens on any more is
+// taken over, one in use is not.
+func open(g clock.Ground, at string) (net.Listener, error) {
+	path, unix := strings.CutPrefix(at, "unix:")
+	if !unix {
+		return g.Listen(at)
+	}
+	if old, err := os.Lstat(path); err == nil && old.Mode()&os.ModeSocket != 0 {
+		if conn, err := net.DialTimeout("unix", path, time.Second); err == nil {
+			conn.Close()
+			return nil, errors.New(path + ": another process listens there; stop it or name another socket in external_processor.listen")
+		}
+		os.Remove(path)
+	}
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Chmod(path, socketMode); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
 }
 
+// Addr is where it listens.
+func (l *Listener) Addr() net.Addr { return l.listener.Addr() }
+
 // Run serves until life ends.
-func (d *Door) Run(life *clock.Life) error {
-	defer life.OnEnd(func() { go d.grpc.Stop() })()
+func (l *Listener) Run(life *clock.Life) error {
+	defer life.OnEnd(func() { go l.grpc.Stop() })()
 	served := make(chan error, 1)
-	go func() { served <- d.grpc.Serve(d.listener) }()
-	d.Server.Run(life)
+	go func() { served <- l.grpc.Serve(l.listener) }()
+	go l.tell(life)
+	l.Door.Run(life)
 	if err := <-served; err != nil && !errors.Is(err, grpc.ErrServerStopped) {
 		return err
 	}
-	d.g.Log().Info("door_closed", "kind", "external_processor", "open", d.Open(), "odd", d.Odd())
+	l.g.Log().Info("door_closed", "kind", "external_processor", "open", l.Open(), "odd", l.LogOdd())
 	return nil
 }
 
+// tell logs what callers do against the contract, where that has changed.
+func (l *Listener) tell(life *clock.Life) {
+	end := l.g.Bell()
+	defer life.OnEnd(end.Ring)()
+	for was := ""; !end.Wait(oddEvery); {
+		if odd := l.LogOdd(); odd != was {
+			was = odd
+			l.g.Log().Warn("door_odd", "counts", odd)
+		}
+	}
+}
+
+// Prepare reads new settings for this door. What it returns puts them in place: the table for the lookups to come, the
+// keys for the connections to come. Streams and lookups that are open go on.
+func (l *Listener) Prepare(own *config.Settings) (func(), error) {
+	x := own.ExternalProcessor
+	if x == nil || x.Listen != l.at || (x.TLS != nil) != (l.keys != nil) {
+		return nil, errors.New("external_processor: listen and tls are changed by a restart only")
+	}
+	table, err := route.Compile(x.Table, l.kinds)
+	if err != nil {
+		return nil, err
+	}
+	keys := l.keys
+	if x.TLS != nil {
+		if keys, err = ReadKeys(x.TLS); err != nil {
+			return nil, err
+		}
+	}
+	return func() {
+		l.Swap(table)
+		if l.keys != nil {
+			l.keys.Take(keys)
+		}
+		l.g.Log().Info("door_reread", "kind", "external_processor", "rules", len(x.Table))
+	}, nil
+}
+
 // Drain tells callers that this door closes, and takes no more streams.
-func (d *Door) Drain() {
-	d.health.Shutdown()
-	go d.grpc.GracefulStop() // ends with the last stream, or with Run's life
+func (l *Listener) Drain() {
+	l.health.Shutdown()
+	go l.grpc.GracefulStop() // ends with the last stream, or with Run's life
 }
 
 // Wait waits for the lookups that are open.
-func (d *Door) Wait() {
-	for d.Open() > 0 {
-		d.g.Bell().Wait(waitAgain)
+func (l *Listener) Wait() {
+	for l.Open() > 0 {
+		l.g.Bell().Wait(waitAgain)
 	}
 }
+
+// usable is a file of secrets that only its owner may read.
+func usable(path string) error {
+	info, err := os.Stat(path)
+	if err != nil {
+		return err
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return &os.PathError{Op: "read", Path: path, Err: errors.New("others than its owner may read this key; chmod 600")}
+	}
+	return nil
+}
--- a/lab/day/cache.go
+++ b/lab/day/cache.go
@@ -123,7 +123,11 @@
 	c.host.Mute = silent
 	for _, k := range append([]*cacheConn(nil), c.conns...) {
 		if !silent {
-			k.e.Reset()
+			k.reset()
+		}
+		if k.to != nil {
+			k.drop()
+			continue
 		}
 		k.over(silent)
 	}
@@ -554,7 +558,28 @@
 	due    []due
 	out    []*send // sends that are out on it, as seen on the wire
 	closed bool
-	torn   bool // an answer broke off on it: it is of no more use
+	torn   bool                     // an answer broke off on it: it is of no more use
+	to     func(q *do, text string) // where a proxy's one send waits, without a connection of its own
+	lost   func()
+}
+
+// reset breaks it.
+func (k *cacheConn) reset() {
+	if k.to == nil {
+		k.e.Reset()
+		return
+	}
+	k.c.d.after(300*time.Microsecond, k.lost)
+}
+
+// drop takes a proxy's send off its cache.
+func (k *cacheConn) drop() {
+	for i, o := range k.c.conns {
+		if o == k {
+			k.c.conns = append(k.c.conns[:i:i], k.c.conns[i+1:]...)
+			break
+		}
+	}
 }
 
 func (k *cacheConn) Opened() {}
@@ -638,6 +663,10 @@
 	if k.open[q.id] == q {
 		delete(k.open, q.id)
 	}
+	if k.to != nil {
+		k.to(q, text)
+		return
+	}
 	k.sent += len(text)
 	k.c.d.ref.sendOver(q, k.sent)
 	k.e.Send([]byte(text))
--- a/lab/day/client.go
+++ b/lab/day/client.go
@@ -120,6 +120,10 @@
 		d.after(max(wait, 30*time.Millisecond), func() { f.try(g, next) })
 	}
 	d.ref.ask(a)
+	if p := d.proxies[g]; p != nil && (d.Plan.Days != "both" || d.chance(2) == 0) {
+		p.ask(a)
+		return
+	}
 	pool := f.pool[g]
 	for i := len(pool) - 1; i >= 0; i-- {
 		if c := pool[i]; c.idle() && c.l == g.its {
--- a/lab/day/day.go
+++ b/lab/day/day.go
@@ -69,6 +69,7 @@
 	look      Look
 	yesterday []kept.Cache
 	early     Early
+	proxies   map[*gateway]*proxy
 }
 
 // Broken is a rule that was broken.
@@ -218,6 +219,12 @@
 	for i := range d.Plan.Gateways {
 		d.gateways = append(d.gateways, newGateway(d, i))
 	}
+	if d.Plan.proxied() {
+		d.proxies = map[*gateway]*proxy{}
+		for _, g := range d.gateways {
+			d.proxies[g] = newProxy(d, g, 0)
+		}
+	}
 	if d.Plan.Morning != nil {
 		d.dawn()
 	}
--- /dev/null
+++ b/lab/day/door.go
@@ -0,0 +1,195 @@
+package day
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"foldslip/clock"
+	"foldslip/config"
+	"foldslip/door"
+	"foldslip/retry"
+	"foldslip/route"
+	"foldslip/service"
+)
+
+// The door for other proxies on the virtual clock: the streams, the desk and the steps are the program's own (package door);
+// only the wire is the lab's, plain text in place of gRPC, whose library keeps time and goroutines of its own.
+
+const doorPort = "18200"
+
+// doorTable is the operator's table of a virtual day.
+var doorTable = []route.Rule{{Path: "/call/{kind}/{object}/part-{part}", Kind: "path:kind", Object: "path:object", Part: "path:part",
+	Group: "header:x-group", KB: "header:x-ram-kb", ID: "header:x-job-id", AllowMS: "header:x-allow-ms", Tag: "header:x-tag"}}
+
+var doorTerms = door.Terms{Streams: 200, Silent: 8 * time.Second, Messages: 400, Bytes: 200_000,
+	Desk: retry.Terms{Lookups: 256, Each: 200, AgainIn: 300 * time.Millisecond, Remember: 5 * time.Second}}
+
+// plainDoor is a service.Door on the lab's wire.
+type plainDoor struct {
+	*door.Door
+	g     clock.Ground
+	l     net.Listener
+	mu    sync.Mutex
+	conns map[net.Conn]int
+	count int
+	group clock.Group
+}
+
+func doorOf(in service.Inside, at string) (*plainDoor, error) {
+	table, err := route.Compile(doorTable, in.Terms.Kinds)
+	if err != nil {
+		return nil, err
+	}
+	l, err := in.Ground.Listen(at)
+	if err != nil {
+		return nil, err
+	}
+	return &plainDoor{Door: door.New(in.Ground, in.Terms, in.Router, in.Caches, in.Purges, in.Room, table, doorTerms), g: in.Ground, l: l,
+		conns: map[net.Conn]int{}, group: in.Ground.Group()}, nil
+}
+
+// open is how many streams there are.
+func (p *plainDoor) open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
+func (p *plainDoor) Run(life *clock.Life) error {
+	defer life.OnEnd(func() {
+		p.l.Close()
+		p.mu.Lock()
+		var all []net.Conn
+		for c := range p.conns {
+			all = append(all, c)
+		}
+		slices.SortFunc(all, func(a, b net.Conn) int { return p.conns[a] - p.conns[b] })
+		p.mu.Unlock()
+		for _, c := range all {
+			c.Close()
+		}
+	})()
+	p.group.Go("accept", func() error {
+		for {
+			c, err := p.l.Accept()
+			if err != nil {
+				return nil
+			}
+			p.mu.Lock()
+			p.count++
+			p.conns[c] = p.count
+			p.mu.Unlock()
+			p.group.Go("serve", func() error {
+				host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+				w := &plainWire{c: c, in: bufio.NewReader(c)}
+				err := p.Serve(w, host)
+				var why door.Ends
+				if errors.As(err, &why) {
+					c.SetWriteDeadline(p.g.Now().Add(100 * time.Millisecond))
+					fmt.Fprintf(c, "E%d\n\n", why)
+				}
+				c.Close()
+				p.mu.Lock()
+				delete(p.conns, c)
+				p.mu.Unlock()
+				return nil
+			})
+		}
+	})
+	p.Door.Run(life)
+	return p.group.Wait()
+}
+
+func (p *plainDoor) Prepare(*config.Settings) (func(), error) { return func() {}, nil }
+func (p *plainDoor) Drain()                                   { p.l.Close() }
+func (p *plainDoor) Wait() {
+	for p.Open() > 0 {
+		p.g.Bell().Wait(10 * time.Millisecond)
+	}
+}
+
+// plainWire is a stream: messages are a first line with the phase, lines of headers, and an empty one.
+type plainWire struct {
+	c  net.Conn
+	in *bufio.Reader
+}
+
+func (w *plainWire) Recv() (door.Message, error) {
+	first, err := w.in.ReadString('\n')
+	if err != nil {
+		return door.Message{}, err
+	}
+	phase, err := strconv.Atoi(strings.TrimSuffix(strings.TrimPrefix(first, "P"), "\n"))
+	if err != nil {
+		return door.Message{}, errors.New("a message that cannot be read")
+	}
+	m, fields := door.Message{Phase: door.Phase(phase), Size: len(first)}, []string(nil)
+	for {
+		line, err := w.in.ReadString('\n')
+		if m.Size += len(line); err != nil || m.Size > 64<<10 {
+			return m, io.ErrUnexpectedEOF
+		}
+		if line == "\n" {
+			break
+		}
+		fields = append(fields, line[:len(line)-1])
+	}
+	m.Get = func(name string) (v string, n int) {
+		for _, f := range fields {
+			if k, x, _ := strings.Cut(f, ": "); k == name {
+				if n++; n == 1 {
+					v = x
+				}
+			}
+		}
+		return v, n
+	}
+	m.Method, _ = m.Get(":method")
+	m.Path, _ = m.Get(":path")
+	return m, nil
+}
+
+func (w *plainWire) Send(r door.Reply) error {
+	var b strings.Builder
+	if r.Status != 0 {
+		fmt.Fprintf(&b, "F%d\n", r.Status)
+		if r.Wait > 0 {
+			fmt.Fprintf(&b, "x-wait-ms: %d\n", (r.Wait+time.Millisecond-1)/time.Millisecond)
+		}
+	} else {
+		fmt.Fprintf(&b, "C%d\n", r.Phase)
+	}
+	for _, f := range append(r.Fields, r.Send...) {
+		if f.Value != "" {
+			fmt.Fprintf(&b, "%s: %s\n", f.Name, f.Value)
+		}
+	}
+	_, err := io.WriteString(w.c, b.String()+"\n")
+	return err
+}
+
+// frames cuts whole messages off the front of b.
+func frames(b []byte, each func(first string, fields map[string]string)) []byte {
+	for {
+		i := strings.Index(string(b), "\n\n")
+		if i < 0 {
+			return b
+		}
+		lines := strings.Split(string(b[:i]), "\n")
+		fields := map[string]string{}
+		for _, l := range lines[1:] {
+			k, v, _ := strings.Cut(l, ": ")
+			fields[k] = v
+		}
+		b = b[i+2:]
+		each(lines[0], fields)
+	}
+}
--- a/lab/day/faults.go
+++ b/lab/day/faults.go
@@ -63,6 +63,24 @@
 		{"clients_leave", "one client in three leaves before its answer", 2000, 8000, 2, false, (*Day).clientsLeave},
 		{"clients_greedy", "clients hold as many connections as they can get, while caches are slow", 2000, 6000, 1, false, (*Day).clientsGreedy},
 		{"clients_mute", "one client in six stops reading", 1000, 5000, 1, false, (*Day).clientsMute},
+		{"caller_leaves", "callers break one stream in three off", 2000, 8000, 2, false, calling(func(p *proxy, n int) { p.leaves = 3 * n })},
+		{"caller_mute", "callers do not report one send in four", 2000, 6000, 2, false, calling(func(p *proxy, n int) { p.mute = 4 * n })},
+		{"caller_twice", "callers ask for one lookup in three a second time on another stream", 2000, 8000, 2, false, calling(func(p *proxy, n int) { p.twice = 3 * n })},
+		{"caller_lies", "callers report one send in four as something else", 2000, 6000, 2, false, calling(func(p *proxy, n int) { p.lies = 4 * n })},
+		{"caller_late", "callers keep one send in three back", 2000, 6000, 1, false, calling(func(p *proxy, n int) { p.late = 3 * n })},
+		{"caller_odd", "callers send phases out of order, twice, unknown or far too long", 2000, 6000, 2, false, calling(func(p *proxy, n int) { p.odd = 4 * n })},
+		{"caller_slow", "callers ask again after their time, one time in two", 2000, 6000, 1, false, calling(func(p *proxy, n int) { p.slow = 2 * n })},
+		{"caller_deaf", "callers do not read one stream in five", 2000, 6000, 1, false, calling(func(p *proxy, n int) { p.deaf = 5 * n })},
+		{"caller_dies", "a caller dies and comes back", 100, 100, 2, false, func(d *Day, f Fault) {
+			if p := d.proxies[pick(d.gateways, f.Who)]; p != nil {
+				p.restart()
+			}
+		}},
+		{"caller_flood", "another caller asks 250 times a second", 1000, 4000, 2, false, func(d *Day, f Fault) {
+			if p := d.proxies[pick(d.gateways, f.Who)]; p != nil {
+				p.flood(f.For / 4)
+			}
+		}},
 		{"little_memory", "gateways are told of 8 MB", 1, 1, 1, true, func(d *Day, _ Fault) {
 			for _, g := range d.gateways {
 				g.memory = 8
@@ -76,6 +94,21 @@
 	}
 }
 
+// calling has a fault at all callers for its span; set is called with 1, and with 0 at its end.
+func calling(set func(p *proxy, n int)) func(*Day, Fault) {
+	return func(d *Day, f Fault) {
+		all := func(n int) {
+			for _, g := range d.gateways {
+				if p := d.proxies[g]; p != nil {
+					set(p, n)
+				}
+			}
+		}
+		all(1)
+		d.after(f.span(), func() { all(0) })
+	}
+}
+
 func (f Fault) span() time.Duration { return time.Duration(f.For) * time.Millisecond }
 
 func pick[T any](list []T, who int) T { return list[who%len(list)] }
--- a/lab/day/gateway.go
+++ b/lab/day/gateway.go
@@ -32,6 +32,7 @@
 	g     *gateway
 	p     *world.Proc
 	its   *service.Gateway
+	door  *plainDoor // where other proxies ask
 	began time.Duration
 	ready bool
 	term  time.Duration // when it was told to stop; 0: not yet
@@ -98,6 +99,15 @@
 		g.morning(l.p)
 	}
 	watch := service.Watch{Up: func(its *service.Gateway) { l.its, l.ready = its, true }}
+	if d.proxies != nil {
+		watch.Doors = func(in service.Inside) ([]service.Door, error) {
+			var err error
+			if l.door, err = doorOf(in, g.ip+":"+doorPort); err != nil {
+				return nil, err
+			}
+			return []service.Door{l.door}, nil
+		}
+	}
 	var ground func(clock.Ground) clock.Ground
 	if d.look.decided != nil {
 		watch.Between = func(h logic.Host, start func(logic.Host) facade.Module) facade.Module {
--- a/lab/day/plan.go
+++ b/lab/day/plan.go
@@ -65,6 +65,8 @@
 	"caches":   "caches, parents and the origin fail",
 	"wires":    "resets, spoilt answers, splits and the bulletin",
 	"clients":  "bursts, floods and clients that misbehave",
+	"door":     "other proxies ask at the door and make the sends themselves; callers that break the contract, and faults besides",
+	"both":     "as door, with half of the clients at the gateway itself",
 	"morning":  "gateways start from a list on disk, young or old, while the bulletin is away; few faults besides",
 }
 
@@ -72,9 +74,15 @@
 	has := func(words ...string) bool {
 		return slices.ContainsFunc(words, func(w string) bool { return strings.HasPrefix(kind, w) })
 	}
+	if has("caller") {
+		return days == "door" || days == "both"
+	}
 	switch days {
 	case "mixed", "morning":
 		return true
+	case "door", "both": // what happens on a gateway's own connections to caches is not met there
+		return has("gateway", "reload", "clock", "cache_kill", "cache_back", "cache_vanish", "cache_hang", "cache_drain", "cache_replace", "cache_slow",
+			"cache_errors", "cold", "parent", "origin", "split_caches", "split_bulletin", "spoilt_fault", "bulletin", "purge", "burst", "hot", "little")
 	case "gateways":
 		return has("gateway", "reload", "clock", "purge")
 	case "caches":
@@ -87,6 +95,9 @@
 	return false
 }
 
+// proxied tells whether other proxies ask at the gateways' doors.
+func (p Plan) proxied() bool { return p.Days == "door" || p.Days == "both" }
+
 // Draw makes the plan of a seed.
 func Draw(seed uint64, days string) Plan {
 	r := rand.New(rand.NewPCG(seed, 0x6461792d706c616e))
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -13,13 +13,13 @@
 package retry
 
 import (
-	"cmp"
+	"container/heap"
 	"container/list"
-	"slices"
 	"time"
 
 	"foldslip/facade"
 	"foldslip/logic"
+	"foldslip/route"
 )
 
 // Terms are the bounds of a desk.
@@ -100,19 +100,55 @@
 
 // Lookup is a lookup between its first ask and some time after its end.
 type Lookup struct {
-	Key   string // caller and id
-	Lk    *facade.Lookup
-	who   string
-	at    stage
-	on    *Stream // that waits for an answer, or makes the send
-	step  facade.Step
-	n     int       // of the send that is handed
-	due   time.Time // by then its caller must have come
-	until time.Time // its own time is over
-	end   What
-	wait  time.Duration
-	place *list.Element
-	asked bool // on waits for what follows its report
+	Key    string // caller and id
+	Lk     *facade.Lookup
+	Object string // as the door read it, for what it checks of answers
+	Group  int
+	Tag    string
+	Asked  *route.Asked
+	Trace  any // the door's own
+	who    string
+	at     stage
+	on     *Stream // that waits for an answer, or makes the send
+	step   facade.Step
+	n      int       // of the send that is handed
+	due    time.Time // by then its caller must have come
+	until  time.Time // its own time is over
+	end    What
+	wait   time.Duration
+	place  *list.Element
+	asked  bool      // on waits for what follows its report
+	wake   time.Time // when the desk must look after it; zero: no need
+	no     uint64    // lookups of one instant go in the order they came
+	index  int       // in the heap, from 1
+}
+
+// wakes is a heap of lookups by when they must be looked after: however many are open, a tick costs what is due.
+type wakes []*Lookup
+
+func (w wakes) Len() int { return len(w) }
+func (w wakes) Less(i, j int) bool {
+	if !w[i].wake.Equal(w[j].wake) {
+		return w[i].wake.Before(w[j].wake)
+	}
+	return w[i].no < w[j].no
+}
+func (w wakes) Swap(i, j int) {
+	w[i], w[j] = w[j], w[i]
+	w[i].index, w[j].index = i+1, j+1
+}
+func (w *wakes) Push(x any) {
+	lk := x.(*Lookup)
+	*w = append(*w, lk)
+	lk.index = len(*w)
+}
+func (w *wakes) Pop() any {
+	last := len(*w) - 1
+	lk := (*w)[last]
+	(*w)[last] = nil
+	*w = (*w)[:last]
+	lk.index = 0
+	return lk
 }
 
 // Desk holds the lookups of all callers.
@@ -122,6 +158,8 @@
 	open  int
 	each  map[string]int
 	ended list.List // *Lookup, oldest first
+	wakes wakes
+	count uint64
 	// Odd counts what callers did against the contract, by what it was.
 	Odd map[string]int
 }
@@ -134,6 +172,48 @@
 // Open is how many lookups are open.
 func (d *Desk) Open() int { return d.open }
 
+// Handed is how many sends are at their callers, or decided and not asked for yet.
+func (d *Desk) Handed() (n int) {
+	for _, lk := range d.by { // a sum: the order does not matter
+		if lk.at == handed || lk.at == waiting && lk.step.What == facade.Send {
+			n++
+		}
+	}
+	return n
+}
+
+// Of is the lookup whose send a stream's caller makes; nil without one.
+func (d *Desk) Of(on *Stream) *Lookup {
+	if lk := on.its; lk != nil && lk.at == handed && lk.on == on {
+		return lk
+	}
+	return nil
+}
+
+// arm sets when a lookup must be looked after.
+func (d *Desk) arm(lk *Lookup) {
+	var at time.Time
+	switch {
+	case lk.at == over:
+	case lk.on == nil && !lk.due.IsZero():
+		at = lk.due
+	case lk.at == handed:
+		at = lk.until
+	}
+	switch lk.wake = at; {
+	case at.IsZero() && lk.index > 0:
+		heap.Remove(&d.wakes, lk.index-1)
+	case at.IsZero():
+	case lk.index > 0:
+		heap.Fix(&d.wakes, lk.index-1)
+	default:
+		heap.Push(&d.wakes, lk)
+	}
+}
+
+// Knows tells whether a caller's lookup is open or remembered.
+func (d *Desk) Knows(on *Stream, id string) bool { return d.by[on.Caller+" "+id] != nil }
+
 // Ask is a caller's word that it has a lookup, or again has it. Where it returns a lookup, that is new: the door hands it to
 // the router and sets Lk, or calls Refused.
 func (d *Desk) Ask(now time.Time, on *Stream, id string, until time.Time) (*Lookup, Do) {
@@ -149,7 +229,8 @@
 	case lk == nil && (d.open >= d.terms.Lookups || d.each[on.Caller] >= d.terms.Each):
 		do.say(on, Full)
 	case lk == nil:
-		lk = &Lookup{Key: key, who: on.Caller, on: on, until: until}
+		d.count++
+		lk = &Lookup{Key: key, who: on.Caller, on: on, until: until, no: d.count}
 		d.by[key], on.its = lk, lk
 		d.open++
 		d.each[lk.who]++
@@ -166,6 +247,7 @@
 		lk.on, on.its = on, lk
 		lk.due = time.Time{}
 		d.speak(now, lk, &do)
+		d.arm(lk)
 	}
 	return nil, do
 }
@@ -176,6 +258,8 @@
 		lk.on.its = nil
 	}
 	d.drop(lk)
+	lk.at = over
+	d.arm(lk)
 	delete(d.by, lk.Key)
 }
 
@@ -203,6 +287,7 @@
 		lk.step, lk.at = s, waiting
 		d.speak(now, lk, &do)
 	}
+	d.arm(lk)
 	return do
 }
 
@@ -248,6 +333,7 @@
 		how, remark = logic.Errored, logic.Untold
 	}
 	lk.at, lk.asked = deciding, true // the module has the word; the stream waits for it
+	d.arm(lk)
 	do.Tell = append(do.Tell, Tell{Of: lk, N: lk.n, How: how, Remark: remark, Waited: max(0, waited)})
 	return do
 }
@@ -268,6 +354,7 @@
 	case deciding, waiting: // nobody waits for a first word any more
 		d.leave(now, lk, &do)
 	}
+	d.arm(lk)
 	return do
 }
 
@@ -312,29 +399,21 @@
 	for e := d.ended.Front(); e != nil && !e.Value.(*Lookup).due.After(now); e = d.ended.Front() {
 		d.forget(e.Value.(*Lookup))
 	}
-	next = now.Add(time.Second)
-	var late []*Lookup
-	for _, lk := range d.by { // a bounded table; what is late goes in the order of its keys
-		switch {
-		case lk.at == over:
-		case lk.on == nil && !lk.due.IsZero() && !lk.due.After(now), lk.at == handed && !lk.until.After(now):
-			late = append(late, lk)
-		case lk.on == nil && !lk.due.IsZero() && lk.due.Before(next):
-			next = lk.due
-		case lk.at == handed && lk.until.Before(next):
-			next = lk.until
-		}
-	}
-	slices.SortFunc(late, func(a, b *Lookup) int { return cmp.Compare(a.Key, b.Key) })
-	for _, lk := range late {
+	for len(d.wakes) > 0 && !d.wakes[0].wake.After(now) {
+		lk := d.wakes[0]
 		if lk.at == handed { // its caller never reported
 			d.Odd["never_reported"]++
 			do.Tell = append(do.Tell, Tell{Of: lk, N: lk.n, How: logic.TimedOut})
 			lk.at = deciding
-			continue
+		} else {
+			d.Odd["never_asked_again"]++
+			d.leave(now, lk, &do)
 		}
-		d.Odd["never_asked_again"]++
-		d.leave(now, lk, &do)
+		d.arm(lk)
+	}
+	next = now.Add(time.Second)
+	if len(d.wakes) > 0 && d.wakes[0].wake.Before(next) {
+		next = d.wakes[0].wake
 	}
 	return do, next
 }
--- a/route/route.go
+++ b/route/route.go
@@ -25,7 +25,8 @@
 	mostAllow    = time.Hour
 )
 
-// Rule is one line of the operator's table. A source is "header:NAME", "path:NAME" for a {NAME} of the template, or a fixed value.
+// Rule is one line of the operator's table. A source is "header:NAME", "path:NAME" for a {NAME} of the template,
+// "attr:NAME" for an attribute that the proxy tells, "meta:SPACE/NAME" for a string in its dynamic metadata, or a fixed value.
 type Rule struct {
 	Path    string `json:"path"`
 	Kind    string `json:"kind"`
@@ -55,6 +56,10 @@
 
 func (f *Fault) Error() string { return f.Text }
 
+// Get reads what a proxy tells: a header by its name in lower case, an attribute as "attr:NAME", metadata as "meta:SPACE/NAME". It
+// gives the value and how often it stands there.
+type Get func(name string) (value string, times int)
+
 // RuleFault is a rule that cannot be used.
 type RuleFault struct {
 	Rule   int
@@ -179,11 +184,16 @@
 		{"kb", r.KB, &c.kb, false}, {"id", r.ID, &c.id, true}, {"allow_ms", r.AllowMS, &c.allow, false}, {"tag", r.Tag, &c.tag, false}} {
 		switch where, name, _ := strings.Cut(f.text, ":"); {
 		case f.text == "" && f.must:
-			return bad(f.name, "is missing", "header:NAME, path:NAME or a fixed value")
+			return bad(f.name, "is missing", "header:NAME, path:NAME, attr:NAME, meta:SPACE/NAME or a fixed value")
 		case f.text == "":
 		case where == "header" && name != "":
 			*f.to = source{kind: header, text: strings.ToLower(name)}
 			t.reads = append(t.reads, strings.ToLower(name))
+		case where == "attr" && name != "", where == "meta" && strings.Contains(name, "/"):
+			*f.to = source{kind: header, text: f.text}
+			t.reads = append(t.reads, f.text)
+		case where == "meta":
+			return bad(f.name, fmt.Sprintf("%q has no space", f.text), "write meta:SPACE/NAME")
 		case where == "path":
 			i := slices.Index(vars, name)
 			if i < 0 {
@@ -274,7 +284,7 @@
 
 // Lookup reads a request. headers gives a header's value by its name in lower case, and how often it stands there. The query
 // is no part of a lookup; a proxy that sends one on does so on its own account.
-func (t *Table) Lookup(method, path string, headers func(name string) (string, int)) (Asked, error) {
+func (t *Table) Lookup(method, path string, headers Get) (Asked, error) {
 	a := Asked{Allow: -1}
 	if method != "GET" {
 		return a, &Fault{405, "only GET is known"}
