--- a/cli/faults.go
+++ b/cli/faults.go
@@ -28,6 +28,7 @@
 	Shrink   faultsShrink   `cmd:"" help:"Make the smallest day that still breaks the rule that a seed or file breaks, and write it to a file."`
 	Kinds    faultsKinds    `cmd:"" help:"List the kinds of days, of faults, and of faults that can be planted in the gateway."`
 	Mornings faultsMornings `cmd:"" help:"Compare starts without the bulletin: from the list kept on disk, waiting, trusting it wholly, and from the true list."`
+	Twins    faultsTwins    `cmd:"" help:"Compare each decision of the module at a gateway and at its door for other proxies, over the same lookups."`
 }
 
 type dayFlags struct {
--- a/door/words.go
+++ b/door/words.go
@@ -93,7 +93,7 @@
 			out[6].Value += m.word
 		}
 	}
-	out[7].Value = strconv.FormatInt(max(1, s.Patience/1000), 10)
+	out[7].Value = strconv.FormatFloat(float64(max(1, s.Patience))/1000, 'f', -1, 64)
 	return out
 }
 
--- a/lab/day/cache.go
+++ b/lab/day/cache.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -121,7 +122,20 @@
 	c.up = false
 	c.host.Unserve("10080")
 	c.host.Mute = silent
-	for _, k := range append([]*cacheConn(nil), c.conns...) {
+	conns := slices.Clone(c.conns)
+	if c.d.w.Even { // a gateway hears of the sends on one connection by their ids
+		slices.SortStableFunc(conns, func(a, b *cacheConn) int { return strings.Compare(a.id, b.id) })
+	}
+	if s := c.d.look.script; s != nil {
+		open := 0
+		for _, k := range conns {
+			open += len(k.open)
+		}
+		if open > 1 { // in which order they are told is nobody's promise
+			s.differ(c.d.w.Now(), "broken together")
+		}
+	}
+	for _, k := range conns {
 		if !silent {
 			k.reset()
 		}
@@ -269,6 +283,10 @@
 // take works on a send.
 func (c *cache) take(q *do) {
 	q.came = c.d.w.Now()
+	if c.d.look.script != nil {
+		c.d.look.script.take(c, q)
+		return
+	}
 	switch {
 	case c.hung:
 		return
@@ -561,6 +579,7 @@
 	torn   bool                     // an answer broke off on it: it is of no more use
 	to     func(q *do, text string) // where a proxy's one send waits, without a connection of its own
 	lost   func()
+	id     string // of that send
 }
 
 // reset breaks it.
@@ -569,7 +588,7 @@
 		k.e.Reset()
 		return
 	}
-	k.c.d.after(300*time.Microsecond, k.lost)
+	k.c.d.after(k.c.d.hop(), k.lost)
 }
 
 // drop takes a proxy's send off its cache.
--- a/lab/day/caller.go
+++ b/lab/day/caller.go
@@ -181,6 +181,9 @@
 			return
 		}
 		x.finals++
+		if first == "C4" && x.s != nil && len(x.s.answers) > 0 {
+			d.ref.strict(x.a, x.s.answers[len(x.s.answers)-1])
+		}
 		if strings.HasPrefix(first, "F") {
 			wait, _ := strconv.Atoi(fields["x-wait-ms"])
 			x.end(first[1:], fields["x-foldslip-again"] == "1", time.Duration(wait)*time.Millisecond)
@@ -233,6 +236,7 @@
 		case first[0] == 'F':
 			status, _ := strconv.Atoi(first[1:])
 			wait, _ := strconv.Atoi(fields["x-wait-ms"])
+			x.a.left = x.a.left || status == 409 // it goes on, or has ended, on another stream of a caller that asks twice
 			x.close(first[1:])
 			if x.a.done != nil && !x.copy_ {
 				x.a.done(status, time.Duration(wait)*time.Millisecond)
@@ -247,15 +251,17 @@
 func (x *errand) told(f map[string]string) {
 	d, a := x.p.d, x.a
 	part := func(name string) int { n, _ := strconv.ParseFloat(f["x-foldslip-"+name], 64); return int(n) }
+	ms, _ := strconv.ParseFloat(f["x-foldslip-wait-ms"], 64)
+	wait := time.Duration(ms*1000) * time.Microsecond
 	q := &do{id: a.id, kind: kinds[a.kind].name, kind_: a.kind, object: a.object, part: a.part, from: f["x-foldslip-source"],
 		rank: part("rank"), oldest: time.Duration(part("oldest-ms")) * time.Millisecond, mode: f["x-foldslip-mode"],
-		wait: time.Duration(part("wait-ms")) * time.Millisecond, seen: a.tag, work: workOf(a.object, a.part)}
+		wait: wait, seen: a.tag, work: workOf(a.object, a.part)}
 	c := d.byID[f["x-foldslip-cache"]]
 	if c == nil || c.addr() != f["x-foldslip-addr"] {
 		d.ref.broken("protocol", "%s names cache %q at %q", a.l.p.Name, f["x-foldslip-cache"], f["x-foldslip-addr"])
 		return
 	}
-	x.k = &cacheConn{c: c, l: a.l, to: x.answered, lost: func() { x.report("reset", nil, nil) }, open: map[string]*do{a.id: q}}
+	x.k = &cacheConn{c: c, l: a.l, id: a.id, to: x.answered, lost: func() { x.report("reset", nil, nil) }, open: map[string]*do{a.id: q}}
 	q.k, x.q = x.k, q
 	began := len(a.sends)
 	d.ref.sent(x.k, q, x.decided)
@@ -263,7 +269,7 @@
 		return // a rule is broken, or its gateway is gone
 	}
 	x.s = a.sends[began]
-	lag := 300 * time.Microsecond
+	lag := d.hop()
 	if x.p.one(x.p.late) {
 		lag = time.Duration(d.chance(1500)) * time.Millisecond
 	}
@@ -301,7 +307,7 @@
 		k, v, _ := strings.Cut(f, "=")
 		fields[k] = v
 	}
-	x.p.d.after(300*time.Microsecond, func() {
+	x.p.d.after(x.p.d.hop(), func() {
 		if x.q == q && x.s != nil && x.s.out {
 			word := map[string]string{"HIT": "hit", "VALID": "valid", "NONE": "none", "SHED": "shed", "FAULT": "fault"}[words[1]]
 			x.same = word == "valid"
@@ -365,7 +371,7 @@
 func (x *errand) again() {
 	next := &errand{p: x.p, a: x.a, age: x.age, owed: -1, copy_: x.copy_}
 	x.done()
-	wait := time.Duration(x.p.d.chance(3)) * time.Millisecond
+	wait := time.Duration(x.p.d.chance(3)) * x.p.d.hop()
 	if x.p.one(x.p.slow) {
 		wait = time.Duration(x.p.d.chance(800)) * time.Millisecond
 		next.slow = wait > 50*time.Millisecond
@@ -443,6 +449,14 @@
 	return all
 }
 
+// hop is the time that a caller's send takes to its cache, and the answer back.
+func (d *Day) hop() time.Duration {
+	if d.w.Even {
+		return 0
+	}
+	return 300 * time.Microsecond
+}
+
 // flood asks at the gateway's door as another caller does that knows no measure.
 func (p *proxy) flood(asks int) {
 	other := newProxy(p.d, p.g, 3)
--- a/lab/day/day.go
+++ b/lab/day/day.go
@@ -106,6 +106,7 @@
 	sent      func(d *Day, k *cacheConn, q *do) // a send is on the wire
 	answering func(d *Day, q *do)               // a cache is about to write its answer
 	taken     func(d *Day, a *ask)              // a lookup has reached its gateway
+	script    *script                           // lookups and their sends' endings, in place of clients and caches
 }
 
 // Play plays a day. A plan that Check refuses is not played.
@@ -118,11 +119,11 @@
 	if p.Gateways > 4 {
 		d.zones = 2
 	}
-	d.w.Trace = look.Trace
+	d.w.Trace, d.w.Even = look.Trace, look.script != nil
 	d.ref = newReferee(d)
 	d.w.Quiet = d.ref.quiet
 	d.w.Crashed = func(proc *world.Proc, text string) { d.ref.broken("crash", "%s: %s", proc.Name, text) }
-	d.found()
+	d.found(look)
 	end := warmup + time.Duration(p.Seconds)*time.Second
 	for _, f := range p.Faults {
 		k := kindOf(f.Kind)
@@ -139,7 +140,11 @@
 	for _, g := range d.gateways {
 		g.start()
 	}
-	d.w.After(warmup, d.front.open)
+	if look.script != nil {
+		look.script.play(d)
+	} else {
+		d.w.After(warmup, d.front.open)
+	}
 	if p.Morning != nil {
 		d.away()
 	}
@@ -205,7 +210,7 @@
 }
 
 // found makes the parties.
-func (d *Day) found() {
+func (d *Day) found(look Look) {
 	for i := range d.Plan.Parents {
 		d.parents = append(d.parents, d.newCache("parent", "hub", fmt.Sprintf("10.8.0.%d", i+1), parSize))
 	}
@@ -219,7 +224,7 @@
 	for i := range d.Plan.Gateways {
 		d.gateways = append(d.gateways, newGateway(d, i))
 	}
-	if d.Plan.proxied() {
+	if d.Plan.proxied() || look.script != nil && look.script.door {
 		d.proxies = map[*gateway]*proxy{}
 		for _, g := range d.gateways {
 			d.proxies[g] = newProxy(d, g, 0)
--- a/lab/day/door.go
+++ b/lab/day/door.go
@@ -41,9 +41,15 @@
 	conns map[net.Conn]int
 	count int
 	group clock.Group
+	plant doorPlant
+	d     *Day
 }
 
-func doorOf(in service.Inside, at string) (*plainDoor, error) {
+func doorOf(in service.Inside, at string, d *Day) (*plainDoor, error) {
+	terms, plant := doorTerms, doorPlants[d.Plan.Plant]
+	if plant.terms != nil {
+		plant.terms(&in, &terms)
+	}
 	table, err := route.Compile(doorTable, in.Terms.Kinds)
 	if err != nil {
 		return nil, err
@@ -52,8 +58,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &plainDoor{Door: door.New(in.Ground, in.Terms, in.Router, in.Caches, in.Purges, in.Room, table, doorTerms), g: in.Ground, l: l,
-		conns: map[net.Conn]int{}, group: in.Ground.Group()}, nil
+	return &plainDoor{Door: door.New(in.Ground, in.Terms, in.Router, in.Caches, in.Purges, in.Room, table, terms), g: in.Ground, l: l,
+		conns: map[net.Conn]int{}, group: in.Ground.Group(), plant: plant, d: d}, nil
 }
 
 // open is how many streams there are.
@@ -89,7 +95,7 @@
 			p.mu.Unlock()
 			p.group.Go("serve", func() error {
 				host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-				w := &plainWire{c: c, in: bufio.NewReader(c)}
+				w := &plainWire{c: c, in: bufio.NewReader(c), p: p}
 				err := p.Serve(w, host)
 				var why door.Ends
 				if errors.As(err, &why) {
@@ -120,6 +126,7 @@
 type plainWire struct {
 	c  net.Conn
 	in *bufio.Reader
+	p  *plainDoor
 }
 
 func (w *plainWire) Recv() (door.Message, error) {
@@ -142,6 +149,9 @@
 		}
 		fields = append(fields, line[:len(line)-1])
 	}
+	if w.p.plant.recv != nil {
+		w.p.plant.recv(w.p.d, &m, fields)
+	}
 	m.Get = func(name string) (v string, n int) {
 		for _, f := range fields {
 			if k, x, _ := strings.Cut(f, ": "); k == name {
@@ -172,10 +182,61 @@
 			fmt.Fprintf(&b, "%s: %s\n", f.Name, f.Value)
 		}
 	}
-	_, err := io.WriteString(w.c, b.String()+"\n")
+	text := b.String() + "\n"
+	if w.p.plant.send != nil {
+		text = w.p.plant.send(w.p.d, w.p.g, r, text)
+	}
+	_, err := io.WriteString(w.c, text)
 	return err
 }
 
+// doorPlant is a fault of the door, planted at its wire and its terms.
+type doorPlant struct {
+	help  string
+	terms func(in *service.Inside, t *door.Terms)
+	recv  func(d *Day, m *door.Message, fields []string)
+	send  func(d *Day, g clock.Ground, r door.Reply, text string) string
+}
+
+var doorPlants = map[string]doorPlant{
+	"door_reply_lost": {help: "a reply is not written", send: func(d *Day, _ clock.Ground, _ door.Reply, text string) string {
+		if d.chance(60) == 0 {
+			return ""
+		}
+		return text
+	}},
+	"door_reply_twice": {help: "a reply is written twice", send: func(d *Day, _ clock.Ground, _ door.Reply, text string) string {
+		if d.chance(60) == 0 {
+			return text + text
+		}
+		return text
+	}},
+	"door_end_kept_back": {help: "a final answer is written near the deadline", send: func(d *Day, g clock.Ground, r door.Reply, text string) string {
+		if r.Status == 503 && r.Wait > 0 {
+			g.Bell().Wait(1400 * time.Millisecond)
+		}
+		return text
+	}},
+	"door_purges_unheard": {help: "births of answers are not held against purges", terms: func(in *service.Inside, _ *door.Terms) { in.Purges = nil }},
+	"door_forgetful":      {help: "an ended lookup is forgotten at once", terms: func(_ *service.Inside, t *door.Terms) { t.Desk.Remember = 1 }},
+	"door_broken_off_never_ran": {help: "a send that may have run is taken for one that did not", recv: func(_ *Day, m *door.Message, fields []string) {
+		for i, f := range fields {
+			if f == "x-foldslip-end: timeout" || f == "x-foldslip-end: reset" {
+				fields[i] = "x-foldslip-end: shed"
+			}
+		}
+	}},
+	"door_wait_untold": {help: "a nack does not say when to come back", send: func(_ *Day, _ clock.Ground, r door.Reply, text string) string {
+		return strings.ReplaceAll(text, "x-wait-ms", "x-wait")
+	}},
+	"door_other_cache": {help: "a decision names another cache than the module's", send: func(d *Day, _ clock.Ground, _ door.Reply, text string) string {
+		if d.chance(40) > 0 {
+			return text
+		}
+		return strings.Replace(text, "x-foldslip-addr: 10.1.0.1:", "x-foldslip-addr: 10.1.0.2:", 1)
+	}},
+}
+
 // frames cuts whole messages off the front of b.
 func frames(b []byte, each func(first string, fields map[string]string)) []byte {
 	for {
--- a/lab/day/gateway.go
+++ b/lab/day/gateway.go
@@ -102,7 +102,7 @@
 	if d.proxies != nil {
 		watch.Doors = func(in service.Inside) ([]service.Door, error) {
 			var err error
-			if l.door, err = doorOf(in, g.ip+":"+doorPort); err != nil {
+			if l.door, err = doorOf(in, g.ip+":"+doorPort, d); err != nil {
 				return nil, err
 			}
 			return []service.Door{l.door}, nil
@@ -118,8 +118,11 @@
 			}})
 		}
 	}
-	if d.Plan.Plant != "" {
-		watch.Between, ground = plants[d.Plan.Plant].make(d, l)
+	if d.look.script != nil {
+		watch.Between = d.look.script.between(d)
+	}
+	if p := plants[d.Plan.Plant]; p.make != nil {
+		watch.Between, ground = p.make(d, l)
 	}
 	d.w.Start(g.host, l.p, func(under clock.Ground) error {
 		if ground != nil {
--- a/lab/day/plan.go
+++ b/lab/day/plan.go
@@ -202,7 +202,7 @@
 			return fmt.Errorf("faults[%d]: a figure is negative", i)
 		}
 	}
-	if p.Plant != "" && plants[p.Plant].help == "" {
+	if p.Plant != "" && plants[p.Plant].help == "" && doorPlants[p.Plant].help == "" {
 		return fmt.Errorf("plant %q is unknown, expected one of %s", p.Plant, strings.Join(Plants(), ", "))
 	}
 	return nil
--- a/lab/day/plant.go
+++ b/lab/day/plant.go
@@ -19,7 +19,7 @@
 }
 
 // Plants are the names of the faults that can be planted.
-func Plants() []string { return sorted(plants) }
+func Plants() []string { return append(sorted(plants), sorted(doorPlants)...) }
 
 // ground is a process's ground with some of it replaced.
 type ground struct {
--- a/lab/day/plant_test.go
+++ b/lab/day/plant_test.go
@@ -29,6 +29,15 @@
 	"two_at_once":      {1, "in flight"},
 	"undo_unsaid":      {1, "rule 2"},
 	"wait_untold":      {1, "held back"},
+
+	"door_broken_off_never_ran": {11, "rule 2"},
+	"door_end_kept_back":        {2, "rule 1"},
+	"door_forgetful":            {4, "rule 1"},
+	"door_other_cache":          {1, "protocol"},
+	"door_purges_unheard":       {63, "rule 5"},
+	"door_reply_lost":           {1, "rule 1"},
+	"door_reply_twice":          {1, "rule 1"},
+	"door_wait_untold":          {2, "held back"},
 }
 
 func TestPlantedFaultsAreFound(t *testing.T) {
@@ -39,7 +48,11 @@
 			if !known {
 				t.Fatal("no seed is known to find it")
 			}
-			p := Draw(at.seed, "mixed")
+			days := "mixed"
+			if doorPlants[name].help != "" {
+				days = "door"
+			}
+			p := Draw(at.seed, days)
 			clean, err := Play(p, Look{})
 			if err != nil || len(clean.Broken) > 0 {
 				t.Fatal("with nothing planted:", clean.Broken, err)
--- a/lab/day/referee.go
+++ b/lab/day/referee.go
@@ -253,6 +253,20 @@
 	}
 }
 
+// strict checks an answer that a gateway lets pass now: no copy older than a purge that it was told of past the grace,
+// whenever the send went out.
+func (r *referee) strict(a *ask, got *copied) {
+	for _, p := range r.purges {
+		if p.object != a.object && (p.object != "" || p.group != a.group) || !got.born.Before(p.issued) {
+			continue
+		}
+		if told := a.l.toldOf(p.no); told > 0 && r.d.w.Now() > told+obey+slack {
+			r.broken("rule 5", "%s (%s): an answer %v older than a purge that %s was told of %v ago is let pass", a.id, a.object,
+				p.issued.Sub(got.born), a.l.p.Name, r.d.w.Now()-told)
+		}
+	}
+}
+
 func (l *life) toldOf(no int) time.Duration {
 	if no < len(l.told) {
 		return l.told[no]
--- a/lab/day/shrink.go
+++ b/lab/day/shrink.go
@@ -114,5 +114,8 @@
 	for name, p := range plants {
 		help[name] = p.help
 	}
+	for name, p := range doorPlants {
+		help[name] = p.help
+	}
 	return help
 }
--- a/lab/world/net.go
+++ b/lab/world/net.go
@@ -52,7 +52,9 @@
 		return
 	}
 	lag := y.w.lag(y.from, y.to) + time.Duration(len(s.data)/netSpeed)*time.Microsecond
-	s.at = max(y.last+1, y.w.now+lag)
+	if s.at = max(y.last+1, y.w.now+lag); y.w.Even {
+		s.at = y.w.now
+	}
 	y.last = s.at
 	y.queue = append(y.queue, s)
 	if y.pump == nil {
--- a/lab/world/proc.go
+++ b/lab/world/proc.go
@@ -71,6 +71,9 @@
 
 // lag is the time a message takes, with the seed's jitter.
 func (w *World) lag(a, b *Host) time.Duration {
+	if w.Even {
+		return 0
+	}
 	base := 200 * time.Microsecond
 	if a.Group != b.Group {
 		base = 2 * time.Millisecond
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -35,6 +35,7 @@
 	Crashed func(p *Proc, text string)
 
 	Chance      *rand.Rand
+	Even        bool // messages take no time, and things of one instant go in the order they came: two worlds can be compared
 	now         time.Duration
 	events      events
 	ready       []*task
@@ -125,7 +126,10 @@
 // After calls f once d has passed; among things due at one instant the seed decides.
 func (w *World) After(d time.Duration, f func()) *Event {
 	w.events.seq++
-	e := &Event{at: w.now + max(0, d), tie: w.Chance.Uint32(), seq: w.events.seq, f: f}
+	e := &Event{at: w.now + max(0, d), seq: w.events.seq, f: f}
+	if !w.Even {
+		e.tie = w.Chance.Uint32()
+	}
 	heap.Push(&w.events, e)
 	return e
 }
@@ -145,6 +149,12 @@
 	for !w.stopped {
 		if n := len(w.ready); n > 0 {
 			i := 0
+			if w.Even {
+				t := w.ready[0]
+				w.ready = w.ready[1:]
+				w.resume(t)
+				continue
+			}
 			if n > 1 {
 				i = w.Chance.IntN(n)
 			}
