A door of certificates, sockets and traces; a caller's client package, foldslip ask, floods held off

A lookup has no goroutine any more: who tells the router something looks for the steps of it. A caller that breaks the contract over and over opens no streams for half a second, and waits on its own connection.

--- /dev/null
+++ b/cli/doors/doors.go
@@ -0,0 +1,215 @@
+// Package doors is the command line of foldslip-door: the gateway with the door for other proxies, and a client of that door.
+// It is a program of its own since its libraries take memory from the start that a gateway of 32 MB has not.
+// Exit status as of package cli: 0 done, 1 what was asked for failed (a lookup nacked, failed or refused), 2 it could not be
+// asked for like that.
+package doors
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"foldslip/caller"
+	"foldslip/clock"
+	"foldslip/door/extproc"
+	"foldslip/service"
+)
+
+type commands struct {
+	Ask   ask   `cmd:"" help:"Ask a door for one lookup and print its decisions and the end. The sends are not made: --end says how each is to be reported."`
+	Serve serve `cmd:"" default:"withargs" help:"Be the gateway with the doors that the operators' settings name."`
+}
+
+// Main runs the command that args name and gives the exit status.
+func Main(args []string, out, errs io.Writer) (status int) {
+	var all commands
+	parser, err := kong.New(&all, kong.Name("foldslip-door"), kong.Writers(out, errs), kong.BindTo(out, (*io.Writer)(nil)),
+		kong.Description("foldslip with the door for other proxies (external processing)."), kong.UsageOnError(),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}), kong.Exit(func(code int) { panic(exit(code)) }))
+	if err != nil {
+		fmt.Fprintln(errs, "foldslip-door:", err)
+		return 2
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			code, ok := p.(exit)
+			if !ok {
+				panic(p)
+			}
+			status = int(code)
+		}
+	}()
+	asked, err := parser.Parse(args)
+	if err == nil {
+		if err = asked.Run(); err == nil {
+			return 0
+		}
+	} else {
+		err = misuse{err}
+	}
+	if err != errTold {
+		fmt.Fprintln(errs, "foldslip-door:", strings.ReplaceAll(err.Error(), "\n", " "))
+	}
+	if errors.As(err, new(misuse)) {
+		return 2
+	}
+	return 1
+}
+
+type exit int
+
+// misuse is an error of whoever asks.
+type misuse struct{ error }
+
+var errTold = errors.New("told already")
+
+type serve struct {
+	Settings string `env:"FOLDSLIP_SETTINGS" required:"" help:"The operators' settings, a Jsonnet template with external_processor."`
+	LogLevel string `enum:"debug,info,warn,error" default:"info" help:"The least level that is logged: ${enum}."`
+}
+
+func (s *serve) Run() error {
+	var least slog.Level
+	least.UnmarshalText([]byte(s.LogLevel)) // kong has checked it
+	os.Setenv("FOLDSLIP_SETTINGS", s.Settings)
+	g := clock.NewSystem(os.Stderr, least)
+	if g.Env("ROUTER_CONFIG") == "" {
+		return misuse{errors.New("ROUTER_CONFIG is not set: name the gateway's configuration file in it, see docs/external-processor.md (Start)")}
+	}
+	if err := service.Run(g, service.Watch{Doors: extproc.Doors}); err != nil {
+		g.Log().Error("ended", "text", err.Error())
+		return errTold
+	}
+	return nil
+}
+
+type ask struct {
+	Path    string        `arg:"" help:"Path of the request, as /call/segment/7f3a/part-3."`
+	Door    string        `default:"127.0.0.1:18200" help:"Where the door listens: an address and port, or unix:/path."`
+	Header  []string      `short:"H" help:"A header as 'name: value'; X-Job-Id is drawn if it is not given."`
+	End     []string      `default:"hit" help:"How the sends end, one after the other; the last for all that follow: hit, valid, none, shed, fault, late, timeout, unconnected, reset."`
+	Born    time.Duration `default:"0s" help:"Age of the copy that is reported."`
+	CA      string        `help:"The door's certificate authority, PEM; none: no TLS."`
+	Cert    string        `help:"Own certificate, PEM."`
+	Key     string        `help:"Its key."`
+	Timeout time.Duration `default:"10s" help:"For all of it."`
+	JSON    bool          `help:"Print JSON."`
+}
+
+func (a *ask) Run(out io.Writer) error {
+	creds := insecure.NewCredentials()
+	if a.CA != "" {
+		c, err := a.tls()
+		if err != nil {
+			return misuse{err}
+		}
+		creds = credentials.NewTLS(c)
+	}
+	header := http.Header{}
+	for _, h := range a.Header {
+		name, v, ok := strings.Cut(h, ":")
+		if !ok {
+			return misuse{fmt.Errorf("--header %q: expected 'name: value'", h)}
+		}
+		header.Add(strings.TrimSpace(name), strings.TrimSpace(v))
+	}
+	if header.Get("X-Job-Id") == "" {
+		var id [8]byte
+		rand.Read(id[:])
+		header.Set("X-Job-Id", hex.EncodeToString(id[:]))
+	}
+	conn, err := grpc.NewClient(target(a.Door), grpc.WithTransportCredentials(creds))
+	if err != nil {
+		return misuse{fmt.Errorf("--door %q: %w", a.Door, err)}
+	}
+	defer conn.Close()
+	ctx, stop := context.WithTimeout(context.Background(), a.Timeout)
+	defer stop()
+	began := time.Now()
+	o, err := caller.New(conn).Lookup(ctx, caller.Request{Path: a.Path, Header: header}, func(_ context.Context, d caller.Decision) caller.Ending {
+		e := caller.Ending{Word: a.End[min(d.N, len(a.End)-1)], Born: time.Now().Add(-a.Born)}
+		if e.Word == "hit" {
+			e.Note = "hit"
+		}
+		if !a.JSON {
+			fmt.Fprintf(out, "send %d to %s at %s, source %s, rank %d, mode %s, wait at most %v; reported as %s\n", d.N, d.Cache, d.Addr, or(d.Source), d.Rank, or(d.Mode),
+				d.Wait.Round(time.Microsecond), e.Word)
+		}
+		return e
+	})
+	if err != nil {
+		return fmt.Errorf("the door at %s: %w; see whether it listens there and takes this caller", a.Door, err)
+	}
+	if a.JSON {
+		json.NewEncoder(out).Encode(map[string]any{"result": o.Result.String(), "status": o.Status, "text": o.Text, "wait_ms": o.Wait.Milliseconds(),
+			"sends": o.Sends, "took_us": time.Since(began).Microseconds()})
+	} else {
+		fmt.Fprintf(out, "%s, status %d", o.Result, o.Status)
+		if o.Text != "" {
+			fmt.Fprintf(out, " (%s)", o.Text)
+		}
+		if o.Wait > 0 {
+			fmt.Fprintf(out, ", again in %v", o.Wait)
+		}
+		fmt.Fprintf(out, ", after %v\n", time.Since(began).Round(10*time.Microsecond))
+	}
+	if o.Result != caller.Satisfied {
+		return errTold
+	}
+	return nil
+}
+
+func or(v string) string {
+	if v == "" {
+		return "none"
+	}
+	return v
+}
+
+// target is a door's address as gRPC has it; what it resolves is an address as it stands, never a name.
+func target(at string) string {
+	if strings.HasPrefix(at, "unix:") {
+		return at
+	}
+	return "passthrough:///" + at
+}
+
+func (a *ask) tls() (*tls.Config, error) {
+	text, err := os.ReadFile(a.CA)
+	if err != nil {
+		return nil, fmt.Errorf("--ca: %w", err)
+	}
+	host, _, _ := net.SplitHostPort(a.Door)
+	if host == "" {
+		host = "localhost"
+	}
+	c := &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: x509.NewCertPool(), ServerName: host}
+	if !c.RootCAs.AppendCertsFromPEM(text) {
+		return nil, fmt.Errorf("--ca %s: no certificate in it", a.CA)
+	}
+	if a.Cert != "" {
+		pair, err := tls.LoadX509KeyPair(a.Cert, a.Key)
+		if err != nil {
+			return nil, fmt.Errorf("--cert, --key: %w", err)
+		}
+		c.Certificates = []tls.Certificate{pair}
+	}
+	return c, nil
+}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"os"
+	"path/filepath"
+	"syscall"
 
 	"foldslip/clock"
 	"foldslip/service"
@@ -10,6 +12,7 @@
 
 type serve struct {
 	Settings string `env:"FOLDSLIP_SETTINGS" help:"The operators' own settings, a Jsonnet template such as deploy/foldslip.jsonnet; none: all that they switch on is off."`
+	Doors    bool   `help:"Open the doors that the settings name, too (runs foldslip-door, which stands beside this program)."`
 	LogLevel string `enum:"debug,info,warn,error" default:"info" help:"The least level that is logged: ${enum}."`
 }
 
@@ -21,6 +24,9 @@
 	if s.Settings != "" {
 		os.Setenv("FOLDSLIP_SETTINGS", s.Settings)
 	}
+	if s.Doors {
+		return besideThis("serve", "--settings="+s.Settings, "--log-level="+s.LogLevel)
+	}
 	g := clock.NewSystem(to.errs, least)
 	if g.Env("ROUTER_CONFIG") == "" {
 		return usage("ROUTER_CONFIG is not set: name the gateway's configuration file in it, see README.md (Start)")
@@ -31,3 +37,21 @@
 	}
 	return nil
 }
+
+// beside is a command of foldslip-door.
+type beside struct {
+	Args []string `arg:"" optional:""`
+}
+
+func (b *beside) Run() error { return besideThis(append([]string{"ask"}, b.Args...)...) }
+
+// besideThis becomes foldslip-door, whose libraries this program does without.
+func besideThis(args ...string) error {
+	own, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(filepath.Dir(own), "foldslip-door")
+	err = syscall.Exec(path, append([]string{path}, args...), os.Environ())
+	return usage("%s cannot be run: %v; go build -o bin/ ./cmd/... makes it", path, err)
+}
--- a/config/config.go
+++ b/config/config.go
@@ -34,6 +34,7 @@
 // ExternalProcessor are the settings of the door for other proxies.
 type ExternalProcessor struct {
 	Listen      string       `json:"listen"`            // address and port of its own, or unix:/path
+	Trace       *Trace       `json:"trace,omitempty"`   // none: no lookup is traced
 	TLS         *TLS         `json:"tls,omitempty"`     // none: on this machine only
 	Streams     int64        `json:"streams"`           // of one connection of a caller
 	StreamsEach int64        `json:"streams_a_caller"`  // on all its connections
@@ -48,6 +49,12 @@
 	Table       []route.Rule `json:"table"`             // what makes a lookup
 }
 
+// Trace says where spans of lookups go, and how many.
+type Trace struct {
+	Endpoint string  `json:"endpoint"` // of an OTLP collector on gRPC, on this machine
+	Share    float64 `json:"share"`    // of lookups whose callers bring no trace context
+}
+
 // TLS are the door's certificate and key, and whose certificates callers must show. Files are in PEM.
 type TLS struct {
 	Cert     string `json:"cert"`
@@ -263,6 +270,14 @@
 		if x.Weight < 0.01 || x.Weight > 100 {
 			return Fault{file, "external_processor.weight", fmt.Sprintf("is %g", x.Weight), "expected 0.01 to 100; direct clients have 1"}
 		}
+		if t := x.Trace; t != nil {
+			if at, err := netip.ParseAddrPort(t.Endpoint); err != nil || !at.Addr().IsLoopback() {
+				return Fault{file, "external_processor.trace.endpoint", fmt.Sprintf("%q", t.Endpoint), "expected a collector on this machine, as 127.0.0.1:4317"}
+			}
+			if t.Share < 0 || t.Share > 1 {
+				return Fault{file, "external_processor.trace.share", fmt.Sprintf("is %g", t.Share), "expected 0 to 1"}
+			}
+		}
 		if x.Messages < 0 || x.Bytes < 0 {
 			return Fault{file, "external_processor.messages_a_second", "or bytes_a_second is below 0", "0 allows any number"}
 		}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -78,6 +78,11 @@
 		{"a name in the table spelt wrong", "id:", "ids:", "external_processor.table[0].ids"},
 		{"a rule that cannot be used", "path:o", "path:x", "external_processor.table[0].object"},
 		{"no address", "127.0.0.1:18200", "here", "external_processor.listen"},
+		{"open to other machines without certificates", "127.0.0.1:18200", "10.0.0.4:18200", "external_processor.listen"},
+		{"a socket that is no path from the root", "127.0.0.1:18200", "unix:door", "external_processor.listen"},
+		{"a key that is no path from the root", "listen:", "tls: { cert: '/c', key: 'k' }, listen:", "external_processor.tls.key"},
+		{"a weight past its bound", "listen:", "weight: 1000, listen:", "external_processor.weight"},
+		{"spans to another machine", "listen:", "trace: { endpoint: '10.0.0.1:4317', share: 1 }, listen:", "external_processor.trace.endpoint"},
 		{"a count past its bound", "listen:", "lookups: 1e7, listen:", "external_processor.lookups"},
 	} {
 		t.Run(story.name, func(t *testing.T) {
--- a/door/door.go
+++ b/door/door.go
@@ -3,8 +3,8 @@
 // terms; how they stand on a wire is each door's own (door/extproc). What a lookup's sends may do is said by the desk
 // (package retry), which cache gets one by the module behind the facade; this package decides neither.
 //
-// A stream has two goroutines while it lives, one that receives and one that replies; a lookup has one, for the router's
-// steps. All stand on clock.Ground, so that the door plays on a virtual clock too. Bounds: Terms; a stream holds one message
+// A stream has two goroutines while it lives, one that receives and one that replies. A lookup has none: who tells the router
+// something looks for the steps that come of it, and Run does for steps that come by themselves. All stand on clock.Ground, so that the door plays on a virtual clock too. Bounds: Terms; a stream holds one message
 // and at most mostReplies replies, past which it is read no further.
 package door
 
@@ -57,6 +57,9 @@
 	odd     map[string]int // what callers did against the contract, beside what the desk saw
 	group   clock.Group
 	trace   Tracer
+	some    clock.Bell // rung when lookups have steps, and at the end
+	readyMu sync.Mutex
+	waiting []*retry.Lookup // have steps that nobody is about to look for
 }
 
 // caller is one that has streams open, or had lately.
@@ -65,7 +68,9 @@
 	streams  int
 	messages *rate.Limiter
 	bytes    *rate.Limiter
-	gone     time.Time // since when it has no stream
+	faults   *rate.Limiter // that it may commit
+	barred   time.Time     // until then it opens no streams
+	gone     time.Time     // since when it has no stream
 }
 
 const (
@@ -73,6 +78,8 @@
 	callerKept  = time.Minute
 	mostReplies = 8
 	pace        = 50 * time.Millisecond
+	faultsASec  = 20 // messages past their rate or size and phases out of order, of one caller; past it
+	barredFor   = 500 * time.Millisecond
 )
 
 // New makes a door behind a table. purges may be nil.
@@ -82,7 +89,7 @@
 		terms.Weight = 1
 	}
 	return &Door{g: g, terms: terms, its: its, router: router, caches: caches, purges: purges, room: room, table: table,
-		desk: retry.New(terms.Desk), callers: map[string]*caller{}, odd: map[string]int{}, group: g.Group(), trace: noTracer{}}
+		desk: retry.New(terms.Desk), callers: map[string]*caller{}, odd: map[string]int{}, group: g.Group(), trace: noTracer{}, some: g.Bell()}
 }
 
 // Swap puts another table in place for the lookups to come; those open keep what they were read as.
@@ -117,11 +124,12 @@
 	return d.desk.Handed()
 }
 
-// Run brings the desk its time until life ends, and then waits for what goes on.
+// Run brings the desk its time and lookups their steps until life ends, and then waits for the streams.
 func (d *Door) Run(life *clock.Life) error {
-	end := d.g.Bell()
-	defer life.OnEnd(end.Ring)()
-	for wait := time.Duration(0); !end.Wait(wait); {
+	defer life.OnEnd(d.some.Ring)()
+	for wait := time.Duration(0); !life.Over(); {
+		d.some.Wait(wait)
+		d.pumpAll()
 		d.mu.Lock()
 		now := d.g.Now()
 		do, next := d.desk.Tick(now)
@@ -129,21 +137,77 @@
 		d.apply(do)
 		wait = min(pace, max(time.Millisecond, next.Sub(now)))
 	}
-	return d.group.Wait()
+	err := d.group.Wait()
+	d.pumpAll()
+	return err
+}
+
+// ready notes that the router has steps for a lookup; it is called under the facade's lock.
+func (d *Door) ready(lk *retry.Lookup) {
+	if lk.Held() {
+		return
+	}
+	d.readyMu.Lock()
+	d.waiting = append(d.waiting, lk)
+	d.readyMu.Unlock()
+	d.some.Ring()
+}
+
+// pumpAll brings the desk the steps of all lookups that have some.
+func (d *Door) pumpAll() {
+	for {
+		d.readyMu.Lock()
+		list := d.waiting
+		d.waiting = nil
+		d.readyMu.Unlock()
+		if len(list) == 0 {
+			return
+		}
+		for _, lk := range list {
+			d.pump(lk)
+		}
+	}
+}
+
+// pump brings the desk a lookup's steps, one after the other.
+func (d *Door) pump(lk *retry.Lookup) {
+	for {
+		d.mu.Lock()
+		step, some := d.router.Next(lk.Lk)
+		if !some {
+			d.mu.Unlock()
+			return
+		}
+		do := d.desk.Step(d.g.Now(), lk, step)
+		d.mu.Unlock()
+		d.trace.Decided(lk, step)
+		d.apply(do)
+		if step.What != facade.Send && step.What != facade.Cancel {
+			lk.Places.Leave()
+		}
+	}
 }
 
 // apply carries out what the desk wants, without its lock.
 func (d *Door) apply(do retry.Do) {
 	for _, t := range do.Tell {
 		d.trace.Ended(t.Of, t)
+		t.Of.Hold(1)
 		d.router.Report(t.Of.Lk, t.N, t.How, t.Remark, t.Waited)
+		t.Of.Hold(-1)
 	}
 	for _, lk := range do.Leave {
 		d.router.Leave(lk.Lk)
 	}
+	for _, lk := range do.Late {
+		d.router.Late(lk.Lk)
+	}
 	for _, say := range do.Say {
 		say.To.Said.(*stream).hear(say)
 	}
+	for _, t := range do.Tell {
+		d.pump(t.Of)
+	}
 }
 
 // caller finds or makes a caller and takes one more stream of it; nil where it has all that it may.
@@ -164,7 +228,7 @@
 			d.odd["callers_full"]++
 			return nil
 		}
-		c = &caller{name: name, messages: limiter(d.terms.Messages), bytes: limiter(d.terms.Bytes)}
+		c = &caller{name: name, messages: limiter(d.terms.Messages), bytes: limiter(d.terms.Bytes), faults: limiter(faultsASec)}
 		d.callers[name] = c
 	}
 	if d.terms.Streams > 0 && c.streams >= d.terms.Streams {
@@ -175,12 +239,24 @@
 	return c
 }
 
-// limiter allows a second's worth at once.
+// Admits tells whether a caller may open a stream now, before anything is made for it.
+func (d *Door) Admits(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.callers[name]
+	if c == nil || d.g.Now().After(c.barred) {
+		return true
+	}
+	d.odd["refused_while_barred"]++
+	return false
+}
+
+// limiter allows a tenth of a second's worth at once, so that what a caller may send does not come in heaps.
 func limiter(a float64) *rate.Limiter {
 	if a <= 0 {
 		return nil
 	}
-	return rate.NewLimiter(rate.Limit(a), max(1, int(a)))
+	return rate.NewLimiter(rate.Limit(a), max(10, int(a/10)))
 }
 
 func (d *Door) leave(c *caller) {
@@ -196,15 +272,26 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.g.Now()
-	if c.messages != nil && !c.messages.AllowN(now, 1) {
-		d.odd["messages_past_rate"]++
-		return "messages_past_rate"
+	why := ""
+	switch {
+	case c.messages != nil && !c.messages.AllowN(now, 1):
+		why = "messages_past_rate"
+	case c.bytes != nil && !c.bytes.AllowN(now, min(size, c.bytes.Burst())):
+		why = "bytes_past_rate"
+	default:
+		return ""
 	}
-	if c.bytes != nil && !c.bytes.AllowN(now, min(size, c.bytes.Burst())) {
-		d.odd["bytes_past_rate"]++
-		return "bytes_past_rate"
+	d.fault(now, c, why)
+	return why
+}
+
+// fault counts what a caller did against the contract, under the lock. One that does so over and over opens no streams for a while.
+func (d *Door) fault(now time.Time, c *caller, why string) {
+	d.odd[why]++
+	if !c.faults.AllowN(now, 1) && now.After(c.barred) {
+		c.barred = now.Add(barredFor)
+		d.odd["barred"]++
 	}
-	return ""
 }
 
 // ask takes the headers of a request: a reply at once, or none where the module is to be waited for.
@@ -239,21 +326,19 @@
 		d.mu.Unlock()
 		return d.full(), true
 	}
-	lk.Lk = d.router.Take(a.ID, a.Kind, a.Object, a.Part, a.Group, a.KB, until)
+	lk.Hold(1)
+	lk.Lk = d.router.TakeFor(a.ID, a.Kind, a.Object, a.Part, a.Group, a.KB, until, func() { d.ready(lk) })
+	lk.Hold(-1)
 	if lk.Lk == nil {
 		d.desk.Refused(lk)
 		d.mu.Unlock()
 		places.Leave()
 		return final(409, "this lookup is open already"), true
 	}
-	lk.Object, lk.Group, lk.Tag, lk.Asked = a.Object, a.Group, a.Tag, &a
+	lk.Object, lk.Group, lk.Tag, lk.Asked, lk.Places = a.Object, a.Group, a.Tag, &a, places
 	d.trace.Began(lk, m.Get)
 	d.mu.Unlock()
-	d.group.Go("steps", func() error {
-		d.steps(lk)
-		places.Leave()
-		return nil
-	})
+	d.pump(lk)
 	return Reply{}, false
 }
 
@@ -266,21 +351,6 @@
 	return r
 }
 
-// steps brings a lookup's steps to the desk, up to its end.
-func (d *Door) steps(lk *retry.Lookup) {
-	for {
-		step := d.router.Pick(lk.Lk)
-		d.mu.Lock()
-		do := d.desk.Step(d.g.Now(), lk, step)
-		d.mu.Unlock()
-		d.trace.Decided(lk, step)
-		d.apply(do)
-		if step.What != facade.Send && step.What != facade.Cancel {
-			return
-		}
-	}
-}
-
 // report takes the headers of a response. What is no use to the lookup counts for the module as at the users' door: an
 // answer older than a purge that was told past its grace as never sent, word of another copy than the client's as an error.
 func (d *Door) report(st *stream, m Message) {
--- /dev/null
+++ b/door/extproc/caller_test.go
@@ -0,0 +1,253 @@
+package extproc
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"foldslip/caller"
+	"foldslip/clock"
+	"foldslip/config"
+	"foldslip/memory"
+	"foldslip/route"
+	"foldslip/service"
+)
+
+// authority signs certificates for a test.
+type authority struct {
+	t    *testing.T
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+	dir  string
+	n    int64
+}
+
+func newAuthority(t *testing.T, dir string) *authority {
+	a := &authority{t: t, dir: dir}
+	a.cert, a.key = a.make("ca", nil)
+	return a
+}
+
+// make writes NAME.crt and NAME.key, signed by the authority or by itself.
+func (a *authority) make(name string, by *authority) (*x509.Certificate, *ecdsa.PrivateKey) {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.n++
+	c := &x509.Certificate{SerialNumber: big.NewInt(a.n), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(time.Hour), IsCA: by == nil, BasicConstraintsValid: true, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+	parent, signer := c, key
+	if by != nil {
+		parent, signer = by.cert, by.key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, parent, &key.PublicKey, signer)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	raw, _ := x509.MarshalECPrivateKey(key)
+	a.write(name+".crt", "CERTIFICATE", der, 0o644)
+	a.write(name+".key", "EC PRIVATE KEY", raw, 0o600)
+	got, _ := x509.ParseCertificate(der)
+	return got, key
+}
+
+func (a *authority) write(name, kind string, der []byte, mode os.FileMode) {
+	if err := os.WriteFile(filepath.Join(a.dir, name), pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), mode); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+// listening is a door of the operators' settings on loopback.
+func listening(t *testing.T, x *config.ExternalProcessor) *Listener {
+	t.Helper()
+	g, caches := clock.NewSystem(io.Discard, slog.LevelInfo), &memory.Caches{}
+	terms, f := router(t, caches, false)
+	x.Streams, x.StreamsEach, x.Lookups, x.Each, x.AgainMS, x.RememberMS, x.SilentMS, x.Weight = 100, 100, 100, 100, 300, 2000, 5000, 1
+	x.Table = []route.Rule{{Path: "/call/{kind}/{object}/part-{part}", Kind: "path:kind", Object: "path:object", Part: "path:part", ID: "header:x-job-id"}}
+	l, err := Listen(service.Inside{Name: "n0", Ground: g, Terms: terms, Router: f, Caches: caches, Purges: &memory.Purges{Clock: g, Keep: time.Minute},
+		Room: memory.NewRoom(g, 100, 1<<20), Own: &config.Settings{ExternalProcessor: x}}, x)
+	if err != nil {
+		t.Fatal(err)
+	}
+	life, ended := clock.NewLife(nil), make(chan error)
+	go func() { ended <- l.Run(life) }()
+	go func() { // as service does
+		for !life.Over() {
+			time.Sleep(f.Tick(nil, false, nil))
+		}
+	}()
+	t.Cleanup(func() {
+		f.Stop()
+		life.End()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return l
+}
+
+// ask has one lookup through the client package; ends are how its sends end.
+func ask(t *testing.T, target string, creds credentials.TransportCredentials, id string, ends ...string) (caller.Outcome, error) {
+	t.Helper()
+	conn, err := grpc.NewClient(target, grpc.WithTransportCredentials(creds))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+	defer stop()
+	return caller.New(conn).Lookup(ctx, caller.Request{Path: "/call/segment/o/part-1", Header: http.Header{"X-Job-Id": {id}}},
+		func(_ context.Context, d caller.Decision) caller.Ending {
+			return caller.Ending{Word: ends[min(d.N, len(ends)-1)], Born: time.Now()}
+		})
+}
+
+func TestCaller(t *testing.T) {
+	x := &config.ExternalProcessor{Listen: "unix:" + filepath.Join(t.TempDir(), "door")}
+	l := listening(t, x)
+	at := x.Listen
+	for i, story := range []struct {
+		name   string
+		ends   []string
+		result caller.Result
+		sends  int
+	}{{"a hit", []string{"hit"}, caller.Satisfied, 1}, {"shed, then a hit elsewhere", []string{"shed", "hit"}, caller.Satisfied, 2},
+		{"never connected, an error, a hit", []string{"unconnected", "fault", "hit"}, caller.Satisfied, 3},
+		{"errors without end", []string{"fault"}, caller.Nacked, 3}} {
+		t.Run(story.name, func(t *testing.T) {
+			o, err := ask(t, at, insecure.NewCredentials(), fmt.Sprint("a", i), story.ends...)
+			if err != nil || o.Result != story.result || len(o.Sends) != story.sends {
+				t.Errorf("%+v, %v", o, err)
+			}
+		})
+	}
+	t.Run("one that is answered already is refused", func(t *testing.T) {
+		if o, err := ask(t, at, insecure.NewCredentials(), "a0", "hit"); err != nil || o.Result != caller.Refused || o.Status != 409 {
+			t.Errorf("%+v, %v", o, err)
+		}
+	})
+	t.Run("another process on the socket is told, a socket left behind is taken over", func(t *testing.T) {
+		path := strings.TrimPrefix(x.Listen, "unix:")
+		if _, err := open(clock.NewSystem(io.Discard, slog.LevelInfo), x.Listen); err == nil || !strings.Contains(err.Error(), "another process") {
+			t.Error(err)
+		}
+		if info, err := os.Stat(path); err != nil || info.Mode().Perm() != socketMode {
+			t.Error(info, err)
+		}
+		left, err := net.Listen("unix", path+"2")
+		if err != nil {
+			t.Fatal(err)
+		}
+		left.(*net.UnixListener).SetUnlinkOnClose(false)
+		left.Close()
+		again, err := open(clock.NewSystem(io.Discard, slog.LevelInfo), x.Listen+"2")
+		if err != nil {
+			t.Fatal(err)
+		}
+		again.Close()
+	})
+	t.Run("settings that move the door are refused, a table is taken", func(t *testing.T) {
+		other := *x
+		other.Listen = "127.0.0.1:1"
+		if _, err := l.Prepare(&config.Settings{ExternalProcessor: &other}); err == nil {
+			t.Error("moved")
+		}
+		other = *x
+		other.Table = []route.Rule{{Path: "/other", Kind: "segment", Object: "o", ID: "header:x-job-id"}}
+		change, err := l.Prepare(&config.Settings{ExternalProcessor: &other})
+		if err != nil {
+			t.Fatal(err)
+		}
+		change()
+		if o, err := ask(t, at, insecure.NewCredentials(), "b1", "hit"); err != nil || o.Status != 404 {
+			t.Errorf("%+v, %v", o, err)
+		}
+	})
+}
+
+func TestTLS(t *testing.T) {
+	dir := t.TempDir()
+	ours, theirs := newAuthority(t, dir), newAuthority(t, t.TempDir())
+	ours.make("door", ours)
+	ours.make("edge", ours)
+	theirs.make("stranger", theirs)
+	at := free()
+	x := &config.ExternalProcessor{Listen: at, TLS: &config.TLS{Cert: dir + "/door.crt", Key: dir + "/door.key", ClientCA: dir + "/ca.crt"}}
+	l := listening(t, x)
+	creds := func(by *authority, name string) credentials.TransportCredentials {
+		c := &tls.Config{RootCAs: x509.NewCertPool(), ServerName: "127.0.0.1"}
+		c.RootCAs.AddCert(ours.cert)
+		if name != "" {
+			pair, err := tls.LoadX509KeyPair(filepath.Join(by.dir, name+".crt"), filepath.Join(by.dir, name+".key"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Certificates = []tls.Certificate{pair}
+		}
+		return credentials.NewTLS(c)
+	}
+	if o, err := ask(t, at, creds(ours, "edge"), "a", "hit"); err != nil || o.Result != caller.Satisfied {
+		t.Fatalf("%+v, %v", o, err)
+	}
+	for name, c := range map[string]credentials.TransportCredentials{"no certificate": creds(nil, ""), "a stranger's": creds(theirs, "stranger"),
+		"no TLS": insecure.NewCredentials()} {
+		t.Run(name+" is turned away", func(t *testing.T) {
+			if o, err := ask(t, at, c, "b", "hit"); err == nil {
+				t.Errorf("%+v", o)
+			}
+		})
+	}
+	t.Run("keys are read anew, and streams that are open go on", func(t *testing.T) {
+		conn, err := grpc.NewClient(at, grpc.WithTransportCredentials(creds(ours, "edge")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		during := func(_ context.Context, d caller.Decision) caller.Ending {
+			ours.make("door", ours) // a new certificate under the same name
+			change, err := l.Prepare(&config.Settings{ExternalProcessor: x})
+			if err != nil {
+				t.Error(err)
+				return caller.Ending{}
+			}
+			change()
+			if o, err := ask(t, at, creds(ours, "edge"), "d", "hit"); err != nil || o.Result != caller.Satisfied {
+				t.Errorf("%+v, %v", o, err)
+			}
+			return caller.Ending{Word: "hit", Born: time.Now()}
+		}
+		o, err := caller.New(conn).Lookup(context.Background(), caller.Request{Path: "/call/segment/o/part-1", Header: http.Header{"X-Job-Id": {"c"}}}, during)
+		if err != nil || o.Result != caller.Satisfied {
+			t.Errorf("%+v, %v", o, err)
+		}
+	})
+	t.Run("a key that others may read is refused", func(t *testing.T) {
+		os.Chmod(dir+"/door.key", 0o644)
+		if _, err := l.Prepare(&config.Settings{ExternalProcessor: x}); err == nil || !strings.Contains(err.Error(), "chmod 600") {
+			t.Error(err)
+		}
+	})
+}
--- a/door/extproc/extproc.go
+++ b/door/extproc/extproc.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"strconv"
 	"strings"
@@ -41,7 +43,7 @@
 
 // Process is one stream of a caller.
 func (s *Server) Process(stream extprocv3.ExternalProcessor_ProcessServer) error {
-	err := s.Serve(wire{stream}, caller(stream.Context()))
+	err := s.Serve(wire{stream}, callerOf(stream.Context()))
 	switch err {
 	case nil:
 		return nil
@@ -56,12 +58,15 @@
 	case door.Closing:
 		return status.Error(codes.Unavailable, err.Error())
 	}
+	if errors.Is(err, door.ErrTooLarge) {
+		return status.Error(codes.ResourceExhausted, err.Error())
+	}
 	return err
 }
 
-// caller names who calls: by its certificate where it has shown one, else by its address without the port. All behind one
+// callerOf names who calls: by its certificate where it has shown one, else by its address without the port. All behind one
 // Unix socket are one caller.
-func caller(ctx context.Context) string {
+func callerOf(ctx context.Context) string {
 	p, ok := peer.FromContext(ctx)
 	if !ok {
 		return "unknown"
@@ -90,6 +95,9 @@
 
 func (w wire) Recv() (door.Message, error) {
 	m, err := w.ExternalProcessor_ProcessServer.Recv()
+	if status.Code(err) == codes.ResourceExhausted { // the library's word for a message past MostMessage
+		return door.Message{}, fmt.Errorf("%w: %w", door.ErrTooLarge, err)
+	}
 	if err != nil {
 		return door.Message{}, err
 	}
--- a/door/extproc/serve.go
+++ b/door/extproc/serve.go
@@ -1,6 +1,7 @@
 package extproc
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -9,11 +10,15 @@
 	"time"
 
 	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/health"
 	healthv1 "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 
 	"foldslip/clock"
 	"foldslip/config"
@@ -21,6 +26,7 @@
 	"foldslip/retry"
 	"foldslip/route"
 	"foldslip/service"
+	"foldslip/telemetry"
 )
 
 const (
@@ -28,6 +34,8 @@
 	idleCaller  = 5 * time.Minute
 	probeCaller = 20 * time.Second // a caller that says nothing is asked whether it is there
 	handshakeIn = 2 * time.Second
+	refuseIn    = 5 * time.Millisecond
+	mostConns   = 256   // of all callers
 	socketMode  = 0o660 // of a Unix socket: its owner and group may call
 	oddEvery    = 10 * time.Second
 )
@@ -42,6 +50,7 @@
 	health   *health.Server
 	keys     *Keys
 	kinds    []string
+	tracer   *telemetry.Tracer // nil: off
 }
 
 // Doors opens the door that the operators' settings name, if they name one.
@@ -76,8 +85,16 @@
 	if l.listener, err = open(in.Ground, x.Listen); err != nil {
 		return nil, err
 	}
+	l.listener = netutil.LimitListener(l.listener, mostConns)
 	l.Server = Server{Door: door.New(in.Ground, in.Terms, in.Router, in.Caches, in.Purges, in.Room, table, terms(x))}
-	l.grpc = grpc.NewServer(opts...)
+	if t := x.Trace; t != nil {
+		if l.tracer, err = telemetry.Open(telemetry.Terms{Endpoint: t.Endpoint, Share: t.Share, Name: in.Name}); err != nil {
+			l.listener.Close()
+			return nil, err
+		}
+		l.Trace(l.tracer)
+	}
+	l.grpc = grpc.NewServer(append(opts, grpc.InTapHandle(l.tap))...)
 	extprocv3.RegisterExternalProcessorServer(l.grpc, &l.Server)
 	healthv1.RegisterHealthServer(l.grpc, l.health)
 	in.Ground.Log().Info("door", "kind", "external_processor", "listen", l.listener.Addr().String(), "rules", len(x.Table), "tls", x.TLS != nil)
@@ -115,6 +132,16 @@
 	return l, nil
 }
 
+// tap meets each new stream on its connection's own reading side, before anything is made for it. One of a caller past its rate
+// waits a little there, which slows that connection alone, and is refused.
+func (l *Listener) tap(ctx context.Context, _ *tap.Info) (context.Context, error) {
+	if !l.Admits(callerOf(ctx)) {
+		time.Sleep(refuseIn)
+		return nil, status.Error(codes.ResourceExhausted, door.TooMuch.Error())
+	}
+	return ctx, nil
+}
+
 // Addr is where it listens.
 func (l *Listener) Addr() net.Addr { return l.listener.Addr() }
 
@@ -128,6 +155,9 @@
 	if err := <-served; err != nil && !errors.Is(err, grpc.ErrServerStopped) {
 		return err
 	}
+	if l.tracer != nil {
+		l.tracer.Close()
+	}
 	l.g.Log().Info("door_closed", "kind", "external_processor", "open", l.Open(), "odd", l.LogOdd())
 	return nil
 }
--- a/door/stream.go
+++ b/door/stream.go
@@ -34,6 +34,9 @@
 	last   time.Time
 }
 
+// ErrTooLarge is a message larger than a door takes; a Wire's Recv gives it.
+var ErrTooLarge = errors.New("a message is larger than this door takes")
+
 // ErrFull is a stream more than its caller may have.
 var ErrFull = errors.New("too many streams of this caller")
 
@@ -103,6 +106,9 @@
 	for {
 		m, err := w.Recv()
 		if err != nil {
+			if errors.Is(err, ErrTooLarge) {
+				st.fault("message_too_large")
+			}
 			st.mu.Lock()
 			st.failed = err
 			st.mu.Unlock()
@@ -140,7 +146,7 @@
 	early, owed := st.early, st.owed
 	st.mu.Unlock()
 	if owed != 0 && (m.Phase == RequestHeaders || m.Phase == ResponseHeaders) {
-		st.d.count("phase_out_of_order")
+		st.fault("phase_out_of_order")
 		st.say(Reply{Ends: Disorder})
 		return false
 	}
@@ -192,6 +198,9 @@
 	if say.What == retry.Disorder && st.early != nil { // a report that crossed the end hears the end
 		say = *st.early
 	}
+	if say.What == retry.Disorder {
+		st.fault("report_out_of_order")
+	}
 	if st.owed == 0 {
 		st.early = &say
 		st.mu.Unlock()
@@ -209,6 +218,12 @@
 	st.some.Ring()
 }
 
+func (st *stream) fault(why string) {
+	st.d.mu.Lock()
+	defer st.d.mu.Unlock()
+	st.d.fault(st.d.g.Now(), st.caller, why)
+}
+
 func (d *Door) count(what string) {
 	d.mu.Lock()
 	d.odd[what]++
--- a/facade/facade.go
+++ b/facade/facade.go
@@ -49,6 +49,7 @@
 	its      *logic.Lookup
 	steps    []Step
 	some     clock.Bell // rung when there are steps
+	ready    func()     // called in its place, under the lock: it must not wait
 	sentAt   []logic.Micros
 	ways     []way // of sends, while someone looks on
 	out      int   // sends without an ending
@@ -117,14 +118,20 @@
 }
 
 // Take hands a lookup to the router; nil if it could not, most likely as one with this id is open.
-func (f *Facade) Take(id string, kind int, object string, part, group int, kb float64,
-	deadline time.Time) (l *Lookup) {
+func (f *Facade) Take(id string, kind int, object string, part, group int, kb float64, deadline time.Time) *Lookup {
+	return f.TakeFor(id, kind, object, part, group, kb, deadline, nil)
+}
+
+// TakeFor is Take for who does not wait in Pick: ready is called, under the facade's lock, whenever Next has something.
+func (f *Facade) TakeFor(id string, kind int, object string, part, group int, kb float64, deadline time.Time, ready func()) (l *Lookup) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.open[id] != nil {
 		return nil
 	}
-	l = &Lookup{Deadline: deadline, some: f.g.Bell()}
+	if l = (&Lookup{Deadline: deadline, ready: ready}); ready == nil {
+		l.some = f.g.Bell()
+	}
 	f.open[id] = l
 	defer func() {
 		if l.its == nil { // a fault of the module
@@ -144,22 +151,35 @@
 // guards rule 1 against a fault of the module and against a send whose ending is never told.
 func (f *Facade) Pick(l *Lookup) Step {
 	for {
-		f.mu.Lock()
-		if len(l.steps) > 0 {
-			s := l.steps[0]
-			if l.steps = l.steps[1:]; s.What == Send {
-				f.queued--
-			}
-			f.mu.Unlock()
+		if s, ok := f.Next(l); ok {
 			return s
 		}
-		f.mu.Unlock()
 		if !l.some.Wait(max(0, l.Deadline.Sub(f.g.Now())+lateBy)) {
 			f.close(l, Failed)
 		}
 	}
 }
 
+// Next is a lookup's next step if there is one now.
+func (f *Facade) Next(l *Lookup) (s Step, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(l.steps) == 0 {
+		return s, false
+	}
+	s = l.steps[0]
+	if l.steps = l.steps[1:]; s.What == Send {
+		f.queued--
+	}
+	return s, true
+}
+
+// LateBy is past a lookup's deadline: one that nothing has ended by then is to be failed, as Pick does by itself.
+const LateBy = lateBy
+
+// Late fails a lookup that nothing has ended; see LateBy.
+func (f *Facade) Late(l *Lookup) { f.close(l, Failed) }
+
 // Report tells how a send ended. It returns false for an answer that came too late to be used.
 func (f *Facade) Report(l *Lookup, n int, how logic.Ending, remark logic.Remark, waited logic.Micros) bool {
 	f.mu.Lock()
@@ -299,6 +319,10 @@
 
 func (l *Lookup) push(s Step) {
 	l.steps = append(l.steps, s)
+	if l.ready != nil {
+		l.ready()
+		return
+	}
 	l.some.Ring()
 }
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -15,10 +15,12 @@
 import (
 	"container/heap"
 	"container/list"
+	"sync/atomic"
 	"time"
 
 	"foldslip/facade"
 	"foldslip/logic"
+	"foldslip/memory"
 	"foldslip/route"
 )
 
@@ -67,6 +69,12 @@
 // Final tells whether it ends the lookup for its caller.
 func (w What) Final() bool { return w == Accepted || w == Nack || w == Fail }
 
+// Hold marks a lookup as in the hands of one that will look for its steps by itself; Held tells whether it is.
+func (lk *Lookup) Hold(n int32) { lk.busy.Add(n) }
+
+// Held tells whether somebody will look for its steps by itself.
+func (lk *Lookup) Held() bool { return lk.busy.Load() > 0 }
+
 // Tell is a report for the router: how send N of a lookup ended.
 type Tell struct {
 	Of     *Lookup
@@ -80,6 +88,7 @@
 type Do struct {
 	Tell  []Tell    // to the router
 	Leave []*Lookup // the client has gone: to the router
+	Late  []*Lookup // nothing has ended it by its time: to the router
 	Say   []Say     // to streams
 }
 
@@ -107,6 +116,8 @@
 	Tag    string
 	Asked  *route.Asked
 	Trace  any // the door's own
+	Places *memory.Places
+	busy   atomic.Int32
 	who    string
 	at     stage
 	on     *Stream // that waits for an answer, or makes the send
@@ -121,6 +132,7 @@
 	wake   time.Time // when the desk must look after it; zero: no need
 	no     uint64    // lookups of one instant go in the order they came
 	index  int       // in the heap, from 1
+	late   bool      // the router has been told that its time is over
 }
 
 // wakes is a heap of lookups by when they must be looked after: however many are open, a tick costs what is due.
@@ -199,6 +211,8 @@
 		at = lk.due
 	case lk.at == handed:
 		at = lk.until
+	case lk.on != nil && !lk.late:
+		at = lk.until.Add(facade.LateBy)
 	}
 	switch lk.wake = at; {
 	case at.IsZero() && lk.index > 0:
@@ -234,6 +248,7 @@
 		d.by[key], on.its = lk, lk
 		d.open++
 		d.each[lk.who]++
+		d.arm(lk)
 		return lk, do
 	case lk.at == over && lk.end == Accepted:
 		d.Odd["ask_after_answer"]++
@@ -405,6 +420,9 @@
 			d.Odd["never_reported"]++
 			do.Tell = append(do.Tell, Tell{Of: lk, N: lk.n, How: logic.TimedOut})
 			lk.at = deciding
+		} else if lk.on != nil { // guards rule 1 against a fault of the module
+			lk.late = true
+			do.Late = append(do.Late, lk)
 		} else {
 			d.Odd["never_asked_again"]++
 			d.leave(now, lk, &do)
--- a/service/service.go
+++ b/service/service.go
@@ -138,6 +138,7 @@
 
 // Inside is what a door stands before.
 type Inside struct {
+	Name   string
 	Ground clock.Ground
 	Terms  *charter.Terms
 	Router *facade.Facade
@@ -221,7 +222,7 @@
 	front := wire.NewFront(g, terms, router, links, room, most)
 	var doors []Door
 	if watch.Doors != nil {
-		if doors, err = watch.Doors(Inside{g, terms, router, caches, purges, room, own}); err != nil {
+		if doors, err = watch.Doors(Inside{s.Name, g, terms, router, caches, purges, room, own}); err != nil {
 			return err
 		}
 	}
