--- a/caller/caller.go
+++ b/caller/caller.go
@@ -145,7 +145,7 @@
 		return false, fmt.Errorf("the door answers a report with %T", m.Response)
 	}
 	stream.CloseSend()
-	o.Result, o.Status = Satisfied, 200
+	o.Result, o.Status, o.Text = Satisfied, 200, ""
 	if e.Word == "valid" {
 		o.Status = 304
 	}
@@ -158,6 +158,7 @@
 	for _, h := range i.GetHeaders().GetSetHeaders() {
 		switch v := string(h.GetHeader().GetRawValue()); h.GetHeader().GetKey() {
 		case prefix + "again":
+			*o = Outcome{Sends: o.Sends}
 			return true
 		case "x-wait-ms":
 			ms, _ := strconv.ParseInt(v, 10, 64)
