Limits with state: rates, adaptive concurrency, budgets for further sends, carried over changes

Change: package limit on x/time/rate and memory.Shares: lookups and bytes a second, lookups at once shared by max-min, an adaptive limit (gradient of least and present time), a budget of further sends that fades. Set.Carry keeps what is used under the same name; a bucket keeps its part, so that no change refills it. Not used by the gateway yet.

--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,267 @@
+package limit
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func at(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+
+func TestLimit(t *testing.T) {
+	enter := func(l *Limit, ms int) (*Ticket, Reason, time.Duration) { return l.Enter(at(ms), "t", 1, 100) }
+	t.Run("lookups past their rate are told when to come back, and may then", func(t *testing.T) {
+		l := New(at(0), "p", Terms{Lookups: 10})
+		for range 5 {
+			if _, why, _ := enter(l, 0); why != Allowed {
+				t.Fatal(why)
+			}
+		}
+		_, why, wait := enter(l, 0)
+		if why != TooFast || wait != 100*time.Millisecond {
+			t.Fatal(why, wait)
+		}
+		if _, why, _ := enter(l, 100); why != Allowed {
+			t.Error(why)
+		}
+	})
+	t.Run("bytes past their rate take no place and no lookup", func(t *testing.T) {
+		l := New(at(0), "p", Terms{Bytes: 1 << 22, Open: 1, Lookups: 100})
+		if ticket, why, _ := l.Enter(at(0), "t", 1, 2<<20); why != Allowed {
+			t.Fatal(why)
+		} else {
+			ticket.Leave(at(1), true, false)
+		}
+		if _, why, wait := l.Enter(at(1), "t", 1, 1<<20); why != TooMuch || wait < 200*time.Millisecond || l.Open() != 0 {
+			t.Error(why, wait, l.Open())
+		}
+	})
+	t.Run("places come back once", func(t *testing.T) {
+		l := New(at(0), "p", Terms{Open: 1})
+		ticket, _, _ := enter(l, 0)
+		if _, why, wait := enter(l, 0); why != TooMany || wait <= 0 {
+			t.Error(why, wait)
+		}
+		ticket.Leave(at(1), true, false)
+		ticket.Leave(at(1), true, false)
+		if l.Open() != 0 {
+			t.Error(l.Open())
+		}
+	})
+	t.Run("no further sends at all", func(t *testing.T) {
+		l := New(at(0), "p", Terms{Further: -1})
+		if why := l.Further(at(0)); why != NoFurther || l.Refused[NoFurther] != 1 {
+			t.Error(why)
+		}
+	})
+}
+
+func TestCarry(t *testing.T) {
+	t.Run("a change refills no bucket, however often", func(t *testing.T) {
+		s := NewSet(at(0), map[string]Terms{"p": {Lookups: 10}})
+		got := 0
+		for range 50 {
+			for {
+				if _, why, _ := s.Of("p").Enter(at(0), "t", 1, 0); why != Allowed {
+					break
+				}
+				got++
+			}
+			s = s.Carry(at(0), map[string]Terms{"p": {Lookups: 10}})
+		}
+		if got != 5 {
+			t.Errorf("%d lookups of a burst of 5", got)
+		}
+	})
+	t.Run("a larger limit brings its part of what is left, not all", func(t *testing.T) {
+		s := NewSet(at(0), map[string]Terms{"p": {Lookups: 100}})
+		for range 50 {
+			s.Of("p").Enter(at(0), "t", 1, 0)
+		}
+		s = s.Carry(at(0), map[string]Terms{"p": {Lookups: 1000}})
+		if _, why, _ := s.Of("p").Enter(at(0), "t", 1, 0); why != TooFast {
+			t.Error("an empty bucket is full after the change")
+		}
+	})
+	t.Run("what is open stays open, also past a smaller limit; a thing of another name begins anew", func(t *testing.T) {
+		s := NewSet(at(0), map[string]Terms{"p": {Open: 3}})
+		var in []*Ticket
+		for range 3 {
+			ticket, _, _ := s.Of("p").Enter(at(0), "t", 1, 0)
+			in = append(in, ticket)
+		}
+		s = s.Carry(at(1), map[string]Terms{"p": {Open: 2}, "q": {Open: 1}})
+		if _, why, _ := s.Of("p").Enter(at(1), "t", 1, 0); why != TooMany || s.Of("p").Open() != 3 || s.Of("q").Open() != 0 {
+			t.Error(why, s.Of("p").Open())
+		}
+		in[0].Leave(at(2), true, false)
+		in[1].Leave(at(2), true, false)
+		if _, why, _ := s.Of("p").Enter(at(2), "t", 1, 0); why != Allowed {
+			t.Error(why)
+		}
+	})
+	t.Run("any order of changes, entries and ends: never more open than the largest limit there was, nothing left", func(t *testing.T) {
+		rapid.Check(t, func(t *rapid.T) {
+			most, now := 4, 0
+			s := NewSet(at(0), map[string]Terms{"p": {Open: 4, Adaptive: true, Lookups: 1000, Further: 0.2}})
+			var in []*Ticket
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				now += rapid.IntRange(0, 50).Draw(t, "ms")
+				switch rapid.IntRange(0, 3).Draw(t, "what") {
+				case 0, 1:
+					if ticket, why, wait := s.Of("p").Enter(at(now), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "who"), 1, 10); why == Allowed {
+						in = append(in, ticket)
+					} else if wait <= 0 {
+						t.Fatal("no time to come back")
+					}
+				case 2:
+					if len(in) > 0 {
+						in[0].Leave(at(now), rapid.Bool().Draw(t, "good"), rapid.Bool().Draw(t, "pressed"))
+						in = in[1:]
+					}
+				case 3:
+					n := rapid.IntRange(1, 9).Draw(t, "open")
+					most = max(most, n)
+					s = s.Carry(at(now), map[string]Terms{"p": {Open: n, Adaptive: rapid.Bool().Draw(t, "adaptive"), Lookups: 1000, Further: 0.2}})
+				}
+				if s.Of("p").Open() != len(in) || len(in) > most {
+					t.Fatalf("%d open, %d counted, %d at most", len(in), s.Of("p").Open(), most)
+				}
+			}
+			for _, ticket := range in {
+				ticket.Leave(at(now), true, false)
+			}
+			if s.Of("p").Open() != 0 {
+				t.Fatal("something stays open")
+			}
+		})
+	})
+}
+
+// ends is a heap of instants.
+type ends []struct {
+	at     time.Duration
+	ticket *Ticket
+	ok     bool
+}
+
+func (e ends) Len() int           { return len(e) }
+func (e ends) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e ends) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *ends) Push(x any) {
+	*e = append(*e, x.(struct {
+		at     time.Duration
+		ticket *Ticket
+		ok     bool
+	}))
+}
+func (e *ends) Pop() any { x := (*e)[len(*e)-1]; *e = (*e)[:len(*e)-1]; return x }
+
+// pool is a pool of caches as a queue: it works on so many at once, each for 20 ms; what waits over 200 ms is late.
+// It gives the share of lookups that were satisfied in time over a minute, at a rate that doubles what it bears from 20 s to 40 s,
+// and whose pace halves from 30 s on.
+func pool(terms Terms) (good float64) {
+	r, l := rand.New(rand.NewPCG(3, 4)), New(at(0), "p", terms)
+	var out ends
+	free := make([]time.Duration, 16) // when each of its places is free
+	asked, satisfied := 0, 0
+	for now := time.Duration(0); now < time.Minute; now += time.Millisecond {
+		for len(out) > 0 && out[0].at <= now {
+			e := heap.Pop(&out).(struct {
+				at     time.Duration
+				ticket *Ticket
+				ok     bool
+			})
+			if e.ok {
+				satisfied++
+			}
+			e.ticket.Leave(at(int(now.Milliseconds())), e.ok, !e.ok)
+		}
+		rate := 600.0
+		if now > 20*time.Second && now < 40*time.Second {
+			rate = 1600
+		}
+		for n := rate / 1000; n > 0; n-- {
+			if r.Float64() >= n {
+				continue
+			}
+			asked++
+			ticket, why, _ := l.Enter(at(int(now.Milliseconds())), "t", 1, 0)
+			if why != Allowed {
+				continue
+			}
+			first := 0
+			for i := range free {
+				if free[i] < free[first] {
+					first = i
+				}
+			}
+			took := 20 * time.Millisecond
+			if now > 30*time.Second {
+				took *= 2
+			}
+			free[first] = max(now, free[first]) + took
+			heap.Push(&out, struct {
+				at     time.Duration
+				ticket *Ticket
+				ok     bool
+			}{free[first], ticket, free[first]-now <= 200*time.Millisecond})
+		}
+	}
+	return float64(satisfied) / float64(asked)
+}
+
+// An overloaded pool that then slows down: an adaptive limit against none and against a fixed one that was right before.
+func TestAdaptive(t *testing.T) {
+	none, fixed, adaptive := pool(Terms{}), pool(Terms{Open: 400}), pool(Terms{Open: 400, Adaptive: true})
+	t.Logf("satisfied in time: %.3f with an adaptive limit, %.3f with a fixed one, %.3f with none", adaptive, fixed, none)
+	if adaptive < fixed+0.1 || adaptive < none+0.1 {
+		t.Errorf("%.3f, %.3f, %.3f", adaptive, fixed, none)
+	}
+}
+
+// A parent's outage of ten seconds: sends a lookup, and the peak after it, with a budget and with three tries each.
+func TestBudgetInAnOutage(t *testing.T) {
+	storm := func(budget *Budget) (a, peak float64) {
+		sends, lookups := 0, 0
+		var seconds [40]int
+		again := make([][]int, 40_000) // tries left of what is tried again then
+		for ms := range 40_000 {
+			down := ms > 10_000 && ms < 20_000
+			todo := again[ms]
+			if ms%5 == 0 { // 200 lookups a second
+				lookups++
+				if budget != nil {
+					budget.First(at(ms))
+				}
+				todo = append(todo, -1)
+			}
+			for _, tries := range todo {
+				if tries >= 0 && budget != nil && !budget.Take(at(ms)) {
+					continue
+				}
+				sends++
+				seconds[ms/1000]++
+				if tries < 0 {
+					tries = 3
+				}
+				if down && tries > 0 && ms+300 < len(again) {
+					again[ms+300] = append(again[ms+300], tries-1)
+				}
+			}
+		}
+		for _, n := range seconds[20:] {
+			peak = max(peak, float64(n)/200)
+		}
+		return float64(sends) / float64(lookups), peak
+	}
+	plain, plainPeak := storm(nil)
+	budgeted, peak := storm(NewBudget(0.1))
+	t.Logf("sends a lookup %.2f with a budget, %.2f without; the peak after the outage %.2f and %.2f of the usual", budgeted, plain, peak, plainPeak)
+	if budgeted > 1.1 || peak > 1.15 || plain < 1.5 {
+		t.Errorf("%.2f (%.2f), %.2f (%.2f)", budgeted, plain, peak, plainPeak)
+	}
+}
--- a/memory/shares.go
+++ b/memory/shares.go
@@ -93,6 +93,13 @@
 	s.open--
 }
 
+// Resize sets how many places there are. Where more are taken, none is given until enough have come back.
+func (s *Shares) Resize(most int) {
+	if most != s.most {
+		s.most, s.at = most, time.Time{}
+	}
+}
+
 // Open is how many places are taken, and by a holder.
 func (s *Shares) Open() int { return s.open }
 
