A lookup's scope narrows the caches and parents that the module chooses from

Change: logic.Scope, caches and parents by name, told with the lookup (Router.Within, facade.TakeFor); two conditions in edge and parent. Without a scope nothing differs. Four stories; an object's home stays its home where it is in the scope.

--- a/door/door.go
+++ b/door/door.go
@@ -327,7 +327,7 @@
 		return d.full(), true
 	}
 	lk.Hold(1)
-	lk.Lk = d.router.TakeFor(a.ID, a.Kind, a.Object, a.Part, a.Group, a.KB, until, func() { d.ready(lk) })
+	lk.Lk = d.router.TakeFor(a.ID, a.Kind, a.Object, a.Part, a.Group, a.KB, until, nil, func() { d.ready(lk) })
 	lk.Hold(-1)
 	if lk.Lk == nil {
 		d.desk.Refused(lk)
--- a/facade/facade.go
+++ b/facade/facade.go
@@ -87,6 +87,7 @@
 	Departed(now logic.Micros, lk *logic.Lookup)
 	Purged(now logic.Micros, name string, group int, ago logic.Micros)
 	Woken(now logic.Micros, token int64)
+	Within(s *logic.Scope)
 	InFlight() int
 	Health(see func(c *logic.Cache, heard logic.Micros, out bool))
 }
@@ -119,11 +120,13 @@
 
 // Take hands a lookup to the router; nil if it could not, most likely as one with this id is open.
 func (f *Facade) Take(id string, kind int, object string, part, group int, kb float64, deadline time.Time) *Lookup {
-	return f.TakeFor(id, kind, object, part, group, kb, deadline, nil)
+	return f.TakeFor(id, kind, object, part, group, kb, deadline, nil, nil)
 }
 
-// TakeFor is Take for who does not wait in Pick: ready is called, under the facade's lock, whenever Next has something.
-func (f *Facade) TakeFor(id string, kind int, object string, part, group int, kb float64, deadline time.Time, ready func()) (l *Lookup) {
+// TakeFor is Take within a scope (nil: all), for who does not wait in Pick where ready is told: it is called, under the facade's lock,
+// whenever Next has something.
+func (f *Facade) TakeFor(id string, kind int, object string, part, group int, kb float64, deadline time.Time, scope *logic.Scope,
+	ready func()) (l *Lookup) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.open[id] != nil {
@@ -141,6 +144,9 @@
 	}()
 	defer f.guard()
 	now := f.now()
+	if scope != nil {
+		f.router.Within(scope)
+	}
 	l.its = f.router.Arrive(now, id, kind, object, part, group, kb, now+deadline.Sub(f.g.Now()).Microseconds(),
 		false, false)
 	f.drop(id, l)
--- a/logic/host.go
+++ b/logic/host.go
@@ -24,6 +24,16 @@
 	Log(line string)
 }
 
+// Scope narrows what a lookup may be sent to and filled from, as its route says (package route/pools): caches by name. A nil map or
+// scope allows all. The origin stays the last resort of fills.
+type Scope struct{ Caches, Sources map[string]bool }
+
+func (s *Scope) edge(c *Cache) bool   { return s == nil || s.Caches == nil || s.Caches[c.Name] }
+func (s *Scope) parent(c *Cache) bool { return s == nil || s.Sources == nil || s.Sources[c.Name] }
+
+// Within narrows the lookup that arrives next.
+func (r *Router) Within(s *Scope) { r.scope = s }
+
 // InFlight counts the sends whose ending has not been told.
 func (r *Router) InFlight() int { return len(r.open) }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -124,7 +124,8 @@
 	r.now = now
 	k := &r.kinds[kind]
 	lk := &Lookup{Door: door, kind: k, group: group, write: write || k.PassThrough, repeat: repeat, kb: kb,
-		arrived: now, deadline: deadline}
+		arrived: now, deadline: deadline, scope: r.scope}
+	r.scope = nil
 	if r.its.FlowKB > 0 {
 		lk.work = Micros(min(kb/r.its.FlowKB*float64(second), float64(k.GiveUp))) // whatever size is claimed
 	}
@@ -278,7 +279,7 @@
 	lk, wait, part := s.lk, false, 1.0
 	for _, c := range r.order(lk.hash, r.edges) {
 		switch {
-		case c.State != Ready || c == lk.failedAt || !r.mayRepeat(lk, c) || !r.trialDue(c, lk):
+		case c.State != Ready || c == lk.failedAt || !r.mayRepeat(lk, c) || !r.trialDue(c, lk) || !lk.scope.edge(c):
 		case !r.warmEnough(c, lk.hash) || !r.afford(c, lk.kind.mean(r.now)):
 			wait = true
 		case float64(c.open)-r.fillsOpen(c) >= part*c.limit || r.now < c.pauseTill:
@@ -372,7 +373,7 @@
 	}
 	for _, p := range r.order(lk.hash, r.parents) {
 		switch {
-		case p.State != Ready || p == lk.failedBy || !r.trialDue(p, lk):
+		case p.State != Ready || p == lk.failedBy || !r.trialDue(p, lk) || !lk.scope.parent(p):
 		case !r.afford(p, float64(lk.work)):
 		default:
 			s.source = p
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -596,3 +596,54 @@
 		})
 	}
 }
+
+// A scope narrows what a lookup is sent to and filled from, and nothing else.
+func TestScope(t *testing.T) {
+	t.Run("none but the caches and parents in it", func(t *testing.T) {
+		f, all := play(t, nil)
+		for i := range 40 {
+			f.r.Within(&Scope{Caches: map[string]bool{"c1": true, "c2": true}, Sources: map[string]bool{"c4": true}})
+			f.ask(0, fmt.Sprint(i))
+			if s := f.last(); len(f.sends) != i+1 || s.to == all[0] || s.source != all[4] {
+				t.Fatalf("%s from %s", s.to.Name, s.source.Name)
+			}
+			f.end(f.last(), Satisfied, Hit, 100*ms)
+		}
+	})
+	t.Run("its object's home where that is in it", func(t *testing.T) {
+		f, _ := play(t, nil)
+		for i := range 40 {
+			f.ask(0, fmt.Sprint(i))
+			home := f.last().to
+			f.end(f.last(), Satisfied, Hit, 100*ms)
+			f.r.Within(&Scope{Caches: map[string]bool{home.Name: true, "c1": true}})
+			f.ask(0, fmt.Sprint(i))
+			if f.last().to != home {
+				t.Fatalf("%s, not %s", f.last().to.Name, home.Name)
+			}
+			f.end(f.last(), Satisfied, Hit, 100*ms)
+		}
+	})
+	t.Run("it is of one lookup only", func(t *testing.T) {
+		f, _ := play(t, nil)
+		f.r.Within(&Scope{Caches: map[string]bool{"c1": true}})
+		f.ask(0, "a")
+		seen := map[*Cache]bool{}
+		for i := range 40 {
+			f.ask(0, fmt.Sprint(i))
+			seen[f.last().to] = true
+			f.end(f.last(), Satisfied, Hit, 100*ms)
+		}
+		if len(seen) < 3 {
+			t.Error(len(seen))
+		}
+	})
+	t.Run("nobody in it: nacked at once", func(t *testing.T) {
+		f, _ := play(t, nil)
+		f.r.Within(&Scope{Caches: map[string]bool{}})
+		f.ask(0, "a")
+		if len(f.sends) != 0 || len(f.said) == 0 || f.said[len(f.said)-1][:4] != "nack" {
+			t.Errorf("%v", f.said)
+		}
+	})
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -54,6 +54,7 @@
 	over             bool
 	ranAt            Micros // a send that may have run, and where
 	ranTo            *Cache
+	scope            *Scope
 }
 
 // Send is one send of a lookup, from draft to ending.
@@ -120,6 +121,7 @@
 	nextFill       Micros // where the limit is under one: not before this
 	pressedTill    Micros
 	chain          []stage
+	scope          *Scope // of the lookup that arrives next
 }
 
 // sum is a sum that halves every halfLife, brought up to date when read.
