Routes, pools and limits in force at both doors: steps on disk, guards, one version a lookup

Change: package route/steer holds the changes, the views that lookups are decided under (one pointer) and the limits; a step counts once it is synced. Guards watch always, so a change applied to all has its comparison.

--- a/charter/charter.go
+++ b/charter/charter.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"foldslip/logic"
 )
@@ -146,3 +147,13 @@
 	}
 	return list[i]
 }
+
+// Budget is the latency budget of a lookup of a kind and size.
+func (t *Terms) Budget(kind int, kb float64) time.Duration {
+	k := t.Router.Kinds[kind]
+	work := 0.0
+	if t.Router.FlowKB > 0 {
+		work = kb / t.Router.FlowKB * float64(time.Second.Microseconds())
+	}
+	return time.Duration(min(float64(k.Budget)+k.Stretch*work, float64(k.GiveUp))) * time.Microsecond
+}
--- a/config/change/change.go
+++ b/config/change/change.go
@@ -378,3 +378,6 @@
 	}
 	return all
 }
+
+// Head is the version that was confirmed last.
+func (c *Changes) Head() uint64 { return c.head }
--- a/config/change/guard.go
+++ b/config/change/guard.go
@@ -13,7 +13,7 @@
 	terms Guards
 	base  counts // of the side without the change
 	next  counts
-	since time.Time
+	since [2]time.Time // when each was faded last: what nobody adds to stays as it was
 }
 
 // Guards are how much worse a change may be: parts of lookups.
@@ -54,23 +54,32 @@
 const guardHalf = 20 * time.Second
 
 // NewGuard begins to watch.
-func NewGuard(now time.Time, terms Guards) *Guard { return &Guard{terms: terms, since: now} }
+func NewGuard(now time.Time, terms Guards) *Guard {
+	return &Guard{terms: terms, since: [2]time.Time{now, now}}
+}
+
+// Begin watches another change: what went on before stays known.
+func (g *Guard) Begin() { g.next = counts{} }
+
+// Accept takes what a change brought for what is usual from now on.
+func (g *Guard) Accept() {
+	if g.next.n >= float64(g.terms.Least) {
+		g.base = g.next
+	}
+	g.next = counts{}
+}
 
 // Saw is a lookup that ended, under the change or not.
 func (g *Guard) Saw(now time.Time, under bool, s Seen) {
-	if d := now.Sub(g.since); d > time.Second {
-		part := math.Exp2(-d.Seconds() / guardHalf.Seconds())
-		g.base.fade(part)
-		if under {
-			g.next.fade(part)
-		}
-		g.since = now
-	}
+	side, at := &g.base, &g.since[0]
 	if under {
-		g.next.add(s)
-	} else {
-		g.base.add(s)
+		side, at = &g.next, &g.since[1]
+	}
+	if d := now.Sub(*at); d > time.Second {
+		side.fade(math.Exp2(-d.Seconds() / guardHalf.Seconds()))
+		*at = now
 	}
+	side.add(s)
 }
 
 // Tripped says why the change is to be undone, or "".
--- a/config/config.go
+++ b/config/config.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"path"
 	"reflect"
@@ -17,6 +18,7 @@
 	"github.com/google/go-jsonnet"
 
 	"foldslip/route"
+	"foldslip/route/pools"
 )
 
 const (
@@ -29,6 +31,13 @@
 type Settings struct {
 	List              *List              `json:"list,omitempty"`
 	ExternalProcessor *ExternalProcessor `json:"external_processor,omitempty"`
+	Routing           *Routing           `json:"routing,omitempty"`
+}
+
+// Routing are routes and pools, and where their changes are kept.
+type Routing struct {
+	Folder string `json:"folder,omitempty"` // of this gateway alone; none: changes end with the process
+	pools.Config
 }
 
 // ExternalProcessor are the settings of the door for other proxies.
@@ -189,6 +198,14 @@
 		return nil
 	}
 	object, ok := tree.(map[string]any)
+	if ok && t.Kind() == reflect.Map {
+		for _, name := range slices.Sorted(maps.Keys(object)) {
+			if err := known(file, at+"."+name, object[name], t.Elem()); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
 	if t.Kind() != reflect.Struct {
 		return nil
 	}
@@ -200,10 +217,11 @@
 	}
 	fields := map[string]reflect.Type{}
 	var names []string
-	for i := range t.NumField() {
-		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
-		fields[name] = t.Field(i).Type
-		names = append(names, name)
+	for _, f := range reflect.VisibleFields(t) {
+		if name, _, _ := strings.Cut(f.Tag.Get("json"), ","); name != "" {
+			fields[name] = f.Type
+			names = append(names, name)
+		}
 	}
 	var asked []string
 	for name := range object {
@@ -286,6 +304,14 @@
 			return Fault{file, fmt.Sprintf("external_processor.table[%d].%s", rule.Rule, rule.Field), rule.Text, rule.Remedy}
 		}
 	}
+	if r := s.Routing; r != nil {
+		if r.Folder != "" && !path.IsAbs(r.Folder) {
+			return Fault{file, "routing.folder", fmt.Sprintf("%q is relative", r.Folder), "name it from the root, as /var/lib/foldslip-routes"}
+		}
+		if _, faults := pools.Compile(r.Config, nil); len(faults) > 0 && faults[0].Error { // kinds are the platform's to tell
+			return Fault{file, "routing." + faults[0].Path, faults[0].Text, faults[0].Remedy}
+		}
+	}
 	if l := s.List; l != nil {
 		if l.Bytes == 0 {
 			l.Bytes = 8 << 20
--- a/door/door.go
+++ b/door/door.go
@@ -22,10 +22,12 @@
 	"foldslip/charter"
 	"foldslip/clock"
 	"foldslip/facade"
+	"foldslip/limit"
 	"foldslip/logic"
 	"foldslip/memory"
 	"foldslip/retry"
 	"foldslip/route"
+	"foldslip/route/steer"
 )
 
 // Prefix is that of headers that are this program's to set, on the way to caches and back.
@@ -50,7 +52,8 @@
 	caches  *memory.Caches
 	purges  *memory.Purges
 	room    *memory.Room
-	mu      sync.Mutex // of what follows; held over one call of the facade only, Take, which waits for nothing
+	Routes  *steer.Steer // nil: a lookup may go anywhere
+	mu      sync.Mutex   // of what follows; held over one call of the facade only, Take, which waits for nothing
 	table   *route.Table
 	desk    *retry.Desk
 	callers map[string]*caller
@@ -184,10 +187,19 @@
 		d.apply(do)
 		if step.What != facade.Send && step.What != facade.Cancel {
 			lk.Places.Leave()
+			d.leaveRoute(lk, step.What)
 		}
 	}
 }
 
+// leaveRoute ends what the lookup's route let in.
+func (d *Door) leaveRoute(lk *retry.Lookup, how facade.What) {
+	if lk.Pass != nil {
+		late := d.g.Now().Sub(lk.Came) > d.its.Budget(lk.Asked.Kind, lk.Asked.KB)
+		lk.Pass.End(how == facade.Satisfied && !late, how == facade.Nacked, late || how == facade.Failed)
+	}
+}
+
 // apply carries out what the desk wants, without its lock.
 func (d *Door) apply(do retry.Do) {
 	for _, t := range do.Tell {
@@ -326,16 +338,31 @@
 		d.mu.Unlock()
 		return d.full(), true
 	}
+	lk.Object, lk.Group, lk.Tag, lk.Asked, lk.Places = a.Object, a.Group, a.Tag, &a, places
+	var scope *logic.Scope
+	if d.Routes != nil {
+		pass, why, wait := d.Routes.Admit(a.Kind, a.Group, a.Object, a.KB)
+		if why != limit.Allowed {
+			d.desk.Refused(lk)
+			d.mu.Unlock()
+			places.Leave()
+			r := final(503, "past a limit: "+string(why))
+			r.Wait = wait
+			return r, true
+		}
+		lk.Pass, scope = pass, pass.Scope()
+	}
+	lk.Came = came
 	lk.Hold(1)
-	lk.Lk = d.router.TakeFor(a.ID, a.Kind, a.Object, a.Part, a.Group, a.KB, until, nil, func() { d.ready(lk) })
+	lk.Lk = d.router.TakeFor(a.ID, a.Kind, a.Object, a.Part, a.Group, a.KB, until, scope, func() { d.ready(lk) })
 	lk.Hold(-1)
 	if lk.Lk == nil {
 		d.desk.Refused(lk)
 		d.mu.Unlock()
 		places.Leave()
+		d.leaveRoute(lk, facade.Failed)
 		return final(409, "this lookup is open already"), true
 	}
-	lk.Object, lk.Group, lk.Tag, lk.Asked, lk.Places = a.Object, a.Group, a.Tag, &a, places
 	d.trace.Began(lk, m.Get)
 	d.mu.Unlock()
 	d.pump(lk)
--- a/door/extproc/serve.go
+++ b/door/extproc/serve.go
@@ -94,6 +94,7 @@
 		}
 		l.Trace(l.tracer)
 	}
+	l.Routes = in.Routes
 	l.grpc = grpc.NewServer(append(opts, grpc.InTapHandle(l.tap))...)
 	extprocv3.RegisterExternalProcessorServer(l.grpc, &l.Server)
 	healthv1.RegisterHealthServer(l.grpc, l.health)
--- a/logic/host.go
+++ b/logic/host.go
@@ -25,8 +25,22 @@
 }
 
 // Scope narrows what a lookup may be sent to and filled from, as its route says (package route/pools): caches by name. A nil map or
-// scope allows all. The origin stays the last resort of fills.
-type Scope struct{ Caches, Sources map[string]bool }
+// scope allows all. The origin stays the last resort of fills. Again, if set, tells whether a budget allows one more send; it is asked
+// when the module would make it, and must not wait.
+type Scope struct {
+	Caches, Sources map[string]bool
+	Again           func() bool
+	Oldest          Micros // the oldest copy that will do, where the object kind would take older; 0: as the kind has it
+}
+
+func (s *Scope) age(oldest Micros) Micros {
+	if s == nil || s.Oldest == 0 || oldest > 0 && oldest < s.Oldest {
+		return oldest
+	}
+	return s.Oldest
+}
+
+func (s *Scope) again() bool { return s == nil || s.Again == nil || s.Again() }
 
 func (s *Scope) edge(c *Cache) bool   { return s == nil || s.Caches == nil || s.Caches[c.Name] }
 func (s *Scope) parent(c *Cache) bool { return s == nil || s.Sources == nil || s.Sources[c.Name] }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -254,6 +254,7 @@
 			s.oldest += lk.kind.Grace
 		}
 	}
+	s.oldest = lk.scope.age(s.oldest)
 	// Guards rule 5: heeded at once, not only after the grace, and kept until no older copy can be left.
 	at := max(r.purged[lk.hash], r.purged[uint64(lk.group)])
 	since := max(ms, r.now-at)
@@ -525,6 +526,10 @@
 // dispatch sends the draft.
 func (r *Router) dispatch(s *Send) verdict {
 	lk, c := s.lk, s.to
+	if len(lk.sends) > 0 && !lk.scope.again() {
+		r.giveUp(lk)
+		return end
+	}
 	s.at = r.now
 	for _, t := range []*Cache{c, s.source} {
 		if t.out {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -22,6 +22,7 @@
 	"foldslip/logic"
 	"foldslip/memory"
 	"foldslip/route"
+	"foldslip/route/steer"
 )
 
 // Terms are the bounds of a desk.
@@ -117,6 +118,8 @@
 	Asked  *route.Asked
 	Trace  any // the door's own
 	Places *memory.Places
+	Pass   *steer.Pass // nil: it came by no route
+	Came   time.Time
 	busy   atomic.Int32
 	who    string
 	at     stage
--- a/service/service.go
+++ b/service/service.go
@@ -18,6 +18,7 @@
 	"foldslip/facade"
 	"foldslip/member"
 	"foldslip/memory"
+	"foldslip/route/steer"
 	"foldslip/store/keeper"
 	"foldslip/wire"
 )
@@ -109,6 +110,26 @@
 	return list
 }
 
+// steering puts the operators' routes in force; nil where they name none.
+func steering(g clock.Ground, own *config.Settings, terms *charter.Terms, bulletin *wire.Bulletin) (*steer.Steer, error) {
+	if own.Routing == nil {
+		return nil, nil
+	}
+	var disk clock.Disk
+	if own.Routing.Folder != "" {
+		var err error
+		if disk, err = g.Folder(own.Routing.Folder); err != nil {
+			return nil, fmt.Errorf("routing.folder: %w", err)
+		}
+	}
+	s, err := steer.Open(g, disk, own.Routing.Config, terms.Kinds)
+	if err != nil {
+		return nil, err
+	}
+	bulletin.Heard = s.List
+	return s, nil
+}
+
 // Gateway is a gateway at work, for whoever looks on.
 type Gateway struct {
 	router *facade.Facade
@@ -146,6 +167,7 @@
 	Purges *memory.Purges
 	Room   *memory.Room
 	Own    *config.Settings
+	Routes *steer.Steer // nil: a lookup may go anywhere
 }
 
 // Door takes lookups beside the users' door.
@@ -183,6 +205,10 @@
 	purges := &memory.Purges{Clock: g, Grace: time.Duration(terms.PurgeGrace) * time.Microsecond, Keep: time.Duration(terms.Router.PurgeDone)*time.Microsecond + purgeSlack}
 	router := facade.Start(g, seed, terms.Router, watch.Between)
 	bulletin := wire.NewBulletin(g, s.Bulletin, terms, router, caches, purges)
+	routes, err := steering(g, own, terms, bulletin)
+	if err != nil {
+		return err
+	}
 	list := keep(g, own)
 	var members *member.Members
 	if list != nil {
@@ -220,9 +246,10 @@
 	links := wire.NewLinks(g, life, terms, router, caches, purges)
 	room := memory.NewRoom(g, lookups, bytes)
 	front := wire.NewFront(g, terms, router, links, room, most)
+	front.Routes = routes
 	var doors []Door
 	if watch.Doors != nil {
-		if doors, err = watch.Doors(Inside{s.Name, g, terms, router, caches, purges, room, own}); err != nil {
+		if doors, err = watch.Doors(Inside{s.Name, g, terms, router, caches, purges, room, own, routes}); err != nil {
 			return err
 		}
 	}
@@ -245,6 +272,9 @@
 	for _, d := range doors {
 		start("door", func() error { return d.Run(life) })
 	}
+	if routes != nil {
+		start("routes", func() error { return routes.Run(life) })
+	}
 	if members != nil {
 		start("list", func() error { return list.Run(life) })
 		start("members", func() error { return members.Run(life) })
--- a/wire/bulletin.go
+++ b/wire/bulletin.go
@@ -38,6 +38,8 @@
 	Purges *memory.Purges
 	// Members, if there are any, are told all that counts beside the router.
 	Members *member.Members
+	// Heard, if set, is told of each event before the router is; it must not wait.
+	Heard func(c roster.Change)
 	// Listed, if set, is called once a whole list has been told.
 	Listed func()
 	// Spread, if set, draws a pause by chance up to the one given.
@@ -188,6 +190,9 @@
 		purges = append(purges, p)
 	}
 	whole := e.Roster != nil && e.Roster.Complete
+	if b.Heard != nil {
+		b.Heard(b.change(&e))
+	}
 	if e.Roster != nil {
 		ids := make([]string, len(rows))
 		for i, m := range e.Roster.Members {
--- a/wire/front.go
+++ b/wire/front.go
@@ -16,7 +16,10 @@
 	"foldslip/charter"
 	"foldslip/clock"
 	"foldslip/facade"
+	"foldslip/limit"
+	"foldslip/logic"
 	"foldslip/memory"
+	"foldslip/route/steer"
 )
 
 const (
@@ -40,6 +43,7 @@
 	room     *memory.Room
 	places   *memory.Places // in it, of direct clients
 	most     int            // connections
+	Routes   *steer.Steer   // nil: a lookup may go anywhere
 	kinds    map[string]int
 	mu       sync.Mutex
 	clients  map[*client]bool
@@ -81,6 +85,8 @@
 	lk      *facade.Lookup
 	flights []*flight
 	room    *memory.Room
+	pass    *steer.Pass // nil: it came by no route
+	came    time.Time
 	mu      sync.Mutex
 	got     map[int]*copied
 	held    int // bytes of room that got takes
@@ -120,6 +126,13 @@
 	o.held, o.got, o.closed = 0, nil, true
 }
 
+// leave ends what its route let in.
+func (o *open) leave(how facade.What, late bool) {
+	if o.pass != nil {
+		o.pass.End(how == facade.Satisfied && !late, how == facade.Nacked, late || how == facade.Failed)
+	}
+}
+
 // Load is how many connections there are.
 func (f *Front) Load() int {
 	f.mu.Lock()
@@ -261,7 +274,7 @@
 func (c *client) run(full bool) {
 	began := c.f.g.Now()
 	if full {
-		c.plain(503, "too many connections", true)
+		c.plain(503, "too many connections", 0, true)
 		c.shut("full")
 	} else {
 		c.read()
@@ -294,7 +307,7 @@
 			continue
 		case errors.As(err, &fault):
 			c.done.Wait(-1)
-			c.plain(fault.Status, fault.Text, true)
+			c.plain(fault.Status, fault.Text, 0, true)
 			c.linger()
 			c.done.Ring()
 			c.shut("bad_request")
@@ -388,7 +401,7 @@
 			req.Allow = most
 		}
 	}
-	o := &open{req: req, room: f.room}
+	o, wait := &open{req: req, room: f.room, came: came}, time.Duration(0)
 	switch {
 	case status != 0:
 	case req.Allow <= 0:
@@ -396,14 +409,27 @@
 	case !f.places.Enter():
 		status, text = 503, "too many lookups"
 	default:
-		o.lk = f.router.Take(req.ID, kind, req.Object, req.Part, req.Group, req.KB, came.Add(req.Allow))
+		var why limit.Reason
+		var scope *logic.Scope
+		if f.Routes != nil {
+			if o.pass, why, wait = f.Routes.Admit(kind, req.Group, req.Object, req.KB); why == limit.Allowed {
+				scope = o.pass.Scope()
+			}
+		}
+		if why != limit.Allowed {
+			f.places.Leave()
+			status, text = 503, "past a limit: "+string(why)
+			break
+		}
+		o.lk = f.router.TakeFor(req.ID, kind, req.Object, req.Part, req.Group, req.KB, came.Add(req.Allow), scope, nil)
 		if o.lk == nil {
 			f.places.Leave()
+			o.leave(facade.Failed, false)
 			status, text = 409, "this lookup is open already"
 		}
 	}
 	if status != 0 {
-		c.plain(status, text, end)
+		c.plain(status, text, wait, end)
 		if end {
 			c.shut("asked")
 			return false
@@ -456,6 +482,7 @@
 		for n := range o.flights {
 			f.links.cancel(o, n)
 		}
+		o.leave(s.What, f.g.Now().Sub(o.came) > f.terms.Budget(f.kinds[o.req.Kind], o.req.KB))
 		f.mu.Lock()
 		end := o.req.Close || f.draining
 		f.mu.Unlock()
@@ -504,8 +531,11 @@
 }
 
 // plain answers what never reached the module.
-func (c *client) plain(status int, text string, end bool) {
+func (c *client) plain(status int, text string, wait time.Duration, end bool) {
 	more := "Content-Type: text/plain\r\n"
+	if wait > 0 {
+		more += "X-Wait-Ms: " + strconv.FormatInt((wait+time.Millisecond-1).Milliseconds(), 10) + "\r\n"
+	}
 	if status == 405 {
 		more += "Allow: GET\r\n"
 	}
