--- /dev/null
+++ b/cli/routes.go
@@ -0,0 +1,265 @@
+package cli
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pmezard/go-difflib/difflib"
+
+	"foldslip/config/change"
+	"foldslip/door/operator"
+	"foldslip/route/pools"
+)
+
+// socket is a gateway's socket for operators.
+type socket struct {
+	Socket string        `env:"FOLDSLIP_OPERATOR" default:"/run/foldslip/operator" help:"The gateway's socket, routing.socket of its settings."`
+	JSON   bool          `help:"Print JSON."`
+	Wait   time.Duration `default:"10s" help:"For the answer."`
+}
+
+// call makes a call and tells what is wrong with it.
+func (s socket) call(c operator.Call) (operator.Answer, error) {
+	ctx, stop := context.WithTimeout(context.Background(), s.Wait)
+	defer stop()
+	a, err := operator.Ask(ctx, s.Socket, c)
+	if err != nil {
+		return a, fmt.Errorf("%s: %w; see whether the gateway runs and routing.socket names it", s.Socket, err)
+	}
+	if a.Error != "" {
+		return a, fmt.Errorf("%s; %s", a.Error, a.Remedy)
+	}
+	return a, nil
+}
+
+// step makes a call that is a step of a change, and prints it.
+func (s socket) step(to *streams, c operator.Call) error {
+	a, err := s.call(c)
+	if err != nil {
+		return err
+	}
+	if s.JSON {
+		json.NewEncoder(to.out).Encode(a.Step)
+	} else {
+		fmt.Fprintf(to.out, "version %d: %s", a.Step.No, a.Step.Stage)
+		if a.Step.Share > 0 {
+			fmt.Fprintf(to.out, " for %.3g of the objects", a.Step.Share)
+		}
+		if a.Step.Within > 0 {
+			fmt.Fprintf(to.out, ", to go on within %v", time.Duration(a.Step.Within)*time.Millisecond)
+		}
+		if a.Step.Reason != "" {
+			fmt.Fprintf(to.out, " (%s)", a.Step.Reason)
+		}
+		fmt.Fprintln(to.out)
+		for _, f := range a.Step.Finding {
+			word := "remark"
+			if f.Error {
+				word = "error"
+			}
+			fmt.Fprintf(to.out, "  %s: %s: %s; %s\n", word, f.Path, f.Text, f.Remedy)
+		}
+	}
+	if a.Step.Stage == change.Undone && c.Do != "undo" {
+		return fmt.Errorf("version %d is undone: %s", a.Step.No, a.Step.Reason)
+	}
+	return nil
+}
+
+// routes reads the routing of a file of the operators' settings.
+func (f configFile) routes(to *streams) (*pools.Config, error) {
+	s, err := f.read(to)
+	if err != nil {
+		return nil, err
+	}
+	if s.Routing == nil {
+		return nil, usage("%s: routing is not there; see docs/configuration.md", f.File)
+	}
+	return &s.Routing.Config, nil
+}
+
+type configPlan struct {
+	socket
+	File string `arg:"" help:"Jsonnet template of the settings with the routing to come."`
+	Load string `help:"A captured load: a line of JSON a lookup, {\"kind\":0,\"group\":3,\"object\":\"7f3a\",\"bytes\":42000}."`
+}
+
+const mostLoad = 20_000 // lookups of a load that one call takes
+
+func (p *configPlan) Run(to *streams) error {
+	c, err := configFile{File: p.File}.routes(to)
+	if err != nil {
+		return err
+	}
+	call := operator.Call{Do: "plan", Config: c}
+	if p.Load != "" {
+		text, err := os.ReadFile(p.Load)
+		if err != nil {
+			return usage("--load: %v", err)
+		}
+		in := bufio.NewScanner(bytes.NewReader(text))
+		for n := 1; in.Scan(); n++ {
+			var l pools.Load
+			if err := json.Unmarshal(in.Bytes(), &l); err != nil {
+				return usage("--load %s:%d: %v", p.Load, n, err)
+			}
+			if call.Load = append(call.Load, l); len(call.Load) > mostLoad {
+				return usage("--load %s: more than %d lookups; give a sample", p.Load, mostLoad)
+			}
+		}
+	}
+	a, err := p.call(call)
+	if err != nil {
+		return err
+	}
+	if p.JSON {
+		return json.NewEncoder(to.out).Encode(a)
+	}
+	bad := 0
+	for _, f := range a.Faults {
+		word := "remark"
+		if f.Error {
+			word, bad = "error", bad+1
+		}
+		fmt.Fprintf(to.out, "%s: %s: %s; %s\n", word, f.Path, f.Text, f.Remedy)
+	}
+	m := a.Move
+	fmt.Fprintf(to.out, "of %d lookups for %d objects, %d objects move, %d of them to caches that have none of them; %.0f of %.0f bytes\n", m.Lookups, m.Objects, m.Moved, m.Cold,
+		m.MovedBytes, m.Bytes)
+	if bad > 0 {
+		return fmt.Errorf("%d errors: it cannot be applied", bad)
+	}
+	return nil
+}
+
+type configPropose struct {
+	socket
+	File   string `arg:"" help:"Jsonnet template of the settings with the routing to come."`
+	Parent uint64 `help:"Version that it is a change of; 0: the one in force."`
+	Author string `required:"" help:"Who."`
+	Reason string `required:"" help:"Why."`
+}
+
+func (p *configPropose) Run(to *streams) error {
+	c, err := configFile{File: p.File}.routes(to)
+	if err != nil {
+		return err
+	}
+	return p.step(to, operator.Call{Do: "propose", Parent: p.Parent, Author: p.Author, Reason: p.Reason, Config: c})
+}
+
+type configStage struct {
+	socket
+	No     uint64        `arg:"" help:"Version."`
+	Share  float64       `required:"" help:"Part of the objects, above 0 and below 1."`
+	Within time.Duration `default:"10m" help:"It is undone if it has not gone on by then."`
+}
+
+func (p *configStage) Run(to *streams) error {
+	return p.step(to, operator.Call{Do: "stage", No: p.No, Share: p.Share, WithinMS: p.Within.Milliseconds()})
+}
+
+type configApply struct {
+	socket
+	No     uint64        `arg:"" help:"Version."`
+	Within time.Duration `default:"10m" help:"It is undone if it has not been confirmed by then."`
+}
+
+func (p *configApply) Run(to *streams) error {
+	return p.step(to, operator.Call{Do: "apply", No: p.No, WithinMS: p.Within.Milliseconds()})
+}
+
+type configConfirm struct {
+	socket
+	No uint64 `arg:"" help:"Version."`
+}
+
+func (p *configConfirm) Run(to *streams) error {
+	return p.step(to, operator.Call{Do: "confirm", No: p.No})
+}
+
+type configUndo struct {
+	socket
+	No  uint64 `arg:"" help:"Version."`
+	Why string `default:"by hand" help:"Why."`
+}
+
+func (p *configUndo) Run(to *streams) error {
+	return p.step(to, operator.Call{Do: "undo", No: p.No, Reason: p.Why})
+}
+
+type configBack struct {
+	socket
+	No     uint64 `arg:"" help:"Version whose routes are proposed again."`
+	Author string `required:"" help:"Who."`
+	Reason string `required:"" help:"Why."`
+}
+
+func (p *configBack) Run(to *streams) error {
+	return p.step(to, operator.Call{Do: "back", No: p.No, Author: p.Author, Reason: p.Reason})
+}
+
+type configHistory struct{ socket }
+
+func (p *configHistory) Run(to *streams) error {
+	a, err := p.call(operator.Call{Do: "history"})
+	if err != nil {
+		return err
+	}
+	if p.JSON {
+		return json.NewEncoder(to.out).Encode(a)
+	}
+	t := tabwriter.NewWriter(to.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "version\tof\tstage\tauthor\treason\t")
+	for _, e := range a.History {
+		reason := e.Reason
+		if e.Why != "" {
+			reason += " (undone: " + e.Why + ")"
+		}
+		fmt.Fprintf(t, "%d\t%d\t%s\t%s\t%s\t\n", e.No, e.Parent, e.Stage, e.Author, reason)
+	}
+	t.Flush()
+	if a.Force.Next != 0 {
+		fmt.Fprintf(to.out, "in force: %d, and %d for %.3g of the objects\n", a.Force.Base, a.Force.Next, a.Force.Share)
+	} else {
+		fmt.Fprintf(to.out, "in force: %d\n", a.Force.Base)
+	}
+	return nil
+}
+
+type configDiff struct {
+	socket
+	From uint64 `arg:"" help:"Version."`
+	To   uint64 `arg:"" help:"Version."`
+}
+
+func (p *configDiff) Run(to *streams) error {
+	var lines [2][]string
+	for i, no := range []uint64{p.From, p.To} {
+		a, err := p.call(operator.Call{Do: "text", No: no})
+		if err != nil {
+			return err
+		}
+		var b bytes.Buffer
+		if err := json.Indent(&b, a.Text, "", "  "); err != nil {
+			return err
+		}
+		lines[i] = difflib.SplitLines(b.String())
+	}
+	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{A: lines[0], B: lines[1], FromFile: fmt.Sprint("version ", p.From), ToFile: fmt.Sprint("version ", p.To), Context: 3})
+	if err != nil {
+		return err
+	}
+	if strings.TrimSpace(text) == "" {
+		text = "no difference\n"
+	}
+	_, err = fmt.Fprint(to.out, text)
+	return err
+}
--- a/config/config.go
+++ b/config/config.go
@@ -37,6 +37,7 @@
 // Routing are routes and pools, and where their changes are kept.
 type Routing struct {
 	Folder string `json:"folder,omitempty"` // of this gateway alone; none: changes end with the process
+	Socket string `json:"socket,omitempty"` // where operators of this machine call; none: changes by this file only
 	pools.Config
 }
 
@@ -308,6 +309,9 @@
 		if r.Folder != "" && !path.IsAbs(r.Folder) {
 			return Fault{file, "routing.folder", fmt.Sprintf("%q is relative", r.Folder), "name it from the root, as /var/lib/foldslip-routes"}
 		}
+		if r.Socket != "" && (!path.IsAbs(r.Socket) || len(r.Socket) > 100) {
+			return Fault{file, "routing.socket", fmt.Sprintf("%q", r.Socket), "name it from the root in 100 bytes, as /run/foldslip/operator"}
+		}
 		if _, faults := pools.Compile(r.Config, nil); len(faults) > 0 && faults[0].Error { // kinds are the platform's to tell
 			return Fault{file, "routing." + faults[0].Path, faults[0].Text, faults[0].Remedy}
 		}
--- a/lab/day/day.go
+++ b/lab/day/day.go
@@ -50,26 +50,27 @@
 
 // Day is a day while it is played.
 type Day struct {
-	Plan      Plan
-	w         *world.World
-	ref       *referee
-	gateways  []*gateway
-	caches    []*cache // edges, as the list has them now
-	parents   []*cache
-	origin    *cache
-	byID      map[string]*cache
-	bulletins [2]*bulletin
-	events    []event
-	front     *front
-	ids       int
-	zones     int
-	story     []string
-	reasons   map[string]int
-	spoil     spoil
-	look      Look
-	yesterday []kept.Cache
-	early     Early
-	proxies   map[*gateway]*proxy
+	Plan       Plan
+	w          *world.World
+	ref        *referee
+	gateways   []*gateway
+	caches     []*cache // edges, as the list has them now
+	parents    []*cache
+	origin     *cache
+	byID       map[string]*cache
+	bulletins  [2]*bulletin
+	events     []event
+	front      *front
+	ids        int
+	zones      int
+	story      []string
+	reasons    map[string]int
+	spoil      spoil
+	look       Look
+	yesterday  []kept.Cache
+	early      Early
+	proxies    map[*gateway]*proxy
+	firstEdges []string // ids of the edges at the day's start
 }
 
 // Broken is a rule that was broken.
@@ -218,6 +219,9 @@
 	for i := range d.Plan.Caches {
 		d.caches = append(d.caches, d.newCache("edge", zoneName(i%d.zones), fmt.Sprintf("10.1.%d.%d", i%d.zones, i+1), edgeSize))
 	}
+	for _, c := range d.caches {
+		d.firstEdges = append(d.firstEdges, c.id)
+	}
 	for i := range d.bulletins {
 		d.bulletins[i] = newBulletin(d, i)
 	}
--- a/lab/day/faults.go
+++ b/lab/day/faults.go
@@ -81,6 +81,7 @@
 				p.flood(f.For / 4)
 			}
 		}},
+		{"route_change", "an operator changes the routes of a gateway, and confirms, undoes or forgets it", 50, 2000, 4, false, (*Day).routeChange},
 		{"little_memory", "gateways are told of 8 MB", 1, 1, 1, true, func(d *Day, _ Fault) {
 			for _, g := range d.gateways {
 				g.memory = 8
--- a/lab/day/gateway.go
+++ b/lab/day/gateway.go
@@ -24,23 +24,26 @@
 	its      *life
 	lives    int
 	disk     *world.Disk
+	sides    map[uint64]side // configurations by version, on days of routes
 	barred   map[string]bool // caches that its list on disk knows to drain
 }
 
 // life is one process of a gateway, from its start to its end.
 type life struct {
-	g     *gateway
-	p     *world.Proc
-	its   *service.Gateway
-	door  *plainDoor // where other proxies ask
-	began time.Duration
-	ready bool
-	term  time.Duration // when it was told to stop; 0: not yet
-	over  bool
-	ended time.Duration
-	told  []time.Duration // by number of the event, 0: not yet
-	sick  time.Duration   // since when it could not hear, or until when
-	conns map[*cacheConn]bool
+	g      *gateway
+	p      *world.Proc
+	its    *service.Gateway
+	door   *plainDoor // where other proxies ask
+	began  time.Duration
+	ready  bool
+	term   time.Duration // when it was told to stop; 0: not yet
+	over   bool
+	ended  time.Duration
+	told   []time.Duration // by number of the event, 0: not yet
+	sick   time.Duration   // since when it could not hear, or until when
+	conns  map[*cacheConn]bool
+	forced []forced // routes in force by time
+	looked time.Duration
 }
 
 func newGateway(d *Day, no int) *gateway {
@@ -98,7 +101,21 @@
 	if d.Plan.Morning != nil {
 		g.morning(l.p)
 	}
-	watch := service.Watch{Up: func(its *service.Gateway) { l.its, l.ready = its, true }}
+	watch := service.Watch{Up: func(its *service.Gateway) {
+		if l.its, l.ready = its, true; its.Routes() != nil {
+			l.note()
+			l.forced[0].at = 0
+			d.after(0, l.watchRoutes)
+		}
+	}}
+	if d.Plan.routed() {
+		if g.sides == nil {
+			g.sides = map[uint64]side{1: 0}
+		} else {
+			g.disk.Crash(d.w.Chance)
+		}
+		g.routes(l.p)
+	}
 	if d.proxies != nil {
 		watch.Doors = func(in service.Inside) ([]service.Door, error) {
 			var err error
--- a/lab/day/plan.go
+++ b/lab/day/plan.go
@@ -67,6 +67,7 @@
 	"clients":  "bursts, floods and clients that misbehave",
 	"door":     "other proxies ask at the door and make the sends themselves; callers that break the contract, and faults besides",
 	"both":     "as door, with half of the clients at the gateway itself",
+	"routes":   "operators change the routes of gateways at any time, and confirm, undo or forget it; faults besides",
 	"morning":  "gateways start from a list on disk, young or old, while the bulletin is away; few faults besides",
 }
 
@@ -74,11 +75,14 @@
 	has := func(words ...string) bool {
 		return slices.ContainsFunc(words, func(w string) bool { return strings.HasPrefix(kind, w) })
 	}
+	if has("route_") {
+		return days == "routes"
+	}
 	if has("caller") {
 		return days == "door" || days == "both"
 	}
 	switch days {
-	case "mixed", "morning":
+	case "mixed", "morning", "routes":
 		return true
 	case "door", "both": // what happens on a gateway's own connections to caches is not met there
 		return has("gateway", "reload", "clock", "cache_kill", "cache_back", "cache_vanish", "cache_hang", "cache_drain", "cache_replace", "cache_slow",
@@ -129,6 +133,11 @@
 	}
 	knots := []int{4000 + r.IntN(50000), 4000 + r.IntN(50000)} // troubles gather at two times of the day
 	n := 2 + r.IntN(8)
+	if days == "routes" {
+		for range 3 + r.IntN(6) {
+			p.Faults = append(p.Faults, Fault{Kind: "route_change", At: 2000 + r.IntN(55000), Who: r.IntN(1 << 16), More: r.IntN(1 << 16), For: 50 + r.IntN(2000)})
+		}
+	}
 	if days == "morning" {
 		p.Morning = drawMorning(r)
 		n = r.IntN(4)
--- a/lab/day/plant.go
+++ b/lab/day/plant.go
@@ -131,6 +131,14 @@
 	rows   func(rows []logic.Row) []logic.Row
 	purged func() bool // whether a purge is passed on
 	ended  func() bool
+	within func(s *logic.Scope) *logic.Scope
+}
+
+func (t *told) Within(s *logic.Scope) {
+	if t.within != nil {
+		s = t.within(s)
+	}
+	t.Module.Within(s)
 }
 
 func (t *told) Listed(now logic.Micros, what logic.ListKind, rows []logic.Row) {
@@ -398,6 +406,24 @@
 				return func(s clock.Signal) { hear(clock.Stop) }
 			}
 		})},
+		"scope_lost": {"a lookup's scope does not reach the module", onTold(func(d *Day, _ *life, t *told) {
+			t.within = func(s *logic.Scope) *logic.Scope {
+				if d.chance(30) == 0 {
+					return nil
+				}
+				return s
+			}
+		})},
+		"scope_mixed": {"a lookup has the scope of the one before it", onTold(func(_ *Day, _ *life, t *told) {
+			var last *logic.Scope
+			t.within = func(s *logic.Scope) *logic.Scope {
+				was := last
+				if last = s; was == nil {
+					was = s
+				}
+				return was
+			}
+		})},
 		"wait_untold": {"a nack does not say when to come back", onSays(func(_ *Day, s *says) {
 			s.nack = func(h logic.Host, lk *logic.Lookup, _ logic.Micros) { h.Nack(lk, 0) }
 		})},
--- a/lab/day/plant_test.go
+++ b/lab/day/plant_test.go
@@ -29,6 +29,8 @@
 	"two_at_once":      {1, "in flight"},
 	"undo_unsaid":      {1, "rule 2"},
 	"wait_untold":      {1, "held back"},
+	"scope_lost":       {1, "routes"},
+	"scope_mixed":      {1, "routes"},
 
 	"door_answer_never_ran": {1, "rule 2"},
 	"door_end_kept_back":    {2, "rule 1"},
@@ -52,6 +54,9 @@
 			if doorPlants[name].help != "" {
 				days = "door"
 			}
+			if name == "scope_lost" || name == "scope_mixed" {
+				days = "routes"
+			}
 			p := Draw(at.seed, days)
 			clean, err := Play(p, Look{})
 			if err != nil || len(clean.Broken) > 0 {
--- a/lab/day/referee.go
+++ b/lab/day/referee.go
@@ -49,6 +49,7 @@
 	again      int
 	came       time.Duration // of it, or of the lookup that it repeats
 	done       func(status int, wait time.Duration)
+	sides      *[2]bool // configurations of the routes that all its sends so far may have been decided under
 }
 
 // send is a send as it stood on a gateway's wire.
@@ -314,6 +315,9 @@
 		r.broken("rule 3", "%s sends to %s (source %q), of which its list on disk knows that it drains", l.p.Name, k.c.id, q.from)
 		return
 	}
+	if d.Plan.routed() {
+		r.routed(a, k.c.id)
+	}
 	if q.from != "" {
 		from := d.byID[q.from]
 		if from == nil && d.Plan.Morning == nil || from != nil && from.flavor == "edge" {
--- a/service/service.go
+++ b/service/service.go
@@ -15,6 +15,7 @@
 	"foldslip/charter"
 	"foldslip/clock"
 	"foldslip/config"
+	"foldslip/door/operator"
 	"foldslip/facade"
 	"foldslip/member"
 	"foldslip/memory"
@@ -135,8 +136,12 @@
 	router *facade.Facade
 	links  *wire.Links
 	front  *wire.Front
+	routes *steer.Steer
 }
 
+// Routes are the routes in force; nil: none.
+func (w *Gateway) Routes() *steer.Steer { return w.routes }
+
 // Load is what a gateway holds: lookups without a final answer or with sends out, sends as the module counts them,
 // those not picked yet, sends as the connections count them, and connections to caches and of clients.
 type Load struct{ Lookups, Sends, Queued, Flying, Links, Clients int }
@@ -253,6 +258,13 @@
 			return err
 		}
 	}
+	if routes != nil && own.Routing.Socket != "" {
+		o, err := operator.Open(g, own.Routing.Socket, routes)
+		if err != nil {
+			return fmt.Errorf("routing.socket: %w", err)
+		}
+		doors = append(doors, o)
+	}
 	g.Log().Info("started", "name", s.Name, "listen", s.Listen, "bulletin", s.Bulletin, "last", bulletin.Last)
 
 	group := g.Group()
@@ -286,7 +298,7 @@
 		bulletin.Listed = front.Ready
 	}
 	if watch.Up != nil {
-		watch.Up(&Gateway{router, links, front})
+		watch.Up(&Gateway{router, links, front, routes})
 	}
 	start("drain", func() error {
 		defer life.End()
