Floods of a caller: barred for longer each time, and a stream broken off is no word of a cache

Cause: under floods the usual caller's p99 rose tenfold: what a barred caller had saved up came in a heap, and each stream it broke off counted as a reset of the cache it had been sent to, so that caches were put out. Change: barring doubles up to 16 s and leaves nothing saved up; a stream that ends with a send out is told to the module as given up (it may have run, no strike). A story that fails with the reset.

--- a/door/door.go
+++ b/door/door.go
@@ -73,6 +73,8 @@
 	bytes    *rate.Limiter
 	faults   *rate.Limiter // that it may commit
 	barred   time.Time     // until then it opens no streams
+	bars     int           // times in a row
+	drained  bool          // what it saved up while it was barred is gone
 	gone     time.Time     // since when it has no stream
 }
 
@@ -81,8 +83,10 @@
 	callerKept  = time.Minute
 	mostReplies = 8
 	pace        = 50 * time.Millisecond
-	faultsASec  = 20 // messages past their rate or size and phases out of order, of one caller; past it
-	barredFor   = 500 * time.Millisecond
+	faultsASec  = 20                     // messages past their rate or size and phases out of order, of one caller; past it
+	barredFor   = 500 * time.Millisecond // doubled each time in a row, up to
+	barredMost  = 5                      // times
+	barredAgain = 10 * time.Second       // within so long of the last time it is in a row
 )
 
 // New makes a door behind a table. purges may be nil.
@@ -256,7 +260,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c := d.callers[name]
-	if c == nil || d.g.Now().After(c.barred) {
+	now := d.g.Now()
+	if c == nil || now.After(c.barred) {
+		if c != nil && c.bars > 0 && !c.drained { // it begins with nothing saved up, so that no heap comes after the wait
+			c.drained = true
+			if c.messages != nil {
+				c.messages.AllowN(now, int(c.messages.TokensAt(now)))
+			}
+		}
 		return true
 	}
 	d.odd["refused_while_barred"]++
@@ -300,10 +311,14 @@
 // fault counts what a caller did against the contract, under the lock. One that does so over and over opens no streams for a while.
 func (d *Door) fault(now time.Time, c *caller, why string) {
 	d.odd[why]++
-	if !c.faults.AllowN(now, 1) && now.After(c.barred) {
-		c.barred = now.Add(barredFor)
-		d.odd["barred"]++
+	if c.faults.AllowN(now, 1) || !now.After(c.barred) {
+		return
+	}
+	if c.bars++; now.Sub(c.barred) > barredAgain {
+		c.bars = 1
 	}
+	c.barred, c.drained = now.Add(barredFor<<min(c.bars-1, barredMost)), false
+	d.odd["barred"]++
 }
 
 // ask takes the headers of a request: a reply at once, or none where the module is to be waited for.
--- a/door/extproc/caller_test.go
+++ b/door/extproc/caller_test.go
@@ -251,3 +251,40 @@
 		}
 	})
 }
+
+// A caller that breaks its streams off over and over says nothing of the caches: another caller's lookups go where they went.
+func TestBrokenOffStreamsBarNoCache(t *testing.T) {
+	x := &config.ExternalProcessor{Listen: "unix:" + filepath.Join(t.TempDir(), "door")}
+	l := listening(t, x)
+	conn, err := grpc.NewClient(x.Listen, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	where := func(id string) string {
+		o, err := ask(t, x.Listen, insecure.NewCredentials(), id, "hit")
+		if err != nil || o.Result != caller.Satisfied {
+			t.Fatalf("%+v, %v", o, err)
+		}
+		return o.Sends[0].Cache
+	}
+	before := where("before")
+	for i := range 12 {
+		ctx, leave := context.WithCancel(context.Background())
+		caller.New(conn).Lookup(ctx, caller.Request{Path: "/call/segment/o/part-1", Header: http.Header{"X-Job-Id": {fmt.Sprint("left", i)}}},
+			func(context.Context, caller.Decision) caller.Ending {
+				leave()
+				time.Sleep(5 * time.Millisecond)
+				return caller.Ending{}
+			})
+	}
+	for range 2000 {
+		if l.Odd()["stream_ended_with_send"] == 12 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if after := where("after"); after != before || l.Odd()["stream_ended_with_send"] != 12 {
+		t.Errorf("%s before, %s after, %v", before, after, l.Odd())
+	}
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -367,7 +367,7 @@
 	case handed: // it may have reached its cache
 		d.Odd["stream_ended_with_send"]++
 		lk.at = deciding
-		do.Tell = append(do.Tell, Tell{Of: lk, N: lk.n, How: logic.Reset})
+		do.Tell = append(do.Tell, Tell{Of: lk, N: lk.n, How: logic.Cancelled}) // the caller's doing: it may have run, and is no word of the cache
 		lk.due = now.Add(d.terms.AgainIn)
 	case deciding, waiting: // nobody waits for a first word any more
 		d.leave(now, lk, &do)
