Routes change by file and SIGHUP; each decision at the door names its route and version

Change: Steer.File: other routes in the file are checked, applied and wait for a confirmation, by hand or the same file once more; the file of before undoes them; one that cannot be used changes nothing, also what waits. Decisions for other proxies, their spans, package caller and foldslip ask tell route and version; without routes what a client sets there is removed.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -54,6 +54,8 @@
 	Oldest      time.Duration // the oldest copy that will do; 0: the object kind's own
 	Wait        time.Duration // how long to wait at most
 	Mode        string        // as the caches' protocol has it
+	Route       string        // that it was decided by, and the version of the routes; "" and 0 where there are none
+	Version     uint64
 }
 
 // Ending is how a send ended. Its zero value is a send that may have run and brought nothing.
@@ -204,6 +206,10 @@
 			d.Oldest = ms(v)
 		case "mode":
 			d.Mode = v
+		case "route":
+			d.Route = v
+		case "version":
+			d.Version = uint64(number(v))
 		case "wait-ms":
 			d.Wait = ms(v)
 		}
--- a/cli/doors/doors.go
+++ b/cli/doors/doors.go
@@ -151,6 +151,9 @@
 		if !a.JSON {
 			fmt.Fprintf(out, "send %d to %s at %s, source %s, rank %d, mode %s, wait at most %v; reported as %s\n", d.N, d.Cache, d.Addr, or(d.Source), d.Rank, or(d.Mode),
 				d.Wait.Round(time.Microsecond), e.Word)
+			if d.Version > 0 {
+				fmt.Fprintf(out, "  by route %q of version %d\n", d.Route, d.Version)
+			}
 		}
 		return e
 	})
--- a/config/change/change.go
+++ b/config/change/change.go
@@ -381,3 +381,11 @@
 
 // Head is the version that was confirmed last.
 func (c *Changes) Head() uint64 { return c.head }
+
+// Under is the change under way; nil: none is.
+func (c *Changes) Under() *Entry {
+	if v := c.under; v != nil {
+		return &Entry{v.no, v.parent, v.stage, v.author, v.reason, v.why}
+	}
+	return nil
+}
--- a/door/door.go
+++ b/door/door.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -428,7 +429,13 @@
 func (d *Door) reply(say retry.Say) Reply {
 	switch say.What {
 	case retry.Go:
-		return d.decision(say.Send)
+		version, route := "", "" // of the routes that it was decided under; without, what a client sets there is removed
+		if p := say.Of.Pass; p != nil {
+			version, route = strconv.FormatUint(p.Version, 10), p.Decided.Route
+		}
+		r := d.decision(say.Send)
+		r.Send = append(r.Send, Field{Prefix + "version", version}, Field{Prefix + "route", route})
+		return r
 	case retry.Accepted:
 		return Reply{}
 	case retry.Again:
--- a/door/words.go
+++ b/door/words.go
@@ -64,6 +64,7 @@
 func final(status int, text string) Reply { return Reply{Status: status, Text: text} }
 
 // All are the fields of a decision: what is not told is removed, so that no client sets it.
+// Where routes are on, version and route are told too.
 var All = []string{"cache", "addr", "send", "source", "rank", "oldest-ms", "mode", "wait-ms"}
 
 var modes = []struct {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -45,6 +45,7 @@
 	To   *Stream
 	What What
 	Send facade.Step // where What is Go
+	Of   *Lookup     // likewise
 	Wait time.Duration
 }
 
@@ -325,7 +326,7 @@
 	s := lk.step
 	if s.What == facade.Send {
 		lk.at, lk.n = handed, s.N
-		do.Say = append(do.Say, Say{To: lk.on, What: Go, Send: s})
+		do.Say = append(do.Say, Say{To: lk.on, What: Go, Send: s, Of: lk})
 		return
 	}
 	end := map[facade.What]What{facade.Satisfied: Accepted, facade.Nacked: Nack, facade.Failed: Fail, facade.Departed: Fail}[s.What]
--- a/route/steer/steer_test.go
+++ b/route/steer/steer_test.go
@@ -214,6 +214,72 @@
 	})
 }
 
+func TestFile(t *testing.T) {
+	file := func(t *testing.T, s *Steer, place string) change.Step {
+		t.Helper()
+		return must(t)(s.File(routes(place), time.Minute))
+	}
+	at := func(t *testing.T, s *Steer, want string) {
+		t.Helper()
+		if got := goes(t, s); got[want] != 1000 {
+			t.Errorf("%v, expected %s", got, want)
+		}
+	}
+	t.Run("read anew it is applied, read once more confirmed, and after that nothing", func(t *testing.T) {
+		g := newGround()
+		s := begin(t, g, nil, routes("town"))
+		if step := file(t, s, "hill"); step.Stage != change.Applied {
+			t.Fatal(step)
+		}
+		at(t, s, "2 c3")
+		if step := file(t, s, "hill"); step.Stage != change.Confirmed {
+			t.Fatal(step)
+		}
+		if step := file(t, s, "hill"); step.No != 2 || step.Stage != change.Confirmed {
+			t.Fatal(step)
+		}
+		g.at = g.at.Add(time.Hour)
+		s.Tick()
+		at(t, s, "2 c3")
+	})
+	t.Run("nobody confirms it, or the file is as before again: undone", func(t *testing.T) {
+		g := newGround()
+		s := begin(t, g, nil, routes("town"))
+		file(t, s, "hill")
+		if step := file(t, s, "town"); step.Stage != change.Undone {
+			t.Fatal(step)
+		}
+		at(t, s, "1 c1+c2")
+		file(t, s, "hill")
+		g.at = g.at.Add(time.Minute)
+		s.Tick()
+		at(t, s, "1 c1+c2")
+	})
+	t.Run("changed once more before it was confirmed: the first is undone, the second waits", func(t *testing.T) {
+		s := begin(t, newGround(), nil, routes("town"))
+		file(t, s, "hill")
+		other := routes("hill")
+		other.Routes[0].Oldest = 5
+		if step := must(t)(s.File(other, time.Minute)); step.No != 3 || step.Stage != change.Applied {
+			t.Fatal(step)
+		}
+	})
+	t.Run("a change by hand is under way: told, and left alone", func(t *testing.T) {
+		s := begin(t, newGround(), nil, routes("town"))
+		must(t)(s.Propose(1, routes("hill"), "ada", "sale"))
+		if _, err := s.File(routes("hill"), time.Minute); err == nil || !strings.Contains(err.Error(), "ada") {
+			t.Error(err)
+		}
+	})
+	t.Run("routes that cannot be used change nothing", func(t *testing.T) {
+		s := begin(t, newGround(), nil, routes("town"))
+		if step := file(t, s, "nowhere"); step.Stage != change.Undone || len(step.Finding) == 0 {
+			t.Error(step)
+		}
+		at(t, s, "1 c1+c2")
+	})
+}
+
 // Killed at any write of any step: what comes up is what was confirmed by the last step that was kept, whole.
 func TestKilledAtAnyStep(t *testing.T) {
 	never := 0
--- a/route/steer/steps.go
+++ b/route/steer/steps.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"bytes"
 	"encoding/json"
 	"time"
 
@@ -164,6 +165,51 @@
 	return s.do(func(time.Time) (change.Step, error) { return s.changes.Undo(no, why) })
 }
 
+// File is word of the operators' file, read anew: other routes than those in force are proposed, checked and applied, and wait for their
+// confirmation: by hand, or by the same file once more. The routes in force, while a change of the file waits, undo that change.
+func (s *Steer) File(c pools.Config, within time.Duration) (change.Step, error) {
+	text, err := json.Marshal(c)
+	if err != nil {
+		return change.Step{}, err
+	}
+	s.mu.Lock()
+	head, under := s.changes.Head(), s.changes.Under()
+	waits := under != nil && under.Author == byFile
+	same := func(no uint64) bool { return bytes.Equal(s.changes.Text(no), text) }
+	again, back := waits && same(under.No), same(head)
+	s.mu.Unlock()
+	switch {
+	case again:
+		return s.Confirm(under.No)
+	case back && waits:
+		return s.Undo(under.No, "the file has the routes of before again")
+	case back:
+		return change.Step{No: head, Stage: change.Confirmed}, nil
+	case waits: // the file has changed once more; one that cannot be used leaves the change that waits as it is
+		t, faults := pools.Compile(c, s.kinds)
+		if t != nil {
+			s.mu.Lock()
+			faults = append(faults, t.Check(s.caches())...)
+			s.mu.Unlock()
+		}
+		for _, f := range faults {
+			if f.Error {
+				return change.Step{}, change.Fault{Text: f.Path + ": " + f.Text, Remedy: f.Remedy}
+			}
+		}
+		if step, err := s.Undo(under.No, "the file has changed"); err != nil {
+			return step, err
+		}
+	}
+	step, err := s.Propose(head, c, byFile, "the file was read anew")
+	if err != nil || step.Stage != change.Checked {
+		return step, err
+	}
+	return s.Apply(step.No, within)
+}
+
+const byFile = "file"
+
 // History is the versions that are kept, and what is in force.
 func (s *Steer) History() ([]change.Entry, change.Force) {
 	s.mu.Lock()
--- a/service/service.go
+++ b/service/service.go
@@ -15,6 +15,7 @@
 	"foldslip/charter"
 	"foldslip/clock"
 	"foldslip/config"
+	"foldslip/config/change"
 	"foldslip/door/operator"
 	"foldslip/facade"
 	"foldslip/member"
@@ -30,6 +31,7 @@
 	stopBefore = 300 * time.Millisecond // before the kill, which comes after the longest deadline and 0.7 s
 	leastKill  = 3 * time.Second
 	purgeSlack = 5 * time.Second
+	confirmIn  = 10 * time.Minute // for routes of a file that was read anew
 
 	mostLookups = 640 // open at once, and fewer on little memory:
 	lookupsAMB  = 8   // each takes some 20 KB with its connection, stacks and send, the answer's bytes not counted
@@ -279,7 +281,7 @@
 	}
 	start("bulletin", func() error { return bulletin.Follow(life) })
 	start("tick", func() error { return tick(g, life, router) })
-	start("reread", func() error { return reread(g, life, told, s, bulletin, doors) })
+	start("reread", func() error { return reread(g, life, told, s, bulletin, routes, doors) })
 	start("accept", func() error { return front.Accept(life, listener) })
 	for _, d := range doors {
 		start("door", func() error { return d.Run(life) })
@@ -356,7 +358,8 @@
 
 // reread reads the configuration anew at each SIGHUP. The bulletin moves at once and nothing else is touched; what
 // is told of the rest counts from the next start. A file that cannot be used leaves all as it is.
-func reread(g clock.Ground, life *clock.Life, told *orders, was *start, bulletin *wire.Bulletin, doors []Door) error {
+func reread(g clock.Ground, life *clock.Life, told *orders, was *start, bulletin *wire.Bulletin, routes *steer.Steer,
+	doors []Door) error {
 	defer life.OnEnd(told.rereading.Ring)()
 	for {
 		if !told.reread() {
@@ -372,6 +375,9 @@
 			change, err = doors[i].Prepare(own)
 			changes = append(changes, change)
 		}
+		if err == nil && routes != nil && own.Routing != nil {
+			err = rerouted(routes, own.Routing)
+		}
 		if err != nil {
 			g.Log().Warn("reread_failed", "text", err.Error())
 			continue
@@ -385,6 +391,15 @@
 	}
 }
 
+// rerouted brings the routes of the file in; an error if they cannot be used.
+func rerouted(routes *steer.Steer, r *config.Routing) error {
+	step, err := routes.File(r.Config, confirmIn)
+	if err == nil && step.Stage == change.Undone && len(step.Finding) > 0 {
+		err = fmt.Errorf("routing: version %d is undone: %s", step.No, step.Reason)
+	}
+	return err
+}
+
 // drain stops the gateway as the platform stops it.
 func drain(g clock.Ground, terms *charter.Terms, router *facade.Facade, front *wire.Front, doors []Door,
 	listener net.Listener) error {
--- a/telemetry/trace.go
+++ b/telemetry/trace.go
@@ -102,6 +102,9 @@
 	if lk.Asked != nil {
 		root.SetAttributes(attribute.String("foldslip.id", lk.Asked.ID), attribute.Int("foldslip.part", lk.Asked.Part), attribute.Float64("foldslip.kb", lk.Asked.KB))
 	}
+	if lk.Pass != nil {
+		root.SetAttributes(attribute.Int64("foldslip.routes_version", int64(lk.Pass.Version)), attribute.String("foldslip.route", lk.Pass.Decided.Route))
+	}
 	lk.Trace = &spans{ctx: ctx, root: root, sends: map[int]trace.Span{}}
 }
 
