Refusals by limits count for guards: a change whose limits are too small undid nothing

Change: a refusal counts as nacked under its version; guards are settings (routing.guards); foldslip faults guards tries good and bad changes with guards, without and against an oracle. A story fails without the change.

--- a/cli/faults.go
+++ b/cli/faults.go
@@ -29,6 +29,7 @@
 	Kinds    faultsKinds    `cmd:"" help:"List the kinds of days, of faults, and of faults that can be planted in the gateway."`
 	Mornings faultsMornings `cmd:"" help:"Compare starts without the bulletin: from the list kept on disk, waiting, trusting it wholly, and from the true list."`
 	Twins    faultsTwins    `cmd:"" help:"Compare each decision of the module at a gateway and at its door for other proxies, over the same lookups."`
+	Guards   faultsGuards   `cmd:"" help:"Try good and bad changes of routes on calm days: which the guards undo, how soon, and what that saves."`
 }
 
 type dayFlags struct {
--- /dev/null
+++ b/cli/guards.go
@@ -0,0 +1,115 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"foldslip/lab/day"
+)
+
+type faultsGuards struct {
+	Seeds string `required:"" help:"Seeds, as 1-100; each is a trial of every kind of change."`
+	JSON  bool   `help:"Print JSON."`
+}
+
+// guardRow is what became of one kind of change.
+type guardRow struct {
+	Kind    string        `json:"kind"`
+	Bad     string        `json:"bad,omitempty"`
+	Trials  int           `json:"trials"`
+	Undone  int           `json:"undone"`
+	Half    time.Duration `json:"half_ns"` // half of those undone were so within
+	Most    time.Duration `json:"nine_in_ten_ns"`
+	Guarded float64       `json:"served_guarded"` // means of the share of lookups satisfied
+	Without float64       `json:"served_without"`
+	Oracle  float64       `json:"served_oracle"`
+	times   []time.Duration
+}
+
+func (f *faultsGuards) Run(to *streams) error {
+	first, last, err := readSeeds(f.Seeds)
+	if err != nil {
+		return err
+	}
+	rows, mu := map[string]*guardRow{}, sync.Mutex{}
+	bar := progress(to.errs, int64(last-first+1), f.JSON)
+	var group errgroup.Group
+	group.SetLimit(runtime.GOMAXPROCS(0))
+	for seed := first; seed <= last; seed++ {
+		group.Go(func() error {
+			oracle, err := day.Try(seed, "none", true)
+			if err != nil {
+				return err
+			}
+			for kind, bad := range day.Trials {
+				with, err := day.Try(seed, kind, true)
+				if err != nil {
+					return err
+				}
+				without, err := day.Try(seed, kind, false)
+				if err != nil {
+					return err
+				}
+				mu.Lock()
+				r := rows[kind]
+				if r == nil {
+					r = &guardRow{Kind: kind, Bad: bad}
+					rows[kind] = r
+				}
+				r.Trials++
+				if with.Undone > 0 {
+					r.Undone++
+					r.times = append(r.times, with.Undone)
+				}
+				r.Guarded, r.Without, r.Oracle = r.Guarded+with.Served, r.Without+without.Served, r.Oracle+oracle.Served
+				mu.Unlock()
+			}
+			bar.Add(1)
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	var all []*guardRow
+	for _, r := range rows {
+		n := float64(r.Trials)
+		r.Guarded, r.Without, r.Oracle = r.Guarded/n, r.Without/n, r.Oracle/n
+		if slices.Sort(r.times); len(r.times) > 0 {
+			r.Half, r.Most = r.times[len(r.times)/2], r.times[len(r.times)*9/10]
+		}
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *guardRow) int { return cmpText(a.Bad == "", a.Kind, b.Bad == "", b.Kind) })
+	if f.JSON {
+		return json.NewEncoder(to.out).Encode(all)
+	}
+	t := tabwriter.NewWriter(to.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "change\tbad\ttrials\tundone\thalf within\tnine in ten\tsatisfied guarded\tno guard\toracle\t")
+	for _, r := range all {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.1f s\t%.1f s\t%.4f\t%.4f\t%.4f\t\n", r.Kind, r.Bad, r.Trials, r.Undone, r.Half.Seconds(), r.Most.Seconds(), r.Guarded, r.Without, r.Oracle)
+	}
+	return t.Flush()
+}
+
+// cmpText puts bad changes before good ones, each by name.
+func cmpText(goodA bool, a string, goodB bool, b string) int {
+	switch {
+	case goodA != goodB && goodA:
+		return 1
+	case goodA != goodB:
+		return -1
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- a/config/change/guard.go
+++ b/config/change/guard.go
@@ -18,12 +18,12 @@
 
 // Guards are how much worse a change may be: parts of lookups.
 type Guards struct {
-	Satisfied  float64 // fewer satisfied
-	Nacked     float64 // more nacked
-	Late       float64 // more late
-	Fills      float64 // more fills
-	Least      int     // lookups of the change before it is judged
-	Deviations float64 // of chance
+	Satisfied  float64 `json:"satisfied"`  // fewer satisfied; 0: not looked at, as with those that follow
+	Nacked     float64 `json:"nacked"`     // more nacked
+	Late       float64 `json:"late"`       // more late
+	Fills      float64 `json:"fills"`      // more fills
+	Least      int     `json:"lookups"`    // lookups of the change before it is judged
+	Deviations float64 `json:"deviations"` // of chance
 }
 
 // Usual guards.
--- a/config/config.go
+++ b/config/config.go
@@ -17,6 +17,7 @@
 
 	"github.com/google/go-jsonnet"
 
+	"foldslip/config/change"
 	"foldslip/route"
 	"foldslip/route/pools"
 )
@@ -36,8 +37,9 @@
 
 // Routing are routes and pools, and where their changes are kept.
 type Routing struct {
-	Folder string `json:"folder,omitempty"` // of this gateway alone; none: changes end with the process
-	Socket string `json:"socket,omitempty"` // where operators of this machine call; none: changes by this file only
+	Folder string         `json:"folder,omitempty"` // of this gateway alone; none: changes end with the process
+	Guards *change.Guards `json:"guards,omitempty"` // none: change.Usual
+	Socket string         `json:"socket,omitempty"` // where operators of this machine call; none: changes by this file only
 	pools.Config
 }
 
@@ -309,6 +311,9 @@
 		if r.Folder != "" && !path.IsAbs(r.Folder) {
 			return Fault{file, "routing.folder", fmt.Sprintf("%q is relative", r.Folder), "name it from the root, as /var/lib/foldslip-routes"}
 		}
+		if g := r.Guards; g != nil && (g.Least < 1 || g.Deviations < 1 || min(g.Satisfied, g.Nacked, g.Late, g.Fills) < 0) {
+			return Fault{file, "routing.guards", "a figure is out of bounds", "lookups and deviations from 1, the others from 0 (0: not looked at)"}
+		}
 		if r.Socket != "" && (!path.IsAbs(r.Socket) || len(r.Socket) > 100) {
 			return Fault{file, "routing.socket", fmt.Sprintf("%q", r.Socket), "name it from the root in 100 bytes, as /run/foldslip/operator"}
 		}
--- a/lab/day/day.go
+++ b/lab/day/day.go
@@ -107,6 +107,7 @@
 	sent      func(d *Day, k *cacheConn, q *do) // a send is on the wire
 	answering func(d *Day, q *do)               // a cache is about to write its answer
 	taken     func(d *Day, a *ask)              // a lookup has reached its gateway
+	trial     *Trial                            // a change of routes that is tried on all gateways
 	script    *script                           // lookups and their sends' endings, in place of clients and caches
 }
 
@@ -190,6 +191,9 @@
 		key += " " + mode(rest)
 	}
 	d.reasons[key]++
+	if t := d.look.trial; t != nil && name == "routes" && strings.Contains(rest, "stage=undone") && t.Undone == 0 {
+		t.Undone = d.w.Now() - t.at
+	}
 	if level >= slog.LevelWarn || name == "module" || name == "reread" {
 		d.tell("%s %s", p.Name, line)
 	}
--- a/lab/day/routes.go
+++ b/lab/day/routes.go
@@ -46,9 +46,16 @@
 // routes sets a gateway's process up: its changes are kept on its disk.
 func (g *gateway) routes(p *world.Proc) {
 	own := struct {
-		Folder string `json:"folder"`
+		Folder string         `json:"folder"`
+		Guards *change.Guards `json:"guards,omitempty"`
 		pools.Config
-	}{routesAt, g.d.routesOf(0)}
+	}{routesAt, nil, g.d.routesOf(0)}
+	if t := g.d.look.trial; t != nil {
+		own.Config = t.before()
+		if !t.Guarded {
+			own.Guards = &change.Guards{Least: 1, Deviations: 1}
+		}
+	}
 	p.Files[settingsAt] = must(map[string]any{"routing": own})
 	p.Env_["FOLDSLIP_SETTINGS"] = settingsAt
 	p.Disks = map[string]*world.Disk{routesAt: g.disk}
@@ -67,6 +74,9 @@
 // routed tells whether a lookup that reached its gateway at a time may be sent to a cache, whatever of the two it was decided under:
 // one of those in force then or a moment later, the same for all its sends.
 func (r *referee) routed(a *ask, id string) {
+	if r.d.look.trial != nil {
+		return
+	}
 	if a.taken == 0 { // the network lost track of when it came
 		return
 	}
--- a/route/steer/steer.go
+++ b/route/steer/steer.go
@@ -132,6 +132,9 @@
 	}
 }
 
+// Guards sets what undoes a change by itself; before Run.
+func (s *Steer) Guards(g change.Guards) { s.guard = change.NewGuard(s.g.Now(), g) }
+
 // List is word of the bulletin, before the router has it.
 func (s *Steer) List(c roster.Change) {
 	s.mu.Lock()
@@ -246,6 +249,7 @@
 			for _, t := range p.tickets {
 				t.Leave(now, false, false)
 			}
+			s.guard.Saw(now, p.under || s.applied(p.Version), change.Seen{Nacked: true}) // a limit too small is a bad change too
 			return nil, why, wait
 		}
 		p.tickets, p.named = append(p.tickets, ticket), append(p.named, l)
--- a/route/steer/steer_test.go
+++ b/route/steer/steer_test.go
@@ -172,6 +172,30 @@
 			}
 		}
 	})
+	t.Run("a change whose limits refuse most is undone", func(t *testing.T) {
+		g := newGround()
+		s := begin(t, g, nil, routes("town"))
+		load := func() {
+			for i := range 3000 {
+				if p, why, _ := s.Admit(0, 0, fmt.Sprint("o", i), 10); why == limit.Allowed {
+					p.End(true, false, false)
+				}
+				if i%100 == 0 {
+					g.at = g.at.Add(100 * time.Millisecond)
+					s.Tick()
+				}
+			}
+		}
+		load()
+		tight := routes("town")
+		tight.Routes[0].Limits = &pools.Limits{Lookups: 10}
+		must(t)(s.Propose(1, tight, "ada", "sale"))
+		must(t)(s.Apply(2, time.Hour))
+		load()
+		if got := goes(t, s); got["1 c1+c2"] != 1000 {
+			t.Error(got)
+		}
+	})
 	t.Run("limits: what is let in is let out, refusals say when to come back, and a change refills nothing", func(t *testing.T) {
 		c := routes("town")
 		c.Tenants = map[string]pools.Limits{"kiosks": {Lookups: 20}}
--- a/service/service.go
+++ b/service/service.go
@@ -129,6 +129,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if own.Routing.Guards != nil {
+		s.Guards(*own.Routing.Guards)
+	}
 	bulletin.Heard = s.List
 	return s, nil
 }
