--- a/service/gateway_test.go
+++ b/service/gateway_test.go
@@ -372,6 +372,7 @@
 	t.Run("a connection past the bound is turned away while all have a lookup", func(t *testing.T) {
 		came := make(chan standin.Do, 9)
 		s := begin(t, func(_ int, d standin.Do) { came <- d }, map[string]any{"limits": map[string]any{"sockets": 2}})
+		s.until("end of the ping's connection", func() bool { return strings.Contains(s.out.String(), "reason=closed_by_client") })
 		c := s.dial()
 		io.WriteString(c, s.lookup("segment", "o"))
 		d := soon(t, came)
