--- a/door/extproc/serve.go
+++ b/door/extproc/serve.go
@@ -108,29 +108,12 @@
 		Desk: retry.Terms{Lookups: int(x.Lookups), Each: int(x.Each), AgainIn: ms(x.AgainMS), Remember: ms(x.RememberMS)}}
 }
 
-// open listens at an address, or at a Unix socket that owner and group may use. A socket that nobody listens on any more is
-// taken over, one in use is not.
+// open listens at an address, or at a Unix socket that owner and group may use.
 func open(g clock.Ground, at string) (net.Listener, error) {
-	path, unix := strings.CutPrefix(at, "unix:")
-	if !unix {
-		return g.Listen(at)
-	}
-	if old, err := os.Lstat(path); err == nil && old.Mode()&os.ModeSocket != 0 {
-		if conn, err := net.DialTimeout("unix", path, time.Second); err == nil {
-			conn.Close()
-			return nil, errors.New(path + ": another process listens there; stop it or name another socket in external_processor.listen")
-		}
-		os.Remove(path)
-	}
-	l, err := net.Listen("unix", path)
-	if err != nil {
-		return nil, err
+	if path, unix := strings.CutPrefix(at, "unix:"); unix {
+		return clock.ListenUnix(path, socketMode)
 	}
-	if err := os.Chmod(path, socketMode); err != nil {
-		l.Close()
-		return nil, err
-	}
-	return l, nil
+	return g.Listen(at)
 }
 
 // tap meets each new stream on its connection's own reading side, before anything is made for it. One of a caller past its rate
--- a/door/operator/operator.go
+++ b/door/operator/operator.go
@@ -63,25 +63,12 @@
 	calls    chan struct{} // has room for those at once
 }
 
-// Open listens on a path. One that nobody listens on any more is taken over, one in use is not.
+// Open listens on a path.
 func Open(g clock.Ground, path string, routes *steer.Steer) (*Operator, error) {
-	if old, err := os.Lstat(path); err == nil && old.Mode()&os.ModeSocket != 0 {
-		if conn, err := net.DialTimeout("unix", path, time.Second); err == nil {
-			conn.Close()
-			return nil, fmt.Errorf("%s: another process listens there; name another socket in routing.socket", path)
-		}
-		os.Remove(path)
-	}
-	was := syscall.Umask(0o177) // no moment at which others may connect
-	l, err := net.Listen("unix", path)
-	syscall.Umask(was)
+	l, err := clock.ListenUnix(path, mode)
 	if err != nil {
 		return nil, err
 	}
-	if err := os.Chmod(path, mode); err != nil {
-		l.Close()
-		return nil, err
-	}
 	return &Operator{g, routes, l, make(chan struct{}, mostCalls)}, nil
 }
 
