Fleet view sorts by the standard compare; why suspects do not count for a minority

Need: reading the change again found compareNames, a copy of cmp.Compare, and Minority and Live counting suspects differently without a word on why. Change: cmp.Compare in its place; Minority's comment says a side of a split learns it is the smaller one at suspicion.

--- a/fleet/view/view.go
+++ b/fleet/view/view.go
@@ -9,7 +9,10 @@
 // goroutine (no lock), and lives as long as the process.
 package view
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // State is what the view holds of a member.
 type State int
@@ -125,20 +128,10 @@
 			v.mark(now)
 		}
 	}
-	slices.SortFunc(spread, func(a, b Update) int { return compareNames(a.Name, b.Name) })
+	slices.SortFunc(spread, func(a, b Update) int { return cmp.Compare(a.Name, b.Name) })
 	return spread
 }
 
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func (v *View) mark(now int64) { v.version++; v.changed = now }
 
 // Version is raised by every change of the view.
@@ -160,7 +153,8 @@
 }
 
 // Minority tells whether this gateway sees no more than half of the members it knows that have not left: the side of a
-// split that must not act as if it were the fleet (issues of fleet limits and shares read it).
+// split that must not act as if it were the fleet (issues of fleet limits and shares read it). Unlike Live, a suspect
+// does not count as seen here: a side of a split learns it is the smaller one at suspicion, not only at death.
 func (v *View) Minority() bool {
 	known, alive := 0, 0
 	for _, m := range v.members {
