Fleet view fed by detector and words of life; whom to call to find the fleet again

Change: fleet/view takes the detector's joins, deaths and leaves, and words (words.go): proofs of life, failed probes and digests with ages in place of times. Words make a suspect and clear it, never a death. Settled is agreement that was heard.

--- a/fleet/view/view.go
+++ b/fleet/view/view.go
@@ -1,150 +1,437 @@
-// Package view is one gateway's view of the fleet of gateways: who is there, in which state, since when, and who said so.
-// It is a pure state machine in the manner of SWIM's dissemination rules (Das, Gupta, Motivala, DSN 2002, section 4.2):
-// updates and whole microseconds go in, changes come out; the transport (memberlist, or the virtual clock) stays beside it.
+// Package view is one gateway's view of the fleet of gateways: who is there, in which state, since when, who said so and how
+// sure that is. It is a pure state machine: what the failure detector says, words of life from peers and whole microseconds go
+// in, changes come out. It does no I/O, holds no lock and knows no transport (package fleet/membership brings both).
 //
-// Precedence of an update about one member: a higher incarnation wins; at the same incarnation dead and left beat
-// suspect, and suspect beats alive. An update that suspects this gateway itself is refuted by raising its own
-// incarnation. A suspect not refuted within the suspicion time is taken for dead. Dead and left members are forgotten
-// after the reap time, and the view never holds more than Max members: it is bounded by its settings, owned by one
-// goroutine (no lock), and lives as long as the process.
+// Two sources feed it. The detector (memberlist: SWIM, Das, Gupta and Motivala, DSN 2002, with Lifeguard, Dadgar, Phillips and
+// Currey, DSN-W 2018) alone makes a member alive, dead or left. Words (package file words.go) are first-hand evidence that
+// gateways pass on: "I heard NAME so long ago", "my probe of NAME failed so long ago". They make a member suspect, clear it,
+// and tell how sure the view is; they never make one dead or bring one back. So a wrong or late word costs a line in the log
+// and nothing else.
+//
+// Each gateway also tells a digest of whom it sees. The view has settled once its own set has rested for the settle time and
+// every live member has told the same digest since: agreement that was heard, not silence taken for it.
+//
+// Bounds: Most members, self included; kept evidence of lastSaid words a member; the dead and the left are forgotten after the
+// reap time. Owner: one goroutine or whoever holds its owner's lock; it lives as long as the process.
 package view
 
 import (
 	"cmp"
+	"encoding/binary"
+	"maps"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // State is what the view holds of a member.
 type State int
 
 const (
-	Alive State = iota
-	Suspect
-	Dead
-	Left
+	Unheard State = iota // known from disk or a seed, never seen by this process
+	Alive
+	Suspect // held alive by the detector, but a probe of it failed after it was last heard
+	Dead    // the detector gave it up
+	Left    // it said that it goes
 )
 
-func (s State) String() string { return [...]string{"alive", "suspect", "dead", "left"}[s] }
+var names = [...]string{"unheard", "alive", "suspect", "dead", "left"}
+
+func (s State) String() string { return names[s] }
 
-// rank orders states at one incarnation: the higher one wins.
-func (s State) rank() int { return [...]int{0, 1, 2, 2}[s] }
+// MarshalText writes the state as a word.
+func (s State) MarshalText() ([]byte, error) { return []byte(names[s]), nil }
 
-// Update is one word about a member: its name, incarnation and state, and the gateway that said it.
-type Update struct {
-	Name        string
-	Incarnation uint64
-	State       State
-	From        string
+// UnmarshalText reads the word.
+func (s *State) UnmarshalText(text []byte) error {
+	*s = State(max(0, slices.Index(names[:], string(text))))
+	return nil
 }
 
-// Member is what the view holds of one gateway. Since and Heard are whole microseconds of the caller's clock.
+// Live tells whether the member counts as there: the next decisions act on it.
+func (s State) Live() bool { return s == Alive || s == Suspect }
+
+// ID is one process under a name. Stamp is unlike that of any process before it under the name; the lesser one started first.
+type ID struct {
+	Name  string `json:"name"`
+	Addr  string `json:"addr"`
+	Stamp uint64 `json:"stamp"`
+}
+
+// Key stands for a name in words: a 64-bit hash. Two names of one fleet that share a key are refused (Join).
+func Key(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Said is one thing somebody said of a member, for explaining.
+type Said struct {
+	At   int64  `json:"at_us"` // whole microseconds of this process's clock
+	By   string `json:"by"`
+	What string `json:"what"`
+}
+
+// Member is what the view holds of one gateway. Times are whole microseconds of this process's clock.
 type Member struct {
-	Name        string
-	Incarnation uint64
-	State       State
-	Since       int64  // when the state was taken
-	Heard       int64  // when last heard of
-	From        string // who said the state
+	ID
+	State    State  `json:"state"`
+	Since    int64  `json:"since_us"` // when the state was taken
+	Heard    int64  `json:"heard_us"` // newest proof of life
+	By       string `json:"by"`       // whose proof that was
+	Accused  int64  `json:"-"`        // newest failed probe that was told
+	Accuser  string `json:"-"`
+	Digest   uint32 `json:"digest"`    // its own last word on whom it sees
+	DigestAt int64  `json:"digest_us"` // when it said so
+	Restarts int    `json:"restarts"`  // new stamps seen under the name
+	Deaths   int    `json:"deaths"`
+	Wrong    int    `json:"wrong"` // deaths after which the same process came back
+	said     []Said
 }
 
-// Settings bound the view; all times in whole microseconds.
+// Said is what was said of the member, oldest first.
+func (m Member) Said() []Said { return m.said }
+
+// Change is one change of a member's state.
+type Change struct {
+	Name     string
+	Was, Now State
+	New      bool // the member was not held before
+	By, Why  string
+	Held     int64 // for how long the state before was held
+	Silence  int64 // since the newest proof of life
+}
+
+// Settings bound the view; times in whole microseconds.
 type Settings struct {
-	Max       int   // members held at most, self included
-	SuspectUs int64 // a suspect not refuted so long is dead
-	ReapUs    int64 // a dead or left member is forgotten so long after
-	SettleUs  int64 // no change for so long: the view has settled
+	Most    int   // members held, self included
+	Expect  int   // gateways that the operators say there are; 0: not said
+	Reap    int64 // the dead and the left are forgotten so long after
+	Settle  int64 // no change for so long before the view can have settled
+	Evident int64 // words older than this are not passed on
 }
 
-// View is one gateway's view. The zero value is not usable: use New.
+const lastSaid = 16 // words kept a member
+
+// View is one gateway's view. Use New.
 type View struct {
 	self    string
 	set     Settings
 	members map[string]*Member
-	version uint64 // raised by every change
-	changed int64  // when the last change was taken
+	keys    map[uint64]string
+	version uint64
+	changed int64  // when the set of live members last changed
+	stirred int64  // when that, or a suspicion, was last news
+	live    int    // how many are in it
+	digest  uint32 // of that set, if it is known
+	known   bool
+	settled bool
+	from    int64 // what the settling under way began with
+	turn    uint64
 }
 
-// New starts a view holding only self, alive at incarnation 1. Max below 1 is taken as 1.
-func New(self string, set Settings, now int64) *View {
-	if set.Max < 1 {
-		set.Max = 1
-	}
-	v := &View{self: self, set: set, members: map[string]*Member{}, changed: now}
-	v.members[self] = &Member{Name: self, Incarnation: 1, Since: now, Heard: now, From: self}
-	v.version = 1
+// New starts a view that holds only self.
+func New(self ID, set Settings, now int64) *View {
+	set.Most = max(1, set.Most)
+	v := &View{self: self.Name, set: set, members: map[string]*Member{}, keys: map[uint64]string{Key(self.Name): self.Name}}
+	v.members[self.Name] = &Member{ID: self, State: Alive, Since: now, Heard: now, By: self.Name}
+	v.mark(now)
 	return v
 }
 
-// Apply takes one update at now and returns the update this gateway should spread in its place, if any: the same
-// update when it changed the view, a refutation when it suspected this gateway, nothing when it was old news or the
-// view is full. Updates about unknown members that are not alive are not taken (nothing to forget later).
-func (v *View) Apply(u Update, now int64) (spread Update, ok bool) {
-	if u.Name == v.self {
-		me := v.members[v.self]
-		if u.State == Alive || u.Incarnation < me.Incarnation {
-			return Update{}, false
-		}
-		// Refute: a word that this gateway is not alive is answered by a higher incarnation (SWIM 4.2).
-		me.Incarnation = u.Incarnation + 1
-		me.Heard = now
+// Self is this gateway's name.
+func (v *View) Self() string { return v.self }
+
+func (m *Member) say(now int64, by, what string) {
+	if len(m.said) > 0 && m.said[len(m.said)-1].By == by && m.said[len(m.said)-1].What == what {
+		m.said[len(m.said)-1].At = now
+		return
+	}
+	if len(m.said) == lastSaid {
+		m.said = slices.Delete(m.said, 0, 1)
+	}
+	m.said = append(m.said, Said{now, by, what})
+}
+
+// turnTo moves a member to a state.
+func (v *View) turnTo(m *Member, to State, by, why string, now int64) Change {
+	c := Change{Name: m.Name, Was: m.State, Now: to, By: by, Why: why, Held: now - m.Since, Silence: now - m.Heard}
+	was := m.State
+	m.State, m.Since = to, now
+	m.say(now, by, to.String()+": "+why)
+	v.version++
+	v.stirred = now
+	if was.Live() != to.Live() {
 		v.mark(now)
-		return Update{Name: v.self, Incarnation: me.Incarnation, State: Alive, From: v.self}, true
 	}
-	m, known := v.members[u.Name]
-	if !known {
-		if u.State != Alive || len(v.members) >= v.set.Max {
-			return Update{}, false
+	return c
+}
+
+// mark takes note that the live set is another one.
+func (v *View) mark(now int64) {
+	v.version++
+	v.changed, v.stirred = now, now
+	if v.settled || v.from == 0 {
+		v.from = now
+	}
+	v.settled, v.known = false, false
+	v.live = 0
+	for _, m := range v.members {
+		if m.State.Live() {
+			v.live++
 		}
-		v.members[u.Name] = &Member{Name: u.Name, Incarnation: u.Incarnation, State: Alive, Since: now, Heard: now, From: u.From}
+	}
+}
+
+// sum is a digest of the live set: names with stamps, sorted.
+func (v *View) sum() uint32 {
+	h := xxhash.New()
+	var b [8]byte
+	for _, name := range v.Live() {
+		h.WriteString(name)
+		binary.LittleEndian.PutUint64(b[:], v.members[name].Stamp)
+		h.Write(b[:])
+	}
+	return uint32(h.Sum64())
+}
+
+// Refusal is why a gateway is not taken into the view.
+type Refusal string
+
+const (
+	Full     Refusal = "full"      // Most members are held, all of them live
+	KeyTaken Refusal = "key_taken" // its name has the key of another's
+)
+
+// Admits tells whether a gateway could be taken; "" if so. Dead and left members give way to a live one.
+func (v *View) Admits(name string) Refusal {
+	if v.members[name] != nil {
+		return ""
+	}
+	if other, taken := v.keys[Key(name)]; taken && other != name {
+		return KeyTaken
+	}
+	if len(v.members) >= v.set.Most && v.oldest() == nil {
+		return Full
+	}
+	return ""
+}
+
+// oldest is the member that is not live and has been so the longest.
+func (v *View) oldest() (least *Member) {
+	for _, m := range v.members {
+		if m.State.Live() || m.Name == v.self {
+			continue
+		}
+		if least == nil || cmp.Or(cmp.Compare(m.Since, least.Since), cmp.Compare(m.Name, least.Name)) < 0 {
+			least = m
+		}
+	}
+	return least
+}
+
+func (v *View) add(id ID, state State, now int64) *Member {
+	if len(v.members) >= v.set.Most { // a join storm right after many deaths must find room: the longest dead goes
+		v.forget(v.oldest())
+	}
+	m := &Member{ID: id, State: state, Since: now, Heard: now}
+	v.members[id.Name] = m
+	v.keys[Key(id.Name)] = id.Name
+	return m
+}
+
+func (v *View) forget(m *Member) {
+	delete(v.members, m.Name)
+	delete(v.keys, Key(m.Name))
+	v.version++
+}
+
+// Know takes a member from disk: it is unheard until the detector finds it. Its place is the first to be given up.
+func (v *View) Know(id ID, now int64) bool {
+	if v.members[id.Name] != nil || v.Admits(id.Name) != "" || len(v.members) >= v.set.Most {
+		return false
+	}
+	m := v.add(id, Unheard, now)
+	m.say(now, v.self, "known from disk")
+	v.version++
+	return true
+}
+
+// Join takes the detector's word that a gateway is alive, by whom it was first said where that is known.
+func (v *View) Join(id ID, by string, now int64) []Change {
+	if id.Name == v.self {
+		return nil
+	}
+	m := v.members[id.Name]
+	if m == nil {
+		if v.Admits(id.Name) != "" {
+			return nil
+		}
+		m = v.add(id, Alive, now)
+		m.By = by
+		m.say(now, by, "alive: joined")
+		v.mark(now)
+		return []Change{{Name: id.Name, Was: Unheard, Now: Alive, New: true, By: by, Why: "joined"}}
+	}
+	why := "joined"
+	switch {
+	case m.Stamp != id.Stamp && m.State != Unheard:
+		why = "restarted"
+		m.Restarts++
+	case m.State == Dead:
+		why = "came_back" // the same process: its death was a wrong one, or the way to it had been cut
+		m.Wrong++
+	}
+	was := m.State
+	newer := m.Stamp != id.Stamp
+	m.ID = id
+	m.Heard, m.By, m.Accused = max(m.Heard, now), by, 0
+	if was.Live() && newer { // the live set has another process in it, though the name was in it before
 		v.mark(now)
-		return u, true
 	}
-	m.Heard = max(m.Heard, now)
-	newer := u.Incarnation > m.Incarnation
-	stronger := u.Incarnation == m.Incarnation && u.State.rank() > m.State.rank()
-	if !newer && !stronger {
-		return Update{}, false
+	if was == Alive {
+		if !newer {
+			return nil
+		}
+		m.say(now, by, "alive: "+why)
+		return []Change{{Name: id.Name, Was: was, Now: Alive, By: by, Why: why, Held: now - m.Since}}
+	}
+	return []Change{v.turnTo(m, Alive, by, why, now)}
+}
+
+// Update takes the detector's word that a live gateway told other things of itself.
+func (v *View) Update(id ID, now int64) []Change {
+	m := v.members[id.Name]
+	if m == nil || id.Name == v.self || m.ID == id {
+		return nil
+	}
+	return v.Join(id, id.Name, now)
+}
+
+// Gone takes the detector's word that a gateway is dead, or has left.
+func (v *View) Gone(name string, left bool, now int64) []Change {
+	m := v.members[name]
+	if m == nil || name == v.self || !m.State.Live() && !(left && m.State == Dead) {
+		return nil
+	}
+	if left {
+		return []Change{v.turnTo(m, Left, name, "left", now)}
+	}
+	m.Deaths++
+	by, why := v.self, "no_proof_of_life"
+	if m.Accuser != "" {
+		by = m.Accuser
+	}
+	return []Change{v.turnTo(m, Dead, by, why, now)}
+}
+
+// Heard takes a proof of life: by heard the member at a time.
+func (v *View) Heard(name, by string, at, now int64) []Change {
+	m := v.members[name]
+	if m == nil || name == v.self || at <= m.Heard {
+		return nil
+	}
+	m.Heard, m.By = min(at, now), by
+	if m.State == Suspect && at > m.Accused {
+		return []Change{v.turnTo(m, Alive, by, "heard", now)}
+	}
+	if !m.State.Live() && by != v.self {
+		m.say(now, by, "heard while not live here")
+		v.version++ // who looks for the lost wants to know
+	}
+	return nil
+}
+
+// Accuse takes the word that a probe by somebody of a member failed at a time.
+func (v *View) Accuse(name, by string, at, now int64) []Change {
+	m := v.members[name]
+	if m == nil || at <= m.Accused || at > now {
+		return nil
 	}
-	if m.State == u.State && m.Incarnation != u.Incarnation {
-		m.Incarnation = u.Incarnation
-		return u, true // a new incarnation in the same state changes nothing others rely on
+	m.Accused, m.Accuser = at, by
+	if name == v.self {
+		m.say(now, by, "probe failed: this gateway is here")
+		return nil
 	}
-	*m = Member{Name: u.Name, Incarnation: u.Incarnation, State: u.State, Since: now, Heard: now, From: u.From}
+	m.say(now, by, "probe failed")
+	if m.State == Alive && at > m.Heard {
+		return []Change{v.turnTo(m, Suspect, by, "probe_failed", now)}
+	}
+	return nil
+}
+
+// Paused takes note that this process stood still: what it held of others is old, so the view has not settled.
+func (v *View) Paused(now int64) {
+	v.members[v.self].say(now, v.self, "stood still")
 	v.mark(now)
-	return u, true
 }
 
-// Tick moves time to now: suspects past the suspicion time become dead (returned, to be spread), dead and left
-// members past the reap time are forgotten.
-func (v *View) Tick(now int64) (spread []Update) {
+// Tick moves time on to now: who is forgotten, and whether the view has settled since (told once a settling, with how long it
+// took).
+func (v *View) Tick(now int64) (forgotten []string, settled bool, took int64) {
+	if len(v.members) > v.live {
+		for name, m := range v.members {
+			if !m.State.Live() && now-m.Since >= v.set.Reap {
+				v.forget(m)
+				forgotten = append(forgotten, name)
+			}
+		}
+		slices.Sort(forgotten)
+	}
+	self := v.members[v.self]
+	self.Heard, self.Digest, self.DigestAt = now, v.Digest(), now
+	if v.settled || !v.agrees(now) {
+		return forgotten, false, 0
+	}
+	v.settled = true
+	return forgotten, true, now - v.from
+}
+
+// agrees tells whether the live set rested for the settle time and all who are in it told the same since it last changed.
+func (v *View) agrees(now int64) bool {
+	if now-v.changed < v.set.Settle {
+		return false
+	}
 	for name, m := range v.members {
-		switch {
-		case m.State == Suspect && now-m.Since >= v.set.SuspectUs:
-			m.State, m.Since, m.From = Dead, now, v.self
-			v.mark(now)
-			spread = append(spread, Update{Name: name, Incarnation: m.Incarnation, State: Dead, From: v.self})
-		case (m.State == Dead || m.State == Left) && now-m.Since >= v.set.ReapUs:
-			delete(v.members, name)
-			v.mark(now)
+		if m.State.Live() && name != v.self && (m.Digest != v.Digest() || m.DigestAt < v.changed) {
+			return false
 		}
 	}
-	slices.SortFunc(spread, func(a, b Update) int { return cmp.Compare(a.Name, b.Name) })
-	return spread
+	return true
 }
 
-func (v *View) mark(now int64) { v.version++; v.changed = now }
+// Differ are the addresses of live members that said, since this view rested for the settle time, that they see others; sorted.
+func (v *View) Differ(now int64) (addrs []string) {
+	if v.settled || now-v.changed < v.set.Settle {
+		return nil
+	}
+	for name, m := range v.members {
+		if m.State.Live() && name != v.self && m.Digest != v.Digest() && m.DigestAt >= v.changed+v.set.Settle {
+			addrs = append(addrs, m.Addr)
+		}
+	}
+	slices.Sort(addrs)
+	return addrs
+}
 
 // Version is raised by every change of the view.
 func (v *View) Version() uint64 { return v.version }
 
-// Settled tells whether nothing changed for the settle time up to now.
-func (v *View) Settled(now int64) bool { return now-v.changed >= v.set.SettleUs }
+// Digest stands for the set of live members. It is made when it is asked for: many changes come at once.
+func (v *View) Digest() uint32 {
+	if !v.known {
+		v.digest, v.known = v.sum(), true
+	}
+	return v.digest
+}
+
+// Count is how many live members there are, self included.
+func (v *View) Count() int { return v.live }
+
+// Settled tells whether the view has settled and nothing changed since.
+func (v *View) Settled() bool { return v.settled }
 
 // Live returns the names of alive and suspect members, self included, sorted.
 func (v *View) Live() []string {
 	var out []string
 	for name, m := range v.members {
-		if m.State == Alive || m.State == Suspect {
+		if m.State.Live() {
 			out = append(out, name)
 		}
 	}
@@ -152,28 +439,62 @@
 	return out
 }
 
-// Minority tells whether this gateway sees no more than half of the members it knows that have not left: the side of a
-// split that must not act as if it were the fleet (issues of fleet limits and shares read it). Unlike Live, a suspect
-// does not count as seen here: a side of a split learns it is the smaller one at suspicion, not only at death.
-func (v *View) Minority() bool {
-	known, alive := 0, 0
+// Size is how much of the fleet is seen: members that are alive, and the fleet they are a part of. The fleet is all who are
+// known and have not left, or what the operators said there are, if more. Unlike Live, a suspect does not count as seen: one
+// side of a split learns what it is at suspicion, not only at death.
+func (v *View) Size() (seen, fleet int) {
 	for _, m := range v.members {
-		if m.State == Left {
-			continue
-		}
-		known++
 		if m.State == Alive {
-			alive++
+			seen++
+		}
+		if m.State != Left {
+			fleet++
 		}
 	}
-	return 2*alive <= known
+	return seen, max(fleet, v.set.Expect)
+}
+
+// Minority tells whether this gateway sees no more than half of the fleet: it must not act as if it were the fleet. Of an even
+// split both halves are minorities.
+func (v *View) Minority() bool {
+	seen, fleet := v.Size()
+	return fleet > 1 && 2*seen <= fleet
 }
 
 // Get returns what the view holds of one member.
 func (v *View) Get(name string) (Member, bool) {
-	m, ok := v.members[name]
-	if !ok {
+	m := v.members[name]
+	if m == nil {
 		return Member{}, false
 	}
-	return *m, true
+	out := *m
+	out.said = slices.Clone(m.said)
+	return out, true
+}
+
+// All returns all members, sorted by name.
+func (v *View) All() []Member {
+	out := make([]Member, 0, len(v.members))
+	for _, name := range slices.Sorted(maps.Keys(v.members)) {
+		m, _ := v.Get(name)
+		out = append(out, m)
+	}
+	return out
+}
+
+// Claimed takes note that somebody at another address says that it has a member's name.
+func (v *View) Claimed(name, addr string, now int64) {
+	if m := v.members[name]; m != nil {
+		m.say(now, addr, "claims the name")
+	}
 }
+
+// Restless tells whether words should ride on gossip: something was news within the least time, or the view has not settled since
+// it changed, up to the most (a fleet that cannot agree, as across a half-open cut, must not talk for ever). Suspicions count, so
+// that the smaller side of a split learns from all its members' probes together that it is one.
+func (v *View) Restless(now, least, most int64) bool {
+	return now-v.stirred < least || !v.settled && now-v.changed < most
+}
+
+// Changed is when the set of live members last changed.
+func (v *View) Changed() int64 { return v.changed }
