Gateways know each other over memberlist, off by default: settings fleet, foldslip fleet view

Settings fleet, checked; operators ask at fleet.socket. Where no settings name a fleet, as in run of deploy/balancer.toml, service makes nothing of it.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -29,6 +29,7 @@
 	List   list    `cmd:"" help:"Read and mend the list of caches that a gateway keeps on disk."`
 	Config configs `cmd:"" help:"Check the operators' own settings, a Jsonnet template."`
 	Faults faults  `cmd:"" help:"Play days of trouble on a virtual clock against this very gateway."`
+	Fleet  fleet   `cmd:"" help:"Ask a gateway about the fleet that it sees, and try whole fleets under faults."`
 	Serve  serve   `cmd:"" default:"withargs" help:"Be the gateway (what the bare program does): ROUTER_CONFIG names its configuration, ROUTER_NAME and ROUTER_LISTEN go before what stands in it. SIGTERM ends it once all it has taken is answered, SIGHUP moves it to the bulletin that the file then names."`
 }
 
--- /dev/null
+++ b/cli/fleet.go
@@ -0,0 +1,126 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"foldslip/door/operator"
+	"foldslip/fleet/membership"
+)
+
+// fleet are questions to a gateway about the fleet it sees, and the rig that proves it.
+type fleet struct {
+	View    fleetView    `cmd:"" help:"How much of the fleet a gateway sees, and whether the fleet agrees."`
+	Members fleetMembers `cmd:"" help:"The gateways that a gateway knows, with how sure it is of each."`
+	Explain fleetExplain `cmd:"" help:"Who said what of one gateway, and when."`
+	Run     fleetRun     `cmd:"" passthrough:"" help:"Start a fleet of real gateways on loopback, put faults between them and report (runs foldslip-rig, which stands beside this program)."`
+}
+
+type fleetSocket struct {
+	Socket string        `env:"FOLDSLIP_FLEET" default:"/run/foldslip/fleet" help:"The gateway's socket, fleet.socket of its settings."`
+	JSON   bool          `help:"Print JSON."`
+	Wait   time.Duration `default:"10s" help:"For the answer."`
+}
+
+func (f fleetSocket) ask(name string) (*membership.Report, error) {
+	a, err := socket{f.Socket, f.JSON, f.Wait}.call(operator.Call{Do: "fleet", Name: name})
+	if err != nil {
+		return nil, err
+	}
+	if a.Fleet == nil {
+		return nil, fmt.Errorf("%s: the gateway told nothing of its fleet; is it of this version?", f.Socket)
+	}
+	return a.Fleet, nil
+}
+
+func ms(n int64) string {
+	return (time.Duration(n) * time.Millisecond).Round(100 * time.Millisecond).String()
+}
+
+type fleetView struct{ fleetSocket }
+
+func (f *fleetView) Run(to *streams) error {
+	r, err := f.ask("")
+	if err != nil {
+		return err
+	}
+	if f.JSON {
+		r.Members = nil
+		return json.NewEncoder(to.out).Encode(r)
+	}
+	side := "a majority"
+	if r.Minority {
+		side = "a MINORITY"
+	}
+	fmt.Fprintf(to.out, "%s at %s: %s, sees %d of %d (%s), %d live, %d agree, version %d, set %s unchanged for %s\n", r.Name, r.Addr, r.State,
+		r.Seen, r.Fleet, side, r.Live, r.Agree, r.Version, r.Digest, ms(r.ChangedMS))
+	c := r.Counts
+	fmt.Fprintf(to.out, "joined %d, died %d (%d wrongly), left %d, restarted %d, suspected %d (%d cleared), refused %d, stood still %d, names claimed %d\n",
+		c.Joins, c.Deaths, c.WrongDeaths, c.Lefts, c.Restarts, c.Suspicions, c.Cleared, c.Refused, c.Pauses, c.Conflicts)
+	up := max(float64(r.UpMS)/1000, 1)
+	fmt.Fprintf(to.out, "datagrams %.1f in, %.1f out a second, %.0f and %.0f bytes; %d streams of %d bytes, %d dropped\n", float64(r.PacketsIn)/up,
+		float64(r.PacketsOut)/up, float64(r.BytesIn)/up, float64(r.BytesOut)/up, r.Streams, r.StreamByte, r.Dropped)
+	fmt.Fprintf(to.out, "probe p50 %dus p99 %dus max %dus (%d); settling p50 %dms max %dms (%d)\n", r.RTT.P50, r.RTT.P99, r.RTT.Max, r.RTT.N,
+		r.Settlings.P50, r.Settlings.Max, r.Settlings.N)
+	return nil
+}
+
+type fleetMembers struct{ fleetSocket }
+
+func (f *fleetMembers) Run(to *streams) error {
+	r, err := f.ask("")
+	if err != nil {
+		return err
+	}
+	return printMembers(to, r, f.JSON)
+}
+
+func printMembers(to *streams, r *membership.Report, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(to.out).Encode(r.Members)
+	}
+	w := tabwriter.NewWriter(to.out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "NAME\tADDRESS\tSTATE\tFOR\tHEARD\tBY\tAGREES\tRESTARTS\tDEATHS\tWRONG")
+	for _, m := range r.Members {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s ago\t%s\t%v\t%d\t%d\t%d\n", m.Name, m.Addr, m.State, ms(m.SinceMS), ms(m.HeardMS), m.By, m.Agrees,
+			m.Restarts, m.Deaths, m.Wrong)
+	}
+	return w.Flush()
+}
+
+type fleetExplain struct {
+	Name string `arg:"" help:"The gateway to explain."`
+	fleetSocket
+}
+
+func (f *fleetExplain) Run(to *streams) error {
+	r, err := f.ask(f.Name)
+	if err != nil {
+		return err
+	}
+	if err := printMembers(to, r, f.JSON); err != nil || f.JSON {
+		return err
+	}
+	for _, m := range r.Members {
+		for _, s := range m.Said {
+			fmt.Fprintf(to.out, "  %s ago, %s: %s\n", ms(s.AgoMS), s.By, s.What)
+		}
+	}
+	return nil
+}
+
+// fleetRun is a command of foldslip-rig, whose libraries (plots) a gateway does without.
+type fleetRun struct {
+	Args []string `arg:"" optional:""`
+}
+
+func (f *fleetRun) Run() error {
+	args := f.Args
+	if len(args) > 0 && strings.HasPrefix(args[0], "--help") {
+		args = args[:1]
+	}
+	return become("foldslip-rig", args...)
+}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -5,15 +5,17 @@
 	"os"
 	"path/filepath"
 	"syscall"
+	"time"
 
 	"foldslip/clock"
 	"foldslip/service"
 )
 
 type serve struct {
-	Settings string `env:"FOLDSLIP_SETTINGS" help:"The operators' own settings, a Jsonnet template such as deploy/foldslip.jsonnet; none: all that they switch on is off."`
-	Doors    bool   `help:"Open the doors that the settings name, too (runs foldslip-door, which stands beside this program)."`
-	LogLevel string `enum:"debug,info,warn,error" default:"info" help:"The least level that is logged: ${enum}."`
+	Settings    string        `env:"FOLDSLIP_SETTINGS" help:"The operators' own settings, a Jsonnet template such as deploy/foldslip.jsonnet; none: all that they switch on is off."`
+	Doors       bool          `help:"Open the doors that the settings name, too (runs foldslip-door, which stands beside this program)."`
+	ClockOffset time.Duration `hidden:"" help:"Be off by so much, as a machine with a wrong clock is; for tests of a fleet."`
+	LogLevel    string        `enum:"debug,info,warn,error" default:"info" help:"The least level that is logged: ${enum}."`
 }
 
 func (s *serve) Run(to *streams) error {
@@ -28,6 +30,7 @@
 		return besideThis("serve", "--settings="+s.Settings, "--log-level="+s.LogLevel)
 	}
 	g := clock.NewSystem(to.errs, least)
+	g.Offset = s.ClockOffset
 	if g.Env("ROUTER_CONFIG") == "" {
 		return usage("ROUTER_CONFIG is not set: name the gateway's configuration file in it, see README.md (Start)")
 	}
@@ -46,12 +49,15 @@
 func (b *beside) Run() error { return besideThis(append([]string{"ask"}, b.Args...)...) }
 
 // besideThis becomes foldslip-door, whose libraries this program does without.
-func besideThis(args ...string) error {
+func besideThis(args ...string) error { return become("foldslip-door", args...) }
+
+// become becomes a program that stands beside this one.
+func become(name string, args ...string) error {
 	own, err := os.Executable()
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(filepath.Dir(own), "foldslip-door")
+	path := filepath.Join(filepath.Dir(own), name)
 	err = syscall.Exec(path, append([]string{path}, args...), os.Environ())
 	return usage("%s cannot be run: %v; go build -o bin/ ./cmd/... makes it", path, err)
 }
--- a/clock/system.go
+++ b/clock/system.go
@@ -16,11 +16,14 @@
 )
 
 // System is the ground of a real process.
-type System struct{ log *slog.Logger }
+type System struct {
+	log    *slog.Logger
+	Offset time.Duration // its clock is off by so much; for tests
+}
 
 // NewSystem makes the system's ground, with the log on w from a level on.
 func NewSystem(w io.Writer, least slog.Level) *System {
-	return &System{slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: least, ReplaceAttr: Plain}))}
+	return &System{log: slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: least, ReplaceAttr: Plain}))}
 }
 
 // Plain makes a line of the log event=NAME key=value: the message is the event's name.
@@ -31,7 +34,7 @@
 	return a
 }
 
-func (*System) Now() time.Time { return time.Now() }
+func (s *System) Now() time.Time { return time.Now().Add(s.Offset) }
 
 func (*System) AfterFunc(d time.Duration, f func()) Timer { return time.AfterFunc(d, f) }
 
--- a/config/config.go
+++ b/config/config.go
@@ -33,6 +33,7 @@
 	List              *List              `json:"list,omitempty"`
 	ExternalProcessor *ExternalProcessor `json:"external_processor,omitempty"`
 	Routing           *Routing           `json:"routing,omitempty"`
+	Fleet             *Fleet             `json:"fleet,omitempty"`
 }
 
 // Routing are routes and pools, and where their changes are kept.
@@ -104,25 +105,31 @@
 // Read evaluates the template in a file and checks what comes of it. Its errors are Faults. Imports are read by the same
 // reader, relative to the file that names them.
 func Read(file string, read func(path string) ([]byte, error)) (*Settings, error) {
+	var s Settings
+	if err := Take(file, read, &s); err != nil {
+		return nil, err
+	}
+	return &s, s.check(file)
+}
+
+// Take evaluates a template and decodes what it gives into a struct. A name that the struct does not have is a fault: a setting
+// that is spelt wrong must not be off in silence.
+func Take(file string, read func(path string) ([]byte, error), into any) error {
 	text, err := read(file)
 	if err != nil {
-		return nil, Fault{File: file, Text: err.Error(), Remedy: "name a file that the gateway can read"}
+		return Fault{File: file, Text: err.Error(), Remedy: "name a file that can be read"}
 	}
 	if len(text) > mostText {
-		return nil, Fault{File: file, Text: fmt.Sprintf("%d bytes", len(text)), Remedy: fmt.Sprintf("at most %d can be read", mostText)}
+		return Fault{File: file, Text: fmt.Sprintf("%d bytes", len(text)), Remedy: fmt.Sprintf("at most %d can be read", mostText)}
 	}
 	vm := jsonnet.MakeVM()
 	vm.MaxStack = mostStack
 	vm.Importer(&importer{read: read, held: map[string]jsonnet.Contents{file: jsonnet.MakeContents(string(text))}})
 	out, err := vm.EvaluateFile(file)
 	if err != nil {
-		return nil, Fault{File: file, Text: oneLine(err.Error()), Remedy: "mend the template there"}
+		return Fault{File: file, Text: oneLine(err.Error()), Remedy: "mend the template there"}
 	}
-	var s Settings
-	if err := s.take(file, []byte(out)); err != nil {
-		return nil, err
-	}
-	return &s, s.check(file)
+	return take(file, []byte(out), into)
 }
 
 func oneLine(s string) string { return strings.Join(strings.Fields(s), " ") }
@@ -152,18 +159,17 @@
 	return i.held[at], at, nil
 }
 
-// take decodes what the template gave. A name that is not known is a fault: a setting that is spelt wrong must not be
-// off in silence.
-func (s *Settings) take(file string, text []byte) error {
+// take decodes what the template gave.
+func take(file string, text []byte, into any) error {
 	var tree any
 	if err := json.Unmarshal(text, &tree); err != nil {
 		return Fault{File: file, Text: err.Error()}
 	}
-	if err := known(file, "", tree, reflect.TypeOf(*s)); err != nil {
+	if err := known(file, "", tree, reflect.TypeOf(into)); err != nil {
 		return err
 	}
 	d := json.NewDecoder(bytes.NewReader(text))
-	if err := d.Decode(s); err != nil {
+	if err := d.Decode(into); err != nil {
 		var wrong *json.UnmarshalTypeError
 		if errors.As(err, &wrong) {
 			return Fault{File: file, Path: wrong.Field, Text: "is " + wrong.Value, Remedy: "expected " + kindName(wrong.Type)}
@@ -321,6 +327,11 @@
 			return Fault{file, "routing." + faults[0].Path, faults[0].Text, faults[0].Remedy}
 		}
 	}
+	if s.Fleet != nil {
+		if err := s.Fleet.check(file); err != nil {
+			return err
+		}
+	}
 	if l := s.List; l != nil {
 		if l.Bytes == 0 {
 			l.Bytes = 8 << 20
--- /dev/null
+++ b/config/fleet.go
@@ -0,0 +1,86 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"path"
+	"time"
+)
+
+// Fleet are the settings of this gateway's part in a fleet that knows itself (docs/fleet-view.md). Times in milliseconds; 0 is the
+// usual one.
+type Fleet struct {
+	Listen    string   `json:"listen"`              // IP and port for datagrams and streams of other gateways
+	Advertise string   `json:"advertise,omitempty"` // what others are told, where it differs
+	Label     string   `json:"label,omitempty"`     // fleets of other labels are not heard
+	KeyFile   string   `json:"key_file,omitempty"`  // 16, 24 or 32 bytes; must be there where others than this machine can come
+	Seeds     []string `json:"seeds,omitempty"`     // IPs and ports of gateways to ask first
+	SeedFile  string   `json:"seed_file,omitempty"` // the same, one a line, read anew while somebody is looked for
+	Folder    string   `json:"folder,omitempty"`    // of this gateway alone; none: who was known ends with the process
+	Socket    string   `json:"socket,omitempty"`    // where operators of this machine call
+	Members   int64    `json:"members"`             // held at most, this one included
+	Expect    int64    `json:"expect,omitempty"`    // gateways there are, if the operators know; for telling a minority
+	Probe     int64    `json:"probe_ms"`
+	Timeout   int64    `json:"probe_timeout_ms"`
+	Gossip    int64    `json:"gossip_ms"`
+	Rejoin    int64    `json:"rejoin_ms"` // between calls for those who are lost
+	Settle    int64    `json:"settle_ms"` // without a change, before the fleet can have settled
+	Reap      int64    `json:"reap_ms"`   // the dead count for the fleet's size so long
+}
+
+const mostSeeds = 64
+
+// check fills in defaults and tells the first value that cannot be.
+func (f *Fleet) check(file string) error {
+	for _, n := range []struct {
+		name               string
+		to                 *int64
+		least, usual, most int64
+	}{{"members", &f.Members, 1, 1024, 4096}, {"expect", &f.Expect, 0, 0, 4096}, {"probe_ms", &f.Probe, 100, 1000, 60_000},
+		{"probe_timeout_ms", &f.Timeout, 20, 500, 30_000}, {"gossip_ms", &f.Gossip, 20, 200, 10_000}, {"rejoin_ms", &f.Rejoin, 200, 5000, 600_000},
+		{"settle_ms", &f.Settle, 100, 1000, 600_000}, {"reap_ms", &f.Reap, 1000, 3_600_000, 7 * 86_400_000}} {
+		if *n.to == 0 {
+			*n.to = n.usual
+		}
+		if *n.to < n.least || *n.to > n.most {
+			return Fault{file, "fleet." + n.name, fmt.Sprintf("is %d", *n.to), fmt.Sprintf("expected %d to %d", n.least, n.most)}
+		}
+	}
+	if f.Timeout >= f.Probe {
+		return Fault{file, "fleet.probe_timeout_ms", fmt.Sprintf("is %d of a probe_ms of %d", f.Timeout, f.Probe),
+			"leave time for others to probe in this gateway's place: at most half"}
+	}
+	if f.Advertise == "" {
+		f.Advertise = f.Listen
+	}
+	for _, a := range []struct{ name, at string }{{"listen", f.Listen}, {"advertise", f.Advertise}} {
+		at, err := netip.ParseAddrPort(a.at)
+		if err != nil || at.Port() == 0 || at.Addr().IsUnspecified() {
+			return Fault{file, "fleet." + a.name, fmt.Sprintf("%q", a.at), "expected an IP of this machine and a port, as 10.0.0.4:7946"}
+		}
+		if !at.Addr().IsLoopback() && f.KeyFile == "" {
+			return Fault{file, "fleet." + a.name, fmt.Sprintf("%s can be reached from other machines", a.at),
+				"name a key_file that all gateways of the fleet have"}
+		}
+	}
+	if len(f.Seeds) > mostSeeds {
+		return Fault{file, "fleet.seeds", fmt.Sprintf("has %d", len(f.Seeds)), fmt.Sprintf("%d are enough; more can stand in seed_file", mostSeeds)}
+	}
+	for i, s := range f.Seeds {
+		if at, err := netip.ParseAddrPort(s); err != nil || at.Port() == 0 {
+			return Fault{file, fmt.Sprintf("fleet.seeds[%d]", i), fmt.Sprintf("%q", s), "expected an IP and a port, as 10.0.0.4:7946"}
+		}
+	}
+	if len(f.Label) > 64 {
+		return Fault{file, "fleet.label", fmt.Sprintf("has %d bytes", len(f.Label)), "at most 64"}
+	}
+	for _, p := range []struct{ name, path string }{{"key_file", f.KeyFile}, {"seed_file", f.SeedFile}, {"folder", f.Folder}, {"socket", f.Socket}} {
+		if p.path != "" && (!path.IsAbs(p.path) || p.name == "socket" && len(p.path) > 100) {
+			return Fault{file, "fleet." + p.name, fmt.Sprintf("%q", p.path), "name it from the root (a socket in 100 bytes)"}
+		}
+	}
+	return nil
+}
+
+// Ms is a setting in milliseconds as a duration.
+func Ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/door/operator/operator.go
+++ b/door/operator/operator.go
@@ -1,5 +1,5 @@
-// Package operator is the way in for operators on this machine: a Unix socket that takes steps of the routes (package route/steer), a line
-// of JSON each, and answers with one. Only the gateway's own user and root may call: the socket says so, and the kernel's word on who
+// Package operator is the way in for operators on this machine: a Unix socket that takes steps of the routes (package route/steer) and
+// questions about the fleet (package fleet/membership), a line of JSON each, and answers with one. Only the gateway's own user and root may call: the socket says so, and the kernel's word on who
 // calls is checked again.
 //
 // Bounds: mostCalls connections at once, mostLine a line, callIn for each line. It decides nothing.
@@ -19,6 +19,7 @@
 	"foldslip/clock"
 	"foldslip/config"
 	"foldslip/config/change"
+	"foldslip/fleet/membership"
 	"foldslip/route/pools"
 	"foldslip/route/steer"
 )
@@ -32,7 +33,8 @@
 
 // Call is what an operator asks for.
 type Call struct {
-	Do       string        `json:"do"` // propose, plan, check, stage, apply, confirm, undo, back, history, text
+	Do       string        `json:"do"`             // propose, plan, check, stage, apply, confirm, undo, back, history, text; fleet
+	Name     string        `json:"name,omitempty"` // of the gateway to explain, with fleet
 	No       uint64        `json:"no,omitempty"`
 	Parent   uint64        `json:"parent,omitempty"` // 0: the one in force
 	Author   string        `json:"author,omitempty"`
@@ -45,31 +47,33 @@
 
 // Answer is what became of it.
 type Answer struct {
-	Step    *change.Step   `json:"step,omitempty"`
-	History []change.Entry `json:"history,omitempty"`
-	Force   *change.Force  `json:"force,omitempty"`
-	Text    []byte         `json:"text,omitempty"`
-	Move    *pools.Move    `json:"move,omitempty"`
-	Faults  []pools.Fault  `json:"faults,omitempty"`
-	Error   string         `json:"error,omitempty"`
-	Remedy  string         `json:"remedy,omitempty"`
+	Step    *change.Step       `json:"step,omitempty"`
+	History []change.Entry     `json:"history,omitempty"`
+	Force   *change.Force      `json:"force,omitempty"`
+	Text    []byte             `json:"text,omitempty"`
+	Move    *pools.Move        `json:"move,omitempty"`
+	Faults  []pools.Fault      `json:"faults,omitempty"`
+	Fleet   *membership.Report `json:"fleet,omitempty"`
+	Error   string             `json:"error,omitempty"`
+	Remedy  string             `json:"remedy,omitempty"`
 }
 
 // Operator is the socket.
 type Operator struct {
 	g        clock.Ground
-	routes   *steer.Steer
+	routes   *steer.Steer      // nil: none
+	fleet    *membership.Fleet // nil: none
 	listener net.Listener
 	calls    chan struct{} // has room for those at once
 }
 
-// Open listens on a path.
-func Open(g clock.Ground, path string, routes *steer.Steer) (*Operator, error) {
+// Open listens on a path, for routes and fleet where they are not nil.
+func Open(g clock.Ground, path string, routes *steer.Steer, fleet *membership.Fleet) (*Operator, error) {
 	l, err := clock.ListenUnix(path, mode)
 	if err != nil {
 		return nil, err
 	}
-	return &Operator{g, routes, l, make(chan struct{}, mostCalls)}, nil
+	return &Operator{g, routes, fleet, l, make(chan struct{}, mostCalls)}, nil
 }
 
 // Run serves until life ends.
@@ -172,6 +176,19 @@
 
 // Do carries a call out.
 func (o *Operator) Do(c Call) Answer {
+	if c.Do == "fleet" {
+		if o.fleet == nil {
+			return Answer{Error: "this gateway knows no fleet", Remedy: "set fleet in its settings, and call at fleet.socket"}
+		}
+		r, err := o.fleet.Report(true, c.Name)
+		if err != nil {
+			return Answer{Error: err.Error(), Remedy: "see foldslip fleet members"}
+		}
+		return Answer{Fleet: &r}
+	}
+	if o.routes == nil {
+		return Answer{Error: "this gateway has no routes", Remedy: "set routing in its settings, and call at routing.socket"}
+	}
 	within := time.Duration(c.WithinMS) * time.Millisecond
 	history, force := o.routes.History()
 	if c.Parent == 0 {
@@ -207,7 +224,7 @@
 	case c.Do == "undo":
 		step, err = o.routes.Undo(c.No, c.Reason)
 	default:
-		return Answer{Error: fmt.Sprintf("%q is no step", c.Do), Remedy: "propose, plan, check, stage, apply, confirm, undo, back, history, text"}
+		return Answer{Error: fmt.Sprintf("%q is no step", c.Do), Remedy: "propose, plan, check, stage, apply, confirm, undo, back, history, text; fleet"}
 	}
 	if err != nil {
 		a := Answer{Error: err.Error()}
--- a/service/service.go
+++ b/service/service.go
@@ -16,7 +16,6 @@
 	"foldslip/clock"
 	"foldslip/config"
 	"foldslip/config/change"
-	"foldslip/door/operator"
 	"foldslip/facade"
 	"foldslip/member"
 	"foldslip/memory"
@@ -263,13 +262,18 @@
 			return err
 		}
 	}
-	if routes != nil && own.Routing.Socket != "" {
-		o, err := operator.Open(g, own.Routing.Socket, routes)
-		if err != nil {
-			return fmt.Errorf("routing.socket: %w", err)
-		}
-		doors = append(doors, o)
+	fleet, err := joining(g, own, s.Name)
+	if err != nil {
+		return err
+	}
+	if fleet != nil {
+		doors = append(doors, fleet)
+	}
+	calls, err := operators(g, own, routes, fleet)
+	if err != nil {
+		return err
 	}
+	doors = append(doors, calls...)
 	g.Log().Info("started", "name", s.Name, "listen", s.Listen, "bulletin", s.Bulletin, "last", bulletin.Last)
 
 	group := g.Group()
