Fleet rig: real gateways on loopback, our fault relay between them, scenarios, virtual fleets

Change: lab/fleet starts processes of the program, puts a relay of datagrams and streams between every two gateways and between gateways and stand-in caches (loss, delay, jitter, reordering, slow links, one-way cuts, partitions with bridges), plays a Jsonnet scenario of kills, pauses, restarts and wrong clocks under lookups, reads every log and judges by what it did itself. foldslip fleet run (program foldslip-rig). The ten hard cases and two more come with it. The same code runs on testing/synctest over the same links: stories, and fleets of any size.

--- /dev/null
+++ b/cli/rigs/rigs.go
@@ -0,0 +1,270 @@
+// Package rigs is the command line of foldslip-rig: scenarios of whole fleets on real processes. It is a program of its own since its
+// libraries (plots) take memory from the start that a gateway of 32 MB has not. Exit status as of package cli: 0 done, 1 a run did
+// what must not be, 2 it could not be asked for like that.
+package rigs
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kong"
+
+	"foldslip/lab/fleet"
+)
+
+type commands struct {
+	Scenario []string `arg:"" help:"Scenarios: files, names of the hard cases that come with the rig, or all for all of these."`
+	Seeds    string   `default:"1" help:"Seeds of the runs, as 1-20."`
+	Program  string   `help:"The gateway's program; foldslip beside this one if not told."`
+	Parallel int      `default:"1" help:"Runs at once, 1 to 16."`
+	JSON     string   `help:"Write all reports there, a line of JSON each."`
+	Plot     string   `help:"Folder for a plot of each run's views over time."`
+	Logs     string   `help:"Folder for settings and logs of each run; a new one under the temporary folder, removed after a good run, if not told."`
+	Verbose  bool     `short:"v" help:"Tell each step."`
+}
+
+// Run is the program.
+func Run() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// Main runs what args ask for and gives the exit status.
+func Main(args []string, out, errs io.Writer) (status int) {
+	var c commands
+	parser, err := kong.New(&c, kong.Name("foldslip-rig"), kong.Writers(out, errs), kong.UsageOnError(),
+		kong.Description("Plays scenarios on fleets of real gateways on loopback with faults between them. Hard cases: "+strings.Join(fleet.HardCases(), ", ")+"."),
+		kong.Exit(func(code int) { panic(exit(code)) }))
+	if err != nil {
+		fmt.Fprintln(errs, "foldslip-rig:", err)
+		return 2
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			code, ok := p.(exit)
+			if !ok {
+				panic(p)
+			}
+			status = int(code)
+		}
+	}()
+	if _, err := parser.Parse(args); err != nil {
+		fmt.Fprintln(errs, "foldslip-rig:", err)
+		return 2
+	}
+	err = c.run(out, errs)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(errs, "foldslip-rig:", err)
+	if errors.As(err, new(misuse)) {
+		return 2
+	}
+	return 1
+}
+
+type exit int
+
+type misuse struct{ error }
+
+func (c *commands) seeds() (first, last uint64, err error) {
+	a, b, span := strings.Cut(c.Seeds, "-")
+	if !span {
+		b = a
+	}
+	first, err = strconv.ParseUint(a, 10, 32)
+	if err == nil {
+		last, err = strconv.ParseUint(b, 10, 32)
+	}
+	if err != nil || last < first || last-first >= 1000 {
+		return 0, 0, misuse{fmt.Errorf("--seeds %q: expected one, or first and last of at most 1000, as 1-20", c.Seeds)}
+	}
+	return first, last, nil
+}
+
+type job struct {
+	s    *fleet.Scenario
+	seed uint64
+}
+
+func (c *commands) run(out, errs io.Writer) error {
+	first, last, err := c.seeds()
+	if err != nil {
+		return err
+	}
+	if c.Parallel < 1 || c.Parallel > 16 {
+		return misuse{fmt.Errorf("--parallel %d: expected 1 to 16", c.Parallel)}
+	}
+	if c.Program == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		c.Program = filepath.Join(filepath.Dir(own), "foldslip")
+	}
+	if _, err := os.Stat(c.Program); err != nil {
+		return misuse{fmt.Errorf("--program: %w; go build -o bin/ ./cmd/... makes it", err)}
+	}
+	if c.Program, err = filepath.Abs(c.Program); err != nil {
+		return err
+	}
+	names := c.Scenario
+	if len(names) == 1 && names[0] == "all" {
+		names = fleet.HardCases()
+	}
+	var jobs []job
+	for _, name := range names {
+		s, err := fleet.ReadScenario(name)
+		if err != nil {
+			return misuse{err}
+		}
+		for seed := first; seed <= last; seed++ {
+			jobs = append(jobs, job{s, seed})
+		}
+	}
+	reports, err := c.play(jobs, errs)
+	if err != nil {
+		return err
+	}
+	bad := 0
+	for _, r := range reports {
+		if len(r.Wrong) > 0 {
+			bad++
+			fmt.Fprintf(out, "%s seed %d: %s\n", r.Scenario, r.Seed, strings.Join(r.Wrong, "; "))
+		}
+	}
+	c.table(out, reports)
+	if bad > 0 {
+		return fmt.Errorf("%d of %d runs did what must not be", bad, len(reports))
+	}
+	return nil
+}
+
+// play plays jobs, some at once, and keeps their order.
+func (c *commands) play(jobs []job, errs io.Writer) ([]*fleet.Report, error) {
+	base, own := c.Logs, false
+	if base == "" {
+		var err error
+		if base, err = os.MkdirTemp("", "foldslip-rig"); err != nil {
+			return nil, err
+		}
+		own = true
+	}
+	var lines *json.Encoder
+	if c.JSON != "" {
+		file, err := os.Create(c.JSON)
+		if err != nil {
+			return nil, misuse{err}
+		}
+		defer file.Close()
+		lines = json.NewEncoder(file)
+	}
+	reports, failures := make([]*fleet.Report, len(jobs)), make([]error, len(jobs))
+	var mu sync.Mutex
+	next := 0
+	var wait sync.WaitGroup
+	for lane := range min(c.Parallel, len(jobs)) {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for {
+				mu.Lock()
+				i := next
+				next++
+				mu.Unlock()
+				if i >= len(jobs) {
+					return
+				}
+				j := jobs[i]
+				o := fleet.Options{Program: c.Program, Seed: j.seed, Net: lane, Dir: filepath.Join(base, fmt.Sprintf("%s-%d", j.s.Name, j.seed))}
+				if c.Verbose {
+					o.Tell = func(format string, a ...any) {
+						mu.Lock()
+						defer mu.Unlock()
+						fmt.Fprintf(errs, "%s seed %d: "+format+"\n", append([]any{j.s.Name, j.seed}, a...)...)
+					}
+				}
+				r, err := fleet.Run(j.s, o)
+				reports[i], failures[i] = r, err
+				if err == nil && len(r.Wrong) == 0 && own {
+					os.RemoveAll(o.Dir)
+				}
+				if err == nil && c.Plot != "" {
+					failures[i] = r.Plot(filepath.Join(c.Plot, fmt.Sprintf("%s-%d.png", r.Scenario, r.Seed)))
+				}
+				if err == nil && lines != nil {
+					mu.Lock()
+					failures[i] = errors.Join(failures[i], lines.Encode(r))
+					mu.Unlock()
+				}
+			}
+		}()
+	}
+	wait.Wait()
+	if own {
+		os.Remove(base) // stays where a run's logs stay
+	}
+	return reports, errors.Join(failures...)
+}
+
+func (c *commands) table(out io.Writer, reports []*fleet.Report) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "SCENARIO\tRUNS\tSTEP\tAGREED MEDIAN\tMAX\tTOLD MEDIAN\tMAX\tFALSE DEATHS\tREST B/S\tMSG/S\tCHURN B/S\tMSG/S")
+	for at := 0; at < len(reports); {
+		end := at
+		for end < len(reports) && reports[end].Scenario == reports[at].Scenario {
+			end++
+		}
+		these := reports[at:end]
+		at = end
+		var rest, restN, churn, churnN []float64
+		falsely := 0
+		for _, r := range these {
+			rest, restN = append(rest, r.Rest.Bytes), append(restN, r.Rest.Packets)
+			churn, churnN = append(churn, r.Churn.Bytes), append(churnN, r.Churn.Packets)
+			falsely += r.False
+		}
+		told := false
+		for i, st := range these[0].Steps {
+			if !st.Awaited || st.Do == "mark" && st.BoundMS == 0 {
+				continue
+			}
+			var agreed, said []float64
+			for _, r := range these {
+				if r.Steps[i].Agreed {
+					agreed = append(agreed, float64(r.Steps[i].AgreedMS)/1000)
+				}
+				if r.Steps[i].Told {
+					said = append(said, float64(r.Steps[i].ToldMS)/1000)
+				}
+			}
+			am, ax := fleet.Of(agreed)
+			tm, tx := fleet.Of(said)
+			fmt.Fprintf(w, "%s\t%d\t%d %s\t%s\t%s\t%s\t%s\t", these[0].Scenario, len(these), i, st.Do, secs(am), secs(ax), secs(tm), secs(tx))
+			if told {
+				fmt.Fprintln(w, "\t\t\t\t")
+				continue
+			}
+			told = true
+			a, _ := fleet.Of(rest)
+			b, _ := fleet.Of(restN)
+			d, _ := fleet.Of(churn)
+			e, _ := fleet.Of(churnN)
+			fmt.Fprintf(w, "%d\t%.0f\t%.1f\t%.0f\t%.1f\n", falsely, a, b, d, e)
+		}
+	}
+	w.Flush()
+}
+
+func secs(s float64) string {
+	if math.IsNaN(s) {
+		return "never"
+	}
+	return fmt.Sprintf("%.2fs", s)
+}
--- /dev/null
+++ b/cmd/foldslip-rig/main.go
@@ -0,0 +1,6 @@
+// Command foldslip-rig is the rig for fleets of gateways (what foldslip fleet run becomes).
+package main
+
+import "foldslip/cli/rigs"
+
+func main() { rigs.Run() }
--- a/example/standin/standin.go
+++ b/example/standin/standin.go
@@ -208,6 +208,12 @@
 	}
 }
 
+// Close ends the bulletin and its connections.
+func (b *Bulletin) Close() {
+	b.listen.Close()
+	b.Cut("")
+}
+
 // Mute leaves connections open and says nothing on them.
 func (b *Bulletin) Mute(on bool) {
 	b.mu.Lock()
--- /dev/null
+++ b/lab/fleet/load.go
@@ -0,0 +1,179 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/time/rate"
+
+	"foldslip/example/standin"
+)
+
+// load is lookups at a steady rate, to running gateways in turn, each on a connection of its own; at most mostAsked are out. Time
+// counts from when a lookup was due, not from when it could be sent (coordinated omission).
+type load struct {
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+	mu     sync.Mutex
+	r      LoadReport
+	took   *hdrhistogram.Histogram // microseconds
+}
+
+// LoadReport is what became of lookups.
+type LoadReport struct {
+	Asked     int64 `json:"asked"`
+	Satisfied int64 `json:"satisfied"`
+	Nacked    int64 `json:"nacked"`
+	Failed    int64 `json:"failed"`  // told so
+	Broken    int64 `json:"broken"`  // no answer, and its gateway was killed, paused or stopped meanwhile
+	Lost      int64 `json:"lost"`    // no answer of a gateway that ran all the time: rule 1
+	Skipped   int64 `json:"skipped"` // not asked: too many were out, or nobody ran
+	P50       int64 `json:"p50_us"`
+	P99       int64 `json:"p99_us"`
+	Max       int64 `json:"max_us"`
+}
+
+const (
+	mostAsked = 256
+	askIn     = 6 * time.Second // the longest latency budget and a little
+)
+
+func startLoad(l Load, r *Rig) *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	out := &load{cancel: cancel, took: hdrhistogram.New(1, 60_000_000, 2)}
+	objects := max(1, l.Objects)
+	if l.Objects == 0 {
+		objects = 200
+	}
+	turns := rate.NewLimiter(rate.Limit(l.PerSecond), 1)
+	places := make(chan struct{}, mostAsked)
+	out.wait.Add(1)
+	go func() {
+		defer out.wait.Done()
+		for n := 0; turns.Wait(ctx) == nil; n++ {
+			var running []*process
+			for _, p := range r.all {
+				if p.serves() {
+					running = append(running, p)
+				}
+			}
+			if len(running) == 0 {
+				out.count(func(c *LoadReport) { c.Skipped++ })
+				continue
+			}
+			p := running[n%len(running)]
+			select {
+			case places <- struct{}{}:
+			default:
+				out.count(func(c *LoadReport) { c.Skipped++ })
+				continue
+			}
+			out.wait.Add(1)
+			go func() {
+				defer out.wait.Done()
+				defer func() { <-places }()
+				out.ask(p, n, int64(n)%objects)
+			}()
+		}
+	}()
+	return out
+}
+
+func (l *load) count(f func(*LoadReport)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(&l.r)
+}
+
+func (l *load) ask(p *process, n int, object int64) {
+	p.mu.Lock()
+	starts := p.starts
+	p.mu.Unlock()
+	due := time.Now()
+	status, err := lookup(p.clients, n, object)
+	p.mu.Lock()
+	same := p.starts == starts && p.up
+	p.mu.Unlock()
+	l.count(func(c *LoadReport) {
+		c.Asked++
+		switch {
+		case err != nil && same:
+			c.Lost++
+		case err != nil:
+			c.Broken++
+		case status == http.StatusOK:
+			c.Satisfied++
+			l.took.RecordValue(min(time.Since(due).Microseconds(), 60_000_000))
+		case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+			c.Nacked++
+		default:
+			c.Failed++
+		}
+	})
+}
+
+func lookup(addr string, n int, object int64) (status int, err error) {
+	conn, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(askIn))
+	fmt.Fprintf(conn, "GET /call/segment/%016x/part-0 HTTP/1.1\r\nHost: x\r\nX-Job-Id: %016x\r\nX-Allow-Ms: 4000\r\nX-Ram-Kb: 1\r\nConnection: close\r\n\r\n",
+		object, n+1)
+	got, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer got.Body.Close()
+	_, err = io.Copy(io.Discard, got.Body)
+	return got.StatusCode, err
+}
+
+func (l *load) stop() {
+	l.cancel()
+	l.wait.Wait()
+}
+
+func (l *load) report() *LoadReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.r
+	c.P50, c.P99, c.Max = l.took.ValueAtQuantile(50), l.took.ValueAtQuantile(99), l.took.Max()
+	return &c
+}
+
+// toy is a stand-in cache that makes its objects up: filled the first time they are asked for with a source, then held.
+type toy struct {
+	mu   sync.Mutex
+	held map[string]time.Time
+}
+
+func (t *toy) answer(d standin.Do) {
+	key := d.Fields["k"] + "/" + d.Fields["p"]
+	t.mu.Lock()
+	born, held := t.held[key]
+	if !held && d.Fields["from"] != "" && len(t.held) < 100_000 {
+		born = time.Now()
+		t.held[key] = born
+	}
+	t.mu.Unlock()
+	body := "part " + d.Fields["p"] + " of " + d.Fields["k"] + "\n"
+	switch {
+	case held && d.Fields["seen"] == "v1":
+		d.End("VALID", fmt.Sprintf("note=hit,ver=v1,born=%d", born.UnixMilli()))
+	case held:
+		d.Hit(born, "hit", body)
+	case d.Fields["from"] != "":
+		d.Hit(born, "filled", body)
+	default:
+		d.End("NONE", "-")
+	}
+}
--- /dev/null
+++ b/lab/fleet/process.go
@@ -0,0 +1,240 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+
+	"foldslip/door/operator"
+	"foldslip/fleet/membership"
+)
+
+// sighting is what a gateway's own log says of the fleet.
+type sighting struct {
+	live    map[string]bool
+	settled bool
+	digest  string
+}
+
+// process is one gateway of the rig, over its starts.
+type process struct {
+	name, dir string
+	program   string
+	env       []string
+	args      []string
+	clients   string // where clients connect
+	rig       *Rig
+
+	mu      sync.Mutex // guards what follows; the rig reads it while the log is read
+	cmd     *exec.Cmd
+	up      bool // runs and is not paused
+	ready   bool // and said that it started: clients may come
+	paused  bool
+	wanted  bool // its end would be a crash
+	stopped bool // it was asked to end, and is to do so in good order
+	crashed string
+	starts  int
+	sees    sighting
+	ended   chan struct{}
+	log     *os.File
+}
+
+const lineMost = 64 << 10
+
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return fmt.Errorf("%s runs already", p.name)
+	}
+	cmd := exec.Command(p.program, p.args...)
+	cmd.Env = p.env
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.cmd, p.up, p.ready, p.paused, p.wanted = cmd, true, false, false, true
+	p.starts++
+	p.sees = sighting{live: map[string]bool{p.name: true}}
+	p.ended = make(chan struct{})
+	go p.read(out, cmd, p.ended)
+	return nil
+}
+
+// read follows the log until the process ends.
+func (p *process) read(out io.Reader, cmd *exec.Cmd, ended chan struct{}) {
+	in := bufio.NewReaderSize(out, lineMost)
+	for {
+		line, long, err := in.ReadLine()
+		if err != nil {
+			break
+		}
+		at := time.Now()
+		p.log.Write(append(append([]byte(nil), line...), '\n'))
+		if !long {
+			p.line(string(line), at)
+		}
+	}
+	err := cmd.Wait()
+	p.mu.Lock()
+	if p.cmd == cmd {
+		p.cmd, p.up, p.ready = nil, false, false
+		if p.wanted || p.stopped && err != nil {
+			p.crashed = fmt.Sprintf("%s ended by itself: %v", p.name, err)
+		}
+	}
+	p.mu.Unlock()
+	p.rig.looked()
+	close(ended)
+}
+
+func (p *process) line(text string, at time.Time) {
+	if strings.Contains(text, "DATA RACE") || strings.HasPrefix(text, "panic:") {
+		p.mu.Lock()
+		p.crashed = p.name + ": " + text
+		p.mu.Unlock()
+	}
+	if strings.Contains(text, " event=started ") {
+		p.mu.Lock()
+		p.ready = true
+		p.mu.Unlock()
+	}
+	if !strings.Contains(text, "event=fleet_") && !strings.Contains(text, "event=module_fault") {
+		return
+	}
+	d := logfmt.NewDecoder(strings.NewReader(text))
+	f := map[string]string{}
+	for d.ScanRecord() {
+		for d.ScanKeyval() {
+			f[string(d.Key())] = string(d.Value())
+		}
+	}
+	p.mu.Lock()
+	switch f["event"] {
+	case "module_fault":
+		p.crashed = p.name + ": module_fault"
+	case "fleet_member":
+		was := p.sees.live[f["name"]]
+		switch f["state"] {
+		case "alive", "suspect":
+			p.sees.live[f["name"]] = true
+		default:
+			delete(p.sees.live, f["name"])
+		}
+		if was != p.sees.live[f["name"]] || f["why"] == "restarted" {
+			p.sees.settled = false
+		}
+	case "fleet_stood_still":
+		p.sees.settled = false
+	case "fleet_yielded":
+		p.sees = sighting{live: map[string]bool{p.name: true}}
+	case "fleet_settled":
+		p.sees.settled, p.sees.digest = true, f["digest"]
+	}
+	p.mu.Unlock()
+	p.rig.heard(p.name, f, at)
+}
+
+// end ends the process by a signal and waits for it.
+func (p *process) end(sig syscall.Signal, within time.Duration) error {
+	p.mu.Lock()
+	cmd, ended := p.cmd, p.ended
+	p.wanted, p.up, p.stopped = false, false, sig == syscall.SIGTERM
+	if cmd != nil && p.paused && sig != syscall.SIGKILL {
+		cmd.Process.Signal(syscall.SIGCONT)
+	}
+	p.paused = false
+	p.mu.Unlock()
+	if cmd == nil {
+		return nil
+	}
+	cmd.Process.Signal(sig)
+	late := time.NewTimer(within)
+	defer late.Stop()
+	select {
+	case <-ended:
+		return nil
+	case <-late.C:
+		cmd.Process.Kill()
+		<-ended
+		return fmt.Errorf("%s did not end within %v of signal %v", p.name, within, sig)
+	}
+}
+
+// pause stops the process, or lets it go on.
+func (p *process) pause(on bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return fmt.Errorf("%s does not run", p.name)
+	}
+	sig := syscall.SIGCONT
+	if on {
+		sig = syscall.SIGSTOP
+	}
+	p.paused, p.up = on, !on
+	return p.cmd.Process.Signal(sig)
+}
+
+func (p *process) running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.up
+}
+
+func (p *process) serves() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.up && p.ready
+}
+
+// report asks the gateway at its socket.
+func (p *process) report(ctx context.Context) (*membership.Report, error) {
+	a, err := operator.Ask(ctx, p.socket(), operator.Call{Do: "fleet"})
+	if err != nil {
+		return nil, err
+	}
+	if a.Fleet == nil {
+		return nil, errors.New(a.Error)
+	}
+	return a.Fleet, nil
+}
+
+func (p *process) socket() string { return filepath.Join(p.dir, "s") }
+
+// resident is the process's memory in bytes, 0 if it cannot be told.
+func (p *process) resident() int64 {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd == nil {
+		return 0
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+			kb, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/lab/fleet/virtual.go
@@ -0,0 +1,397 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"foldslip/clock"
+	"foldslip/fleet/link"
+	"foldslip/fleet/membership"
+	"foldslip/fleet/view"
+)
+
+// Net carries the detector's messages between gateways of one process, as the links say. With testing/synctest its time is virtual:
+// the very code of fleet/membership and of the detector, hundreds of gateways, hours in seconds. It stands in for Relay there.
+type Net struct {
+	links *Links
+	mu    sync.Mutex
+	ports map[string]*port // by address
+}
+
+// NewNet makes a network over links.
+func NewNet(links *Links) *Net { return &Net{links: links, ports: map[string]*port{}} }
+
+const wire = 200 * time.Microsecond // one way, where links have no fault
+
+// port is a gateway's transport. It implements memberlist.NodeAwareTransport.
+type port struct {
+	net     *Net
+	name    string
+	addr    *net.UDPAddr
+	counts  *link.Counts
+	packets chan *memberlist.Packet
+	streams chan net.Conn
+	mu      sync.Mutex
+	over    bool
+}
+
+// Open gives a gateway's transport at an address that nobody has open.
+func (n *Net) Open(name, addr string, counts *link.Counts) (memberlist.Transport, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ports[addr] != nil {
+		return nil, fmt.Errorf("%s: address already in use", addr)
+	}
+	p := &port{net: n, name: name, addr: net.UDPAddrFromAddrPort(netip.MustParseAddrPort(addr)), counts: counts,
+		packets: make(chan *memberlist.Packet, 512), streams: make(chan net.Conn, 32)}
+	n.ports[addr] = p
+	return p, nil
+}
+
+func (n *Net) at(addr string) *port {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ports[addr]
+}
+
+// Unplug takes the transport away at once, as a kill does.
+func (n *Net) Unplug(addr string) {
+	if p := n.at(addr); p != nil {
+		p.Shutdown()
+	}
+}
+
+func (p *port) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
+	return p.addr.IP, p.addr.Port, nil
+}
+
+func (p *port) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+	return p.WriteTo(b, a.Addr)
+}
+
+func (p *port) DialAddressTimeout(a memberlist.Address, within time.Duration) (net.Conn, error) {
+	return p.DialTimeout(a.Addr, within)
+}
+
+func (p *port) PacketCh() <-chan *memberlist.Packet { return p.packets }
+func (p *port) StreamCh() <-chan net.Conn           { return p.streams }
+
+func (p *port) WriteTo(b []byte, addr string) (time.Time, error) {
+	now := time.Now()
+	to := p.net.at(addr)
+	if p.closed() {
+		return now, net.ErrClosed
+	}
+	p.counts.PacketsOut.Add(1)
+	p.counts.BytesOut.Add(uint64(len(b)))
+	if to == nil {
+		return now, nil
+	}
+	lost, takes := p.net.links.Fate(p.name, to.name, len(b), false)
+	if lost {
+		return now, nil
+	}
+	text := slices.Clone(b)
+	time.AfterFunc(wire+takes, func() { to.take(text, p.addr) })
+	return now, nil
+}
+
+func (p *port) take(text []byte, from net.Addr) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.over {
+		return
+	}
+	select {
+	case p.packets <- &memberlist.Packet{Buf: text, From: from, Timestamp: time.Now()}:
+		p.counts.PacketsIn.Add(1)
+		p.counts.BytesIn.Add(uint64(len(text)))
+	default:
+		p.counts.Dropped.Add(1)
+	}
+}
+
+var errRefused = errors.New("connection refused")
+
+func (p *port) DialTimeout(addr string, within time.Duration) (net.Conn, error) {
+	p.counts.StreamsOut.Add(1)
+	to := p.net.at(addr)
+	if to != nil && !p.net.links.Open(p.name, to.name) {
+		time.Sleep(within)
+		p.counts.StreamFail.Add(1)
+		return nil, fmt.Errorf("%s: i/o timeout", addr)
+	}
+	time.Sleep(2 * wire)
+	if to == nil || to.closed() {
+		p.counts.StreamFail.Add(1)
+		return nil, errRefused
+	}
+	here, there := net.Pipe()
+	to.mu.Lock()
+	defer to.mu.Unlock()
+	if to.over {
+		return nil, errRefused
+	}
+	select {
+	case to.streams <- &pipeEnd{there, to.counts, p.addr}:
+		to.counts.StreamsIn.Add(1)
+	default:
+		here.Close()
+	}
+	return &pipeEnd{here, p.counts, to.addr}, nil
+}
+
+type pipeEnd struct {
+	net.Conn
+	counts *link.Counts
+	far    net.Addr
+}
+
+func (e *pipeEnd) RemoteAddr() net.Addr { return e.far }
+
+func (e *pipeEnd) Write(b []byte) (int, error) {
+	n, err := e.Conn.Write(b)
+	e.counts.StreamBytes.Add(uint64(n))
+	return n, err
+}
+
+func (p *port) closed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.over
+}
+
+func (p *port) Shutdown() error {
+	p.mu.Lock()
+	p.over = true
+	p.mu.Unlock()
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	if p.net.ports[p.addr.String()] == p {
+		delete(p.net.ports, p.addr.String())
+	}
+	return nil
+}
+
+// Virtual is a fleet on a Net.
+type Virtual struct {
+	Links *Links
+	Net   *Net
+	Log   *slog.Logger
+	base  membership.Settings
+	seeds int
+	all   []string
+	by    map[string]*gateway
+	False int // deaths told of gateways that ran and could be reached
+	mu    sync.Mutex
+}
+
+type gateway struct {
+	name, addr string
+	as         string            // the name it claims, where that is another's
+	fleet      *membership.Fleet // nil: does not run
+	stop       chan struct{}
+	ended      chan struct{}
+	counts     *link.Counts
+	disk       clock.Disk // nil: keeps nothing
+}
+
+// NewVirtual makes a fleet of so many gateways, none of which runs.
+func NewVirtual(n int, seed uint64, base membership.Settings) *Virtual {
+	links := NewLinks(seed)
+	v := &Virtual{Links: links, Net: NewNet(links), Log: slog.New(slog.DiscardHandler), base: base, seeds: 3, by: map[string]*gateway{}}
+	for i := range n {
+		name := fmt.Sprintf("n%d", i+1)
+		v.all = append(v.all, name)
+		v.by[name] = &gateway{name: name, addr: fmt.Sprintf("10.%d.%d.%d:7946", i>>16, i>>8&255, i&255), counts: &link.Counts{}}
+	}
+	return v
+}
+
+// Usual are the usual settings (config.Fleet) for the rig's virtual fleets.
+func Usual() membership.Settings {
+	return membership.Settings{Most: 1024, Probe: time.Second, ProbeTimeout: 500 * time.Millisecond, Gossip: 200 * time.Millisecond,
+		Reap: time.Hour, Settle: time.Second, Rejoin: 5 * time.Second}
+}
+
+// Start starts gateways.
+func (v *Virtual) Start(names ...string) error {
+	for _, name := range names {
+		g := v.by[name]
+		if g.fleet != nil {
+			return fmt.Errorf("%s runs already", name)
+		}
+		set := v.base
+		set.Name, set.Advertise = name, g.addr
+		if g.as != "" {
+			set.Name = g.as
+		}
+		for _, seed := range v.all[:min(v.seeds, len(v.all))] {
+			set.Seeds = append(set.Seeds, v.by[seed].addr)
+		}
+		g.counts = &link.Counts{}
+		parts := membership.Parts{Log: v.Log.With("on", name), Now: time.Now, Count: g.counts,
+			Open: func() (memberlist.Transport, error) { return v.Net.Open(name, g.addr, g.counts) },
+			Tell: func(c view.Change, _ time.Time) {
+				if c.Now == view.Dead && v.Links.Open(name, c.Name) {
+					v.mu.Lock()
+					if v.by[c.Name].fleet != nil {
+						v.False++
+					}
+					v.mu.Unlock()
+				}
+			}}
+		if g.disk != nil {
+			var err error
+			if parts.Shelf, _, err = membership.OpenShelf(g.disk, name, set.Most); err != nil {
+				return err
+			}
+		}
+		f, err := membership.New(set, parts)
+		if err != nil {
+			return err
+		}
+		v.mu.Lock()
+		g.fleet, g.stop, g.ended = f, make(chan struct{}), make(chan struct{})
+		v.mu.Unlock()
+		go func(g *gateway, stop, ended chan struct{}) {
+			defer close(ended)
+			f.Run(stop)
+		}(g, g.stop, g.ended)
+	}
+	return nil
+}
+
+// Kill takes gateways away without a word.
+func (v *Virtual) Kill(names ...string) {
+	for _, name := range names {
+		g := v.by[name]
+		v.Net.Unplug(g.addr)
+		v.end(g)
+	}
+}
+
+// Stop lets gateways leave, and waits until they have.
+func (v *Virtual) Stop(names ...string) {
+	for _, name := range names {
+		g := v.by[name]
+		v.end(g)
+		<-g.ended
+	}
+}
+
+func (v *Virtual) end(g *gateway) {
+	v.mu.Lock()
+	was := g.fleet
+	g.fleet = nil
+	v.mu.Unlock()
+	if was != nil {
+		close(g.stop)
+	}
+}
+
+// Add adds a gateway beside the others, that does not run yet; as is the name that it claims, if not its own.
+func (v *Virtual) Add(name, as string) {
+	v.by[name] = &gateway{name: name, as: as, addr: fmt.Sprintf("10.9.9.%d:7946", len(v.by)%250+1), counts: &link.Counts{}}
+}
+
+// Keep gives a gateway a disk for whom it knew.
+func (v *Virtual) Keep(name string, disk clock.Disk) { v.by[name].disk = disk }
+
+// Running are the names of gateways that run.
+func (v *Virtual) Running() (names []string) {
+	for _, name := range v.all {
+		if v.by[name].fleet != nil {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Agree tells whether all running gateways see what is: live members are those that run on their side of the links; told also that
+// each has settled on one set a side.
+func (v *Virtual) Agree() (agree, told bool) {
+	agree, told = true, true
+	running := v.Running()
+	sides := [][]string{running}
+	if v.Links.Faulty() {
+		sides = v.Links.Sides(running)
+	}
+	for _, side := range sides {
+		var digest uint32
+		for i, name := range side {
+			s := v.by[name].fleet.State()
+			if i == 0 {
+				digest = s.Digest
+				if agree = agree && maps.Equal(asSet(v.by[name].fleet.Live()), asSet(side)); !agree {
+					return false, false
+				}
+			}
+			if s.Live != len(side) || s.Digest != digest {
+				return false, false
+			}
+			told = told && s.Settled
+		}
+	}
+	return agree, told
+}
+
+func asSet(names []string) map[string]bool {
+	out := map[string]bool{}
+	for _, n := range names {
+		out[n] = true
+	}
+	return out
+}
+
+// Until waits for agreement, at most so long, and tells how long it took; told: until each said that it settled.
+func (v *Virtual) Until(told bool, within time.Duration) (time.Duration, bool) {
+	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		agree, all := v.Agree()
+		if agree && (!told || all) {
+			return time.Since(began), true
+		}
+		if time.Since(began) > within {
+			return time.Since(began), false
+		}
+	}
+}
+
+// Traffic is what running gateways sent so far: datagrams, bytes, streams; the mean of one.
+func (v *Virtual) Traffic() (packets, bytes, streams float64) {
+	running := v.Running()
+	for _, name := range running {
+		c := v.by[name].counts
+		packets += float64(c.PacketsOut.Load())
+		bytes += float64(c.BytesOut.Load() + c.StreamBytes.Load())
+		streams += float64(c.StreamsOut.Load())
+	}
+	n := float64(max(1, len(running)))
+	return packets / n, bytes / n, streams / n
+}
+
+// Of is a running gateway; nil if it does not run.
+func (v *Virtual) Of(name string) *membership.Fleet { return v.by[name].fleet }
+
+// End ends all gateways.
+func (v *Virtual) End() {
+	for _, g := range v.by {
+		if g.fleet != nil {
+			v.Kill(g.name)
+		}
+	}
+	for _, g := range v.by {
+		if g.ended != nil {
+			<-g.ended
+		}
+	}
+}
--- /dev/null
+++ b/lab/fleet/virtual_test.go
@@ -0,0 +1,377 @@
+package fleet
+
+import (
+	"flag"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"foldslip/clock"
+	"foldslip/fleet/link"
+	"foldslip/fleet/membership"
+	"foldslip/fleet/view"
+)
+
+// logged keeps the log's lines.
+type logged struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *logged) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *logged) has(parts ...string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for line := range strings.Lines(l.b.String()) {
+		if !slices.ContainsFunc(parts, func(p string) bool { return !strings.Contains(line, p) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// on plays a story on the virtual clock with a fleet that has settled.
+func on(t *testing.T, n int, story func(t *testing.T, v *Virtual, log *logged), change ...func(*membership.Settings)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		set := Usual()
+		for _, c := range change {
+			c(&set)
+		}
+		v := NewVirtual(n, 1, set)
+		log := &logged{}
+		v.Log = slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: clock.Plain}))
+		defer v.End()
+		if err := v.Start(v.all...); err != nil {
+			t.Fatal(err)
+		}
+		if took, ok := v.Until(true, 30*time.Second); !ok {
+			dump(t, v)
+			t.Fatalf("the fleet did not settle within %v", took)
+		}
+		story(t, v, log)
+	})
+}
+
+// dump tells who sees whom.
+func dump(t *testing.T, v *Virtual) {
+	for _, name := range v.Running() {
+		r, _ := v.Of(name).Report(true, "")
+		bad := ""
+		for _, m := range r.Members {
+			if !m.Agrees {
+				bad += " " + m.Name + "=" + m.State.String()
+			}
+		}
+		t.Logf("%s live %d digest %s %s changed %d counts %+v: %s", name, r.Live, r.Digest, r.State, r.ChangedMS, r.Counts, bad)
+	}
+}
+
+// settles waits until all see what is and say so.
+func settles(t *testing.T, v *Virtual, what string, most time.Duration) {
+	t.Helper()
+	if took, ok := v.Until(true, most); !ok {
+		t.Errorf("%s: not settled within %v", what, most)
+		dump(t, v)
+	} else {
+		t.Logf("%s: settled within %v", what, took)
+	}
+}
+
+func row(t *testing.T, v *Virtual, on, name string) membership.Row {
+	t.Helper()
+	r, err := v.Of(on).Report(true, name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r.Members[0]
+}
+
+func TestACrashIsSuspectedThenKnownToAll(t *testing.T) {
+	on(t, 12, func(t *testing.T, v *Virtual, log *logged) {
+		v.Kill("n5")
+		settles(t, v, "crash", 45*time.Second)
+		// The detector tells of a failed probe in its log alone: this fails if a new version words it otherwise.
+		if !log.has("event=fleet_member", "name=n5", "state=suspect", "was=alive", "why=probe_failed") {
+			t.Error("nobody was told a suspect before it was dead")
+		}
+		if v.False > 0 {
+			t.Errorf("%d false deaths", v.False)
+		}
+		said := row(t, v, "n1", "n5").Said
+		if !slices.ContainsFunc(said, func(w membership.Word) bool { return w.What == "probe failed" && w.By != "" }) {
+			t.Errorf("who probed it is not told: %+v", said)
+		}
+	})
+}
+
+func TestOneThatLeavesIsNotDead(t *testing.T) {
+	on(t, 12, func(t *testing.T, v *Virtual, log *logged) {
+		v.Stop("n5")
+		settles(t, v, "leave", 10*time.Second)
+		for _, name := range v.Running() {
+			if got := row(t, v, name, "n5").State; got != view.Left {
+				t.Errorf("%s holds it %v", name, got)
+			}
+		}
+		if s := v.Of("n1").State(); s.Fleet != 11 {
+			t.Errorf("it still counts: a fleet of %d", s.Fleet)
+		}
+	})
+}
+
+func TestASplitIsKnownOnBothSidesAndHeals(t *testing.T) {
+	on(t, 12, func(t *testing.T, v *Virtual, log *logged) {
+		small, large := v.all[:5], v.all[5:]
+		v.Links.Split([][]string{small, large})
+		time.Sleep(15 * time.Second) // twice as long as a crash takes to be known: by then the smaller side must know what it is
+		for _, name := range small {
+			if !v.Of(name).State().Minority {
+				t.Errorf("%s does not know after 15 s that it is in a minority: %+v", name, v.Of(name).State())
+			}
+		}
+		settles(t, v, "split", 45*time.Second)
+		for _, name := range large {
+			if s := v.Of(name).State(); s.Minority || s.Seen != 7 || s.Fleet != 12 {
+				t.Errorf("%s of the larger side: %+v", name, s)
+			}
+		}
+		time.Sleep(60 * time.Second) // past the time that the detector gossips to the dead
+		v.Links.Heal()
+		settles(t, v, "heal", 20*time.Second)
+	})
+}
+
+func TestSidesThatForgotEachOtherFindEachOtherBySeeds(t *testing.T) {
+	on(t, 6, func(t *testing.T, v *Virtual, log *logged) {
+		v.Links.Split([][]string{v.all[:3], v.all[3:]})
+		time.Sleep(2 * time.Minute)
+		if r, err := v.Of("n5").Report(true, "n1"); err == nil {
+			t.Errorf("n1 is not forgotten: %+v", r.Members)
+		}
+		v.Links.Heal()
+		settles(t, v, "heal", 90*time.Second)
+	}, func(s *membership.Settings) { s.Reap = 30 * time.Second })
+}
+
+func TestAOneWayCutKillsNobody(t *testing.T) {
+	on(t, 12, func(t *testing.T, v *Virtual, log *logged) {
+		v.Links.Set([]string{"n4"}, []string{"n7"}, Fault{Cut: true})
+		time.Sleep(60 * time.Second)
+		if agree, _ := v.Agree(); !agree || log.has("state=dead") {
+			t.Error("somebody was taken for dead, though others hear both")
+		}
+	})
+}
+
+func TestLossOfOneInFiveKillsNobody(t *testing.T) {
+	on(t, 12, func(t *testing.T, v *Virtual, log *logged) {
+		v.Links.Set(v.all, v.all, Fault{Loss: 0.2})
+		time.Sleep(5 * time.Minute)
+		if v.False > 0 {
+			t.Errorf("%d false deaths", v.False)
+		}
+		v.Links.Heal()
+		settles(t, v, "heal", 10*time.Second)
+	})
+}
+
+func TestARestartUnderTheSameNameIsToldToAll(t *testing.T) {
+	on(t, 12, func(t *testing.T, v *Virtual, log *logged) {
+		was := row(t, v, "n1", "n5").Stamp
+		v.Kill("n5")
+		if err := v.Start("n5"); err != nil { // before anybody missed it, at incarnation 1, with nothing kept
+			t.Fatal(err)
+		}
+		settles(t, v, "restart", 15*time.Second)
+		for _, name := range v.Running() {
+			if m := row(t, v, name, "n5"); m.Stamp == was || m.Deaths > 0 || name != "n5" && m.Restarts != 1 {
+				t.Errorf("on %s: %+v", name, m)
+			}
+		}
+	})
+}
+
+func TestAJoinStormIsTakenIn(t *testing.T) {
+	on(t, 12, func(t *testing.T, v *Virtual, log *logged) {
+		for i := range 24 {
+			v.Add(fmt.Sprintf("m%d", i), "")
+			v.all = append(v.all, fmt.Sprintf("m%d", i))
+		}
+		if err := v.Start(v.all[12:]...); err != nil {
+			t.Fatal(err)
+		}
+		settles(t, v, "storm", 20*time.Second)
+	})
+}
+
+func TestOfTwoWithOneNameTheLaterYieldsAndComesBack(t *testing.T) {
+	on(t, 5, func(t *testing.T, v *Virtual, log *logged) {
+		v.Add("twin", "n3")
+		time.Sleep(time.Second)
+		if err := v.Start("twin"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		if r, _ := v.Of("twin").Report(false, ""); r.State != "yielded" || r.Counts.Yields != 1 {
+			t.Errorf("the twin does not yield: %s, %+v", r.State, r.Counts)
+		}
+		if !log.has("level=ERROR", "event=fleet_yielded", "name=n3") || !log.has("event=fleet_name_claimed") {
+			t.Error("the log does not tell of it")
+		}
+		for _, name := range v.all {
+			if m := row(t, v, name, "n3"); m.Addr != v.by["n3"].addr || !m.State.Live() {
+				t.Errorf("%s does not hold the first one: %+v", name, m)
+			}
+		}
+		v.Kill("n3") // now the name is free
+		time.Sleep(90 * time.Second)
+		for _, name := range []string{"n1", "n2", "n4", "n5"} {
+			if m := row(t, v, name, "n3"); m.Addr != v.by["twin"].addr || !m.State.Live() {
+				t.Errorf("%s does not hold the twin: %+v", name, m)
+			}
+		}
+	})
+}
+
+func TestTheEarlierOneTakesItsNameBackFromWhoTookItMeanwhile(t *testing.T) {
+	on(t, 5, func(t *testing.T, v *Virtual, log *logged) {
+		v.Links.Split([][]string{{"n3"}, {"n1", "n2", "n4", "n5", "twin"}})
+		time.Sleep(60 * time.Second)
+		v.Add("twin", "n3") // started in the place of one that had only been cut off
+		if err := v.Start("twin"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		if m := row(t, v, "n1", "n3"); m.Addr != v.by["twin"].addr {
+			t.Fatalf("the one in its place is not taken: %+v", m)
+		}
+		v.Links.Heal()
+		time.Sleep(40 * time.Second)
+		for _, name := range v.all {
+			if m := row(t, v, name, "n3"); m.Addr != v.by["n3"].addr || !m.State.Live() {
+				t.Errorf("%s holds %+v", name, m)
+			}
+		}
+		if r, _ := v.Of("twin").Report(false, ""); r.State != "yielded" {
+			t.Errorf("the later one is %s", r.State)
+		}
+	})
+}
+
+func TestAnotherVersionIsRefusedAndTold(t *testing.T) {
+	on(t, 3, func(t *testing.T, v *Virtual, log *logged) {
+		c := memberlist.DefaultLANConfig()
+		transport, err := v.Net.Open("old", "10.9.9.9:7946", &link.Counts{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Name, c.Transport, c.Logger = "old", transport, nil
+		c.LogOutput = &logged{}
+		c.DelegateProtocolMin, c.DelegateProtocolMax, c.DelegateProtocolVersion = 0, membership.Speaks+1, membership.Speaks+1
+		m, err := memberlist.Create(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer m.Shutdown()
+		m.Join([]string{v.by["n1"].addr})
+		time.Sleep(5 * time.Second)
+		if agree, _ := v.Agree(); !agree || !log.has("event=fleet_detector", "incompatible") {
+			t.Error("it was taken in, or refused in silence")
+		}
+	})
+}
+
+func TestAFleetOfAnotherLabelIsNotHeard(t *testing.T) {
+	on(t, 3, func(t *testing.T, v *Virtual, log *logged) {
+		v.base.Label = "other"
+		v.Add("stray", "")
+		if err := v.Start("stray"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Second)
+		if s := v.Of("stray").State(); s.Live != 1 {
+			t.Errorf("it sees %d", s.Live)
+		}
+		if agree, _ := v.Agree(); !agree {
+			t.Error("the fleet sees it")
+		}
+	}, func(s *membership.Settings) { s.Label = "one" })
+}
+
+func TestWithoutSeedsTheFleetIsFoundFromDisk(t *testing.T) {
+	on(t, 5, func(t *testing.T, v *Virtual, log *logged) {
+		disk, err := clock.OpenFolder(t.TempDir())
+		if err != nil {
+			t.Fatal(err)
+		}
+		v.Stop("n5")
+		v.Keep("n5", disk)
+		v.Start("n5")
+		settles(t, v, "with a disk", 10*time.Second)
+		time.Sleep(5 * time.Second) // it writes at most every 2 s
+		v.Kill("n5")
+		time.Sleep(time.Second)
+		v.seeds = 0
+		<-v.by["n5"].ended
+		if err := v.Start("n5"); err != nil {
+			t.Fatal(err)
+		}
+		if s := v.Of("n5").State(); !s.Minority || s.Fleet != 5 {
+			t.Errorf("alone at its start it does not know of the others: %+v", s)
+		}
+		settles(t, v, "from disk", 15*time.Second)
+	})
+}
+
+func TestAFullViewTakesNoMoreAndSaysSo(t *testing.T) {
+	on(t, 4, func(t *testing.T, v *Virtual, log *logged) {
+		v.Add("m1", "")
+		v.Start("m1")
+		time.Sleep(10 * time.Second)
+		if agree, _ := v.Agree(); !agree || !log.has("event=fleet_refused", "name=m1", "why=full") {
+			t.Error("a fifth is in a view of four, or was refused in silence")
+		}
+	}, func(s *membership.Settings) { s.Most = 4 })
+}
+
+var hours = flag.Int("fleet.hours", 2, "length of the long day in hours; 24 take some 80 s")
+
+// A day of the virtual clock, with a restart every ten minutes and a split every hour: nothing grows.
+func TestADayHoldsItsBounds(t *testing.T) {
+	on(t, 6, func(t *testing.T, v *Virtual, log *logged) {
+		v.Log = slog.New(slog.DiscardHandler)
+		for hour := range *hours {
+			for range 5 {
+				v.Kill("n6")
+				time.Sleep(10 * time.Minute)
+				if err := v.Start("n6"); err != nil {
+					t.Fatal(err)
+				}
+			}
+			v.Links.Split([][]string{v.all[:2], v.all[2:]})
+			time.Sleep(8 * time.Minute)
+			v.Links.Heal()
+			if _, ok := v.Until(true, 2*time.Minute); !ok {
+				t.Fatalf("hour %d: not settled", hour)
+			}
+		}
+		for _, name := range v.all {
+			if n := v.Of(name).Held(); n.Members > 6 || n.Lines > 64 || n.Called > 8 || n.Refused > 8 {
+				t.Errorf("%s holds %+v", name, n)
+			}
+		}
+	}, func(s *membership.Settings) { s.Reap = 5 * time.Minute })
+}
