--- /dev/null
+++ b/lab/fleet/rig_test.go
@@ -0,0 +1,140 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"foldslip/config"
+)
+
+var program string
+
+// The stories here start processes of the built program; times of the detector are a fifth of the usual ones, so that all of them
+// together take half a minute. The hard cases at full length are foldslip fleet run all.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "foldslip-rig")
+	if err == nil {
+		program = filepath.Join(dir, "foldslip")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", program, "foldslip/cmd/foldslip").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Println("FAIL: the program cannot be built:", err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+var brief = config.Fleet{Probe: 200, Timeout: 100, Gossip: 40, Settle: 300, Rejoin: 1000}
+
+func TestRealGatewaysSettleAfter(t *testing.T) {
+	cases := []Scenario{
+		{Name: "a restart at once", Gateways: 6, Disk: true, Caches: 2, Load: Load{PerSecond: 30}, EndMS: 4000, Steps: []Step{
+			{AtMS: 500, Do: "kill", Pick: 1, As: "x", Settle: "none"}, {AtMS: 600, Do: "start", Who: []string{"@x"}},
+			{AtMS: 5000, Do: "kill", Who: []string{"@x"}, Settle: "none"}, {AtMS: 5100, Do: "start", Who: []string{"@x"}, Forget: true}}},
+		{Name: "a crash", Gateways: 6, EndMS: 10000, Steps: []Step{{AtMS: 500, Do: "kill", Pick: 1}}},
+		{Name: "standing still", Gateways: 6, Caches: 2, Load: Load{PerSecond: 30}, EndMS: 5000, Steps: []Step{
+			{AtMS: 500, Do: "pause", Pick: 1, As: "x"}, {AtMS: 9000, Do: "resume", Who: []string{"@x"}}}},
+		{Name: "a split that heals", Gateways: 7, Caches: 2, Load: Load{PerSecond: 30}, EndMS: 8000, Steps: []Step{
+			{AtMS: 500, Do: "split", Sizes: []int64{3, 4}}, {AtMS: 12500, Do: "heal"}}},
+		{Name: "a cut one way", Gateways: 6, EndMS: 3000, Steps: []Step{
+			{AtMS: 500, Do: "link", From: []string{"n2"}, To: []string{"n5"}, Cut: true}, {AtMS: 6000, Do: "heal"}}},
+		{Name: "a bridge between three sides", Gateways: 7, EndMS: 8000, Steps: []Step{
+			{AtMS: 500, Do: "split", Sizes: []int64{2, 2, 2}, Bridge: 1, Settle: "none"}, {AtMS: 8000, Do: "heal"}}},
+		{Name: "loss of one in five", Gateways: 6, EndMS: 5000, Steps: []Step{
+			{AtMS: 500, Do: "link", From: []string{"*"}, To: []string{"*"}, Loss: 0.2, DelayMS: 1, Jitter: 4, Reorder: 0.02, Settle: "none"},
+			{AtMS: 8000, Do: "heal"}}},
+		{Name: "half restarting at once", Gateways: 6, Disk: true, EndMS: 6000, Steps: []Step{
+			{AtMS: 500, Do: "kill", Pick: 3, As: "x", Settle: "none"}, {AtMS: 700, Do: "start", Who: []string{"@x"}}}},
+		{Name: "a storm of joins", Gateways: 15, Late: 10, EndMS: 8000, Steps: []Step{
+			{AtMS: 500, Do: "start", Who: []string{"n6", "n7", "n8", "n9", "n10", "n11", "n12", "n13", "n14", "n15"}}}},
+		{Name: "a clock an hour off", Gateways: 5, Offsets: []Offset{{"n3", 3_600_000}}, EndMS: 5000, Steps: []Step{
+			{AtMS: 500, Do: "kill", Who: []string{"n3"}, Settle: "none"}, {AtMS: 700, Do: "start", Who: []string{"n3"}}}},
+		{Name: "one that flaps", Gateways: 5, EndMS: 8000, Steps: []Step{
+			{AtMS: 500, Do: "kill", Pick: 1, As: "x", Settle: "none", Repeat: 5, EveryMS: 1000}, {AtMS: 1000, Do: "start", Who: []string{"@x"}, Settle: "none"},
+			{AtMS: 5600, Do: "mark"}}},
+		{Name: "leaving", Gateways: 6, EndMS: 5000, Steps: []Step{{AtMS: 500, Do: "stop", Pick: 2}}},
+	}
+	for i, s := range cases {
+		t.Run(s.Name, func(t *testing.T) {
+			t.Parallel()
+			s.Fleet = brief
+			if err := s.check("story"); err != nil {
+				t.Fatal(err)
+			}
+			dir := t.TempDir()
+			rep, err := Run(&s, Options{Program: program, Dir: dir, Seed: 1, Net: 20 + i, Tell: t.Logf})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, wrong := range rep.Wrong {
+				t.Error(wrong)
+			}
+			if s.Name == "leaving" {
+				for _, e := range rep.Events {
+					if e.State == "dead" {
+						t.Errorf("one that left was told dead: %+v", e)
+					}
+				}
+			}
+			if s.Load.PerSecond > 0 && rep.Load.Satisfied < rep.Load.Asked/2 {
+				t.Errorf("of %d lookups %d were satisfied", rep.Load.Asked, rep.Load.Satisfied)
+			}
+			if t.Failed() {
+				for _, e := range rep.Events {
+					t.Logf("%+v", e)
+				}
+			}
+		})
+	}
+}
+
+// The rig must see what is wrong: a fleet that cannot settle before the next step fails it.
+func TestTheRigSeesAFleetThatDoesNotSettle(t *testing.T) {
+	t.Parallel()
+	s := Scenario{Name: "too soon", Gateways: 3, Fleet: brief, EndMS: 300, Steps: []Step{{AtMS: 300, Do: "kill", Pick: 1}}}
+	if err := s.check("story"); err != nil {
+		t.Fatal(err)
+	}
+	rep, err := Run(&s, Options{Program: program, Dir: t.TempDir(), Seed: 1, Net: 40})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(rep.Wrong) == 0 || !strings.Contains(rep.Wrong[0], "do not agree") {
+		t.Errorf("%v", rep.Wrong)
+	}
+}
+
+func TestScenariosThatCannotBePlayedAreRefusedWithTheirPlace(t *testing.T) {
+	for text, want := range map[string]string{
+		`{ gateways: 3, steps: [{ at_ms: 1, do: 'explode' }] }`:                        "steps[0].do",
+		`{ gateways: 3, steps: [{ at_ms: 1, do: 'kill', who: ['n4'] }] }`:              `"n4" is nobody`,
+		`{ gateways: 3, steps: [{ at_ms: 1, do: 'start', who: ['@x'] }] }`:             `"@x" is nobody`,
+		`{ gateways: 99, steps: [] }`:                                                  "gateways",
+		`{ gateways: 3, stps: [] }`:                                                    "stps: no such setting",
+		`{ gateways: 3, steps: [{ at_ms: 5, do: 'heal' }, { at_ms: 1, do: 'heal' }] }`: "before the step before it",
+		`{ gateways: 3, load: { per_second: 5 }, steps: [] }`:                          "load.per_second",
+		`{ gateways: 3, steps: [], end_ms: 99999999 }`:                                 "a run takes at most",
+	} {
+		path := filepath.Join(t.TempDir(), "s.jsonnet")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadScenario(path); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	for _, name := range HardCases() {
+		if _, err := ReadScenario(name); err != nil {
+			t.Error(err)
+		}
+	}
+}
