--- a/fleet/membership/report.go
+++ b/fleet/membership/report.go
@@ -21,7 +21,7 @@
 	Seen       int    `json:"seen"`  // alive, suspects not counted
 	Fleet      int    `json:"fleet"` // of which
 	Minority   bool   `json:"minority"`
-	Agree      int    `json:"agree"` // live members whose last word on whom they see is this gateway's, itself included
+	Agree      int    `json:"agree"` // live members known to see the same set, itself included
 	ChangedMS  int64  `json:"changed_ago_ms"`
 	Members    []Row  `json:"members,omitempty"`
 	Counts     Counts `json:"counts"`
@@ -85,6 +85,7 @@
 		BytesIn: c.BytesIn.Load(), BytesOut: c.BytesOut.Load(), Streams: c.StreamsIn.Load() + c.StreamsOut.Load(),
 		StreamByte: c.StreamBytes.Load(), Dropped: c.Dropped.Load(), UpMS: now / 1000}
 	r.Seen, r.Fleet = f.view.Size()
+	r.Agree = f.view.Agreeing()
 	switch {
 	case f.desk.Away():
 		r.State = "yielded"
@@ -98,10 +99,7 @@
 	found := explain == ""
 	for _, m := range f.view.All() {
 		row := Row{Name: m.Name, Addr: m.Addr, Stamp: m.Stamp, State: m.State, SinceMS: (now - m.Since) / 1000, HeardMS: (now - m.Heard) / 1000,
-			By: m.By, Agrees: m.State.Live() && m.Digest == f.view.Digest(), Restarts: m.Restarts, Deaths: m.Deaths, Wrong: m.Wrong}
-		if row.Agrees {
-			r.Agree++
-		}
+			By: m.By, Agrees: f.view.Agrees(m.Name), Restarts: m.Restarts, Deaths: m.Deaths, Wrong: m.Wrong}
 		if m.Name == explain {
 			found = true
 			for _, s := range m.Said() {
--- a/fleet/view/view.go
+++ b/fleet/view/view.go
@@ -8,8 +8,9 @@
 // and tell how sure the view is; they never make one dead or bring one back. So a wrong or late word costs a line in the log
 // and nothing else.
 //
-// Each gateway also tells a digest of whom it sees. The view has settled once its own set has rested for the settle time and
-// every live member has told the same digest since: agreement that was heard, not silence taken for it.
+// Each gateway also tells a digest of whom it sees, and of whom it knows that they see the same (file agree.go). The view has settled
+// once its own set has rested for the settle time and every live member is known to see the same set since: agreement that was
+// heard, not silence taken for it.
 //
 // Bounds: Most members, self included; kept evidence of lastSaid words a member; the dead and the left are forgotten after the
 // reap time. Owner: one goroutine or whoever holds its owner's lock; it lives as long as the process.
@@ -77,8 +78,8 @@
 	By       string `json:"by"`       // whose proof that was
 	Accused  int64  `json:"-"`        // newest failed probe that was told
 	Accuser  string `json:"-"`
-	Digest   uint32 `json:"digest"`    // its own last word on whom it sees
-	DigestAt int64  `json:"digest_us"` // when it said so
+	Digest   uint32 `json:"digest"`    // its last word to this gateway itself on whom it sees
+	DigestAt int64  `json:"digest_us"` // when that came
 	Restarts int    `json:"restarts"`  // new stamps seen under the name
 	Deaths   int    `json:"deaths"`
 	Wrong    int    `json:"wrong"` // deaths after which the same process came back
@@ -121,6 +122,7 @@
 	live    int    // how many are in it
 	digest  uint32 // of that set, if it is known
 	known   bool
+	agreement
 	settled bool
 	from    int64 // what the settling under way began with
 	turn    uint64
@@ -171,6 +173,7 @@
 		v.from = now
 	}
 	v.settled, v.known = false, false
+	v.anew()
 	v.live = 0
 	for _, m := range v.members {
 		if m.State.Live() {
@@ -374,29 +377,16 @@
 		}
 		slices.Sort(forgotten)
 	}
-	self := v.members[v.self]
-	self.Heard, self.Digest, self.DigestAt = now, v.Digest(), now
-	if v.settled || !v.agrees(now) {
+	v.members[v.self].Heard = now
+	if v.settled || now-v.changed < v.set.Settle || !v.all() {
 		return forgotten, false, 0
 	}
 	v.settled = true
 	return forgotten, true, now - v.from
 }
 
-// agrees tells whether the live set rested for the settle time and all who are in it told the same since it last changed.
-func (v *View) agrees(now int64) bool {
-	if now-v.changed < v.set.Settle {
-		return false
-	}
-	for name, m := range v.members {
-		if m.State.Live() && name != v.self && (m.Digest != v.Digest() || m.DigestAt < v.changed) {
-			return false
-		}
-	}
-	return true
-}
-
-// Differ are the addresses of live members that said, since this view rested for the settle time, that they see others; sorted.
+// Differ are the addresses of live members that told this gateway, since its view rested for the settle time, that they see others;
+// sorted.
 func (v *View) Differ(now int64) (addrs []string) {
 	if v.settled || now-v.changed < v.set.Settle {
 		return nil
