Limits of the whole fleet by escrow: parts by the view, loans that run out, never over the sum

Change: fleet/limits (pure) splits a limit by what the view says of the fleet, the dead counted, and lends what is not used for a time that the borrower counts from before it asked and the lender from its grant; a process that starts leaves what the one before it may have lent. fleet/limits/post carries asks and loans on the fleet's datagrams; package limit puts leases in force, which fall back by themselves where a process stood still past them. Setting fleet: true on limits of pools, routes and tenants; foldslip fleet limits tells part, lent, borrowed, the fleet's sum as seen and the bound in force.

--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -16,6 +16,7 @@
 	View    fleetView    `cmd:"" help:"How much of the fleet a gateway sees, and whether the fleet agrees."`
 	Members fleetMembers `cmd:"" help:"The gateways that a gateway knows, with how sure it is of each."`
 	Explain fleetExplain `cmd:"" help:"Who said what of one gateway, and when."`
+	Limits  fleetLimits  `cmd:"" help:"The limits of the whole fleet: this gateway's part, what it lent and borrowed, and by how much the fleet can be over now."`
 	Run     fleetRun     `cmd:"" passthrough:"" help:"Start a fleet of real gateways on loopback, put faults between them and report (runs foldslip-rig, which stands beside this program)."`
 }
 
@@ -112,6 +113,25 @@
 	return nil
 }
 
+type fleetLimits struct{ fleetSocket }
+
+func (f *fleetLimits) Run(to *streams) error {
+	a, err := socket{f.Socket, f.JSON, f.Wait}.call(operator.Call{Do: "limits"})
+	if err != nil {
+		return err
+	}
+	if f.JSON {
+		return json.NewEncoder(to.out).Encode(a.Limits)
+	}
+	w := tabwriter.NewWriter(to.out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "LIMIT\tOF ALL\tPART\tLENT\tBORROWED\tMAY\tWANTED\tUSED\tFLEET USES\tAS OF\tGATEWAYS\tUNSEEN\tOVER AT MOST\tSTATE")
+	for _, r := range a.Limits {
+		fmt.Fprintf(w, "%s\t%.6g\t%.4g\t%.4g\t%.4g\t%.4g\t%.4g\t%.4g\t%.4g\t%s ago\t%d\t%d\t%.1f%%\t%s\n", r.Name, r.All, r.Part, r.Lent, r.Taken,
+			r.Lease, r.Wanted, r.Used, r.Sum, ms(r.SumAge), r.Fleet, r.Missing, 100*r.Over, r.State)
+	}
+	return w.Flush()
+}
+
 // fleetRun is a command of foldslip-rig, whose libraries (plots) a gateway does without.
 type fleetRun struct {
 	Args []string `arg:"" optional:""`
--- a/cli/rigs/rigs.go
+++ b/cli/rigs/rigs.go
@@ -26,6 +26,7 @@
 	Seeds    string   `default:"1" help:"Seeds of the runs, as 1-20."`
 	Program  string   `help:"The gateway's program; foldslip beside this one if not told."`
 	Parallel int      `default:"1" help:"Runs at once, 1 to 16."`
+	Net      int      `default:"0" help:"The first loopback network that runs take, 127.60 and so on: 0 to 100. Rigs at once need different ones."`
 	JSON     string   `help:"Write all reports there, a line of JSON each."`
 	Plot     string   `help:"Folder for a plot of each run's views over time."`
 	Logs     string   `help:"Folder for settings and logs of each run; a new one under the temporary folder, removed after a good run, if not told."`
@@ -101,6 +102,9 @@
 	if c.Parallel < 1 || c.Parallel > 16 {
 		return misuse{fmt.Errorf("--parallel %d: expected 1 to 16", c.Parallel)}
 	}
+	if c.Net < 0 || c.Net > 100 {
+		return misuse{fmt.Errorf("--net %d: expected 0 to 100", c.Net)}
+	}
 	if c.Program == "" {
 		own, err := os.Executable()
 		if err != nil {
@@ -140,6 +144,7 @@
 		}
 	}
 	c.table(out, reports)
+	limits(out, reports)
 	if bad > 0 {
 		return fmt.Errorf("%d of %d runs did what must not be", bad, len(reports))
 	}
@@ -182,7 +187,7 @@
 					return
 				}
 				j := jobs[i]
-				o := fleet.Options{Program: c.Program, Seed: j.seed, Net: lane, Dir: filepath.Join(base, fmt.Sprintf("%s-%d", j.s.Name, j.seed))}
+				o := fleet.Options{Program: c.Program, Seed: j.seed, Net: c.Net + lane, Dir: filepath.Join(base, fmt.Sprintf("%s-%d", j.s.Name, j.seed))}
 				if c.Verbose {
 					o.Tell = func(format string, a ...any) {
 						mu.Lock()
@@ -262,6 +267,37 @@
 	w.Flush()
 }
 
+// limits prints what was let in against limits, where scenarios have one.
+func limits(out io.Writer, reports []*fleet.Report) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	by := map[string][]*fleet.Report{}
+	var names []string
+	for _, r := range reports {
+		if r.Limit == nil {
+			continue
+		}
+		if by[r.Scenario] == nil {
+			names = append(names, r.Scenario)
+		}
+		by[r.Scenario] = append(by[r.Scenario], r)
+	}
+	if len(names) > 0 {
+		fmt.Fprintln(w, "SCENARIO\tLIMIT\tFLEET'S\tLET IN, MEDIAN\tMOST IN 1S\tBOUND\tMOST IN 10S\tBOUND")
+	}
+	for _, name := range names {
+		var mean, most1, most10 []float64
+		for _, r := range by[name] {
+			mean, most1, most10 = append(mean, r.Limit.Mean), append(most1, r.Limit.Most1), append(most10, r.Limit.Most10)
+		}
+		l := by[name][0].Limit
+		m, _ := fleet.Of(mean)
+		_, a := fleet.Of(most1)
+		_, b := fleet.Of(most10)
+		fmt.Fprintf(w, "%s\t%.0f/s\t%v\t%.1f/s\t%.2f\t%.2f\t%.2f\t%.2f\n", name, l.Limit, l.Fleet, m, a, l.Bound1, b, l.Bound)
+	}
+	w.Flush()
+}
+
 func secs(s float64) string {
 	if math.IsNaN(s) {
 		return "never"
--- a/cli/routes_test.go
+++ b/cli/routes_test.go
@@ -29,7 +29,7 @@
 	}
 	s.List(roster.Change{Whole: true, Rows: []roster.Cache{{ID: "c1", Zone: "town", Machine: "edge"}, {ID: "c2", Zone: "hill", Machine: "edge"}}})
 	path := filepath.Join(dir, "operator")
-	o, err := operator.Open(g, path, s, nil)
+	o, err := operator.Open(g, path, operator.Of{Routes: s})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -100,7 +100,7 @@
 			}
 			conn.Close()
 		}
-		if _, err := operator.Open(g, path, s, nil); err == nil {
+		if _, err := operator.Open(g, path, operator.Of{Routes: s}); err == nil {
 			t.Error("a socket in use is taken over")
 		}
 	})
--- a/clock/system.go
+++ b/clock/system.go
@@ -18,7 +18,7 @@
 // System is the ground of a real process.
 type System struct {
 	log    *slog.Logger
-	Offset time.Duration // its clock is off by so much; for tests
+	Offset time.Duration // Wall is off by so much; for tests
 }
 
 // NewSystem makes the system's ground, with the log on w from a level on.
@@ -34,7 +34,11 @@
 	return a
 }
 
-func (s *System) Now() time.Time { return time.Now().Add(s.Offset) }
+func (*System) Now() time.Time { return time.Now() }
+
+// Wall is the machine's time as it is told to other machines, where that clock is off by Offset. Now stays, since the kernel's deadlines
+// are on the same clock as it.
+func (s *System) Wall() time.Time { return time.Now().Add(s.Offset) }
 
 func (*System) AfterFunc(d time.Duration, f func()) Timer { return time.AfterFunc(d, f) }
 
--- a/config/config.go
+++ b/config/config.go
@@ -323,9 +323,13 @@
 		if r.Socket != "" && (!path.IsAbs(r.Socket) || len(r.Socket) > 100) {
 			return Fault{file, "routing.socket", fmt.Sprintf("%q", r.Socket), "name it from the root in 100 bytes, as /run/foldslip/operator"}
 		}
-		if _, faults := pools.Compile(r.Config, nil); len(faults) > 0 && faults[0].Error { // kinds are the platform's to tell
+		table, faults := pools.Compile(r.Config, nil)
+		if len(faults) > 0 && faults[0].Error { // kinds are the platform's to tell
 			return Fault{file, "routing." + faults[0].Path, faults[0].Text, faults[0].Remedy}
 		}
+		if s.Fleet == nil && table != nil && table.Shared() {
+			return Fault{file, "routing", "a limit is the fleet's (fleet: true), and this gateway knows no fleet", "set fleet, see docs/fleet.md, or leave fleet: true out"}
+		}
 	}
 	if s.Fleet != nil {
 		if err := s.Fleet.check(file); err != nil {
--- a/door/operator/operator.go
+++ b/door/operator/operator.go
@@ -19,6 +19,8 @@
 	"foldslip/clock"
 	"foldslip/config"
 	"foldslip/config/change"
+	"foldslip/fleet/limits"
+	"foldslip/fleet/limits/post"
 	"foldslip/fleet/membership"
 	"foldslip/route/pools"
 	"foldslip/route/steer"
@@ -33,7 +35,7 @@
 
 // Call is what an operator asks for.
 type Call struct {
-	Do       string        `json:"do"`             // propose, plan, check, stage, apply, confirm, undo, back, history, text; fleet
+	Do       string        `json:"do"`             // propose, plan, check, stage, apply, confirm, undo, back, history, text; fleet, limits
 	Name     string        `json:"name,omitempty"` // of the gateway to explain, with fleet
 	No       uint64        `json:"no,omitempty"`
 	Parent   uint64        `json:"parent,omitempty"` // 0: the one in force
@@ -54,6 +56,7 @@
 	Move    *pools.Move        `json:"move,omitempty"`
 	Faults  []pools.Fault      `json:"faults,omitempty"`
 	Fleet   *membership.Report `json:"fleet,omitempty"`
+	Limits  []limits.Row       `json:"limits,omitempty"`
 	Error   string             `json:"error,omitempty"`
 	Remedy  string             `json:"remedy,omitempty"`
 }
@@ -61,19 +64,25 @@
 // Operator is the socket.
 type Operator struct {
 	g        clock.Ground
-	routes   *steer.Steer      // nil: none
-	fleet    *membership.Fleet // nil: none
+	of       Of
 	listener net.Listener
 	calls    chan struct{} // has room for those at once
 }
 
-// Open listens on a path, for routes and fleet where they are not nil.
-func Open(g clock.Ground, path string, routes *steer.Steer, fleet *membership.Fleet) (*Operator, error) {
+// Of are the parts of a gateway that operators call for; what is nil is off.
+type Of struct {
+	Routes *steer.Steer
+	Fleet  *membership.Fleet
+	Limits *post.Post
+}
+
+// Open listens on a path, for some parts.
+func Open(g clock.Ground, path string, of Of) (*Operator, error) {
 	l, err := clock.ListenUnix(path, mode)
 	if err != nil {
 		return nil, err
 	}
-	return &Operator{g, routes, fleet, l, make(chan struct{}, mostCalls)}, nil
+	return &Operator{g, of, l, make(chan struct{}, mostCalls)}, nil
 }
 
 // Run serves until life ends.
@@ -177,20 +186,26 @@
 // Do carries a call out.
 func (o *Operator) Do(c Call) Answer {
 	if c.Do == "fleet" {
-		if o.fleet == nil {
+		if o.of.Fleet == nil {
 			return Answer{Error: "this gateway knows no fleet", Remedy: "set fleet in its settings, and call at fleet.socket"}
 		}
-		r, err := o.fleet.Report(true, c.Name)
+		r, err := o.of.Fleet.Report(true, c.Name)
 		if err != nil {
 			return Answer{Error: err.Error(), Remedy: "see foldslip fleet members"}
 		}
 		return Answer{Fleet: &r}
 	}
-	if o.routes == nil {
+	if c.Do == "limits" {
+		if o.of.Limits == nil {
+			return Answer{Error: "this gateway shares no limits with a fleet", Remedy: "set fleet and routing in its settings, and call at fleet.socket"}
+		}
+		return Answer{Limits: o.of.Limits.Rows()}
+	}
+	if o.of.Routes == nil {
 		return Answer{Error: "this gateway has no routes", Remedy: "set routing in its settings, and call at routing.socket"}
 	}
 	within := time.Duration(c.WithinMS) * time.Millisecond
-	history, force := o.routes.History()
+	history, force := o.of.Routes.History()
 	if c.Parent == 0 {
 		c.Parent = force.Base
 	}
@@ -200,31 +215,31 @@
 	case c.Do == "history":
 		return Answer{History: history, Force: &force}
 	case c.Do == "text":
-		if text := o.routes.Text(c.No); text != nil {
+		if text := o.of.Routes.Text(c.No); text != nil {
 			return Answer{Text: text}
 		}
 		return Answer{Error: fmt.Sprintf("version %d is not kept", c.No), Remedy: "see history"}
 	case (c.Do == "propose" || c.Do == "plan") && c.Config == nil:
 		return Answer{Error: "no configuration came with it", Remedy: "send one as config"}
 	case c.Do == "plan":
-		move, faults := o.routes.Plan(*c.Config, c.Load)
+		move, faults := o.of.Routes.Plan(*c.Config, c.Load)
 		return Answer{Move: &move, Faults: faults}
 	case c.Do == "propose":
-		step, err = o.routes.Propose(c.Parent, *c.Config, c.Author, c.Reason)
+		step, err = o.of.Routes.Propose(c.Parent, *c.Config, c.Author, c.Reason)
 	case c.Do == "back":
-		step, err = o.routes.Back(c.No, c.Author, c.Reason)
+		step, err = o.of.Routes.Back(c.No, c.Author, c.Reason)
 	case c.Do == "check":
-		step, err = o.routes.Check(c.No)
+		step, err = o.of.Routes.Check(c.No)
 	case c.Do == "stage":
-		step, err = o.routes.Stage(c.No, c.Share, within)
+		step, err = o.of.Routes.Stage(c.No, c.Share, within)
 	case c.Do == "apply":
-		step, err = o.routes.Apply(c.No, within)
+		step, err = o.of.Routes.Apply(c.No, within)
 	case c.Do == "confirm":
-		step, err = o.routes.Confirm(c.No)
+		step, err = o.of.Routes.Confirm(c.No)
 	case c.Do == "undo":
-		step, err = o.routes.Undo(c.No, c.Reason)
+		step, err = o.of.Routes.Undo(c.No, c.Reason)
 	default:
-		return Answer{Error: fmt.Sprintf("%q is no step", c.Do), Remedy: "propose, plan, check, stage, apply, confirm, undo, back, history, text; fleet"}
+		return Answer{Error: fmt.Sprintf("%q is no step", c.Do), Remedy: "propose, plan, check, stage, apply, confirm, undo, back, history, text; fleet, limits"}
 	}
 	if err != nil {
 		a := Answer{Error: err.Error()}
--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -71,6 +71,7 @@
 	Open  func() (memberlist.Transport, error)   // for each start of the detector
 	Tell  func(change view.Change, at time.Time) // each change, in order; may be nil
 	Count *link.Counts
+	Take  func([]byte) // datagrams of other parts (Send), at once and without waiting; the bytes are the caller's; may be nil
 }
 
 // Fleet is this gateway's part in its fleet.
@@ -98,6 +99,8 @@
 	settling *hdrhistogram.Histogram // milliseconds of settlings
 	refused  map[string]int64        // names refused, when last told
 
+	sends *memberlist.Memberlist // the same, for Send
+
 	list    *memberlist.Memberlist // owned by Run's goroutine; nil while it is not started
 	last    int64
 	saved   uint64
@@ -256,6 +259,7 @@
 	}
 	f.list = list
 	f.mu.Lock()
+	f.sends = list
 	f.say(slog.LevelInfo, "fleet_started", "name", f.id.Name, "addr", f.id.Addr, "stamp", f.id.Stamp)
 	f.mu.Unlock()
 	return nil
@@ -276,6 +280,9 @@
 		time.Sleep(2 * f.set.Gossip) // the leave takes the meta's place in the queues of others
 		f.list.Leave(leaveIn)
 	}
+	f.mu.Lock()
+	f.sends = nil
+	f.mu.Unlock()
 	f.list.Shutdown()
 	f.list = nil
 	if f.parts.Shelf != nil {
@@ -442,7 +449,7 @@
 	f.say(slog.LevelError, "fleet_yielded", "name", f.id.Name, "to", other, "retry_ms", wait/1000,
 		"remedy", "another gateway has this name: give each its own ROUTER_NAME")
 	list := f.list
-	f.list = nil
+	f.list, f.sends = nil, nil
 	f.mu.Unlock()
 	if list == nil {
 		return
@@ -514,8 +521,28 @@
 	return append(b, 0)
 }
 
-// NotifyMsg takes words that rode on gossip; memberlist's Delegate.
-func (f *Fleet) NotifyMsg(b []byte) { f.words(b) }
+// NotifyMsg takes words that rode on gossip, and what another part of a peer sent to this one's; memberlist's Delegate.
+func (f *Fleet) NotifyMsg(b []byte) {
+	if len(b) > 0 && b[0] != view.Form {
+		if f.parts.Take != nil {
+			f.parts.Take(b)
+		}
+		return
+	}
+	f.words(b)
+}
+
+// Send brings a datagram to another part of a live member; it may be lost, late or come twice. Its first byte is not that of words.
+func (f *Fleet) Send(to string, b []byte) error {
+	f.mu.Lock()
+	m, ok := f.view.Get(to)
+	list := f.sends
+	f.mu.Unlock()
+	if !ok || !m.State.Live() || list == nil {
+		return fmt.Errorf("%s is not live here", to)
+	}
+	return list.SendToAddress(memberlist.Address{Addr: m.Addr, Name: to}, b)
+}
 
 func (f *Fleet) words(b []byte) {
 	if len(b) == 0 {
@@ -647,4 +674,10 @@
 }
 
 // Ground is where the parts of a real process come from.
-func Ground(g clock.Ground) Parts { return Parts{Log: g.Log(), Now: g.Now, Read: g.ReadFile} }
+func Ground(g clock.Ground) Parts {
+	p := Parts{Log: g.Log(), Now: g.Now, Read: g.ReadFile}
+	if w, ok := g.(interface{ Wall() time.Time }); ok {
+		p.Now = w.Wall
+	}
+	return p
+}
--- a/fleet/membership/report.go
+++ b/fleet/membership/report.go
@@ -119,6 +119,7 @@
 // State is how far a gateway may rely on its view: what fleet limits and shares ask before they act.
 type State struct {
 	Live, Seen, Fleet int // live members; of them alive; the fleet that they are a part of
+	Rank              int // of this gateway among those who did not leave, by name
 	Minority, Settled bool
 	Digest            uint32
 	Version           uint64
@@ -129,7 +130,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	seen, fleet := f.view.Size()
-	return State{f.view.Count(), seen, fleet, f.view.Minority(), f.view.Settled(), f.view.Digest(), f.view.Version()}
+	return State{f.view.Count(), seen, fleet, f.view.Rank(), f.view.Minority(), f.view.Settled(), f.view.Digest(), f.view.Version()}
 }
 
 // Live are the names of live members, this gateway included, sorted.
--- a/fleet/view/view.go
+++ b/fleet/view/view.go
@@ -444,6 +444,16 @@
 	return seen, max(fleet, v.set.Expect)
 }
 
+// Rank is this gateway's place, by name, among all who are known and did not leave.
+func (v *View) Rank() (n int) {
+	for name, m := range v.members {
+		if m.State != Left && name < v.self {
+			n++
+		}
+	}
+	return n
+}
+
 // Minority tells whether this gateway sees no more than half of the fleet: it must not act as if it were the fleet. Of an even
 // split both halves are minorities.
 func (v *View) Minority() bool {
--- a/fleet/view/words.go
+++ b/fleet/view/words.go
@@ -19,7 +19,8 @@
 //	p times  8 key, 8 key of who heard, 4 age in milliseconds
 //	a times  8 key, 8 key of the accuser, 4 age in milliseconds
 const (
-	form        = 1
+	// Form is the first byte of words.
+	Form        = 1
 	wordsHead   = 1 + 8 + 4 + 8 + 4
 	wordSize    = 8 + 8 + 4
 	mostProofs  = 24 // 480 bytes: a frame goes in one datagram beside the detector's own messages
@@ -45,7 +46,7 @@
 		return nil
 	}
 	le := binary.LittleEndian
-	b := append(make([]byte, 0, limit), form)
+	b := append(make([]byte, 0, limit), Form)
 	b = le.AppendUint64(b, Key(v.self))
 	b = le.AppendUint32(b, v.Digest())
 	b = le.AppendUint64(b, v.gen)
@@ -92,7 +93,7 @@
 // Take takes a frame that came directly from its sender. Words on members that are not held, and words of who is not held, are
 // passed over; a frame that cannot be read changes nothing.
 func (v *View) Take(b []byte, now int64) (changes []Change, err error) {
-	if len(b) < wordsHead || b[0] != form {
+	if len(b) < wordsHead || b[0] != Form {
 		return nil, errForm
 	}
 	le := binary.LittleEndian
--- a/lab/fleet/load.go
+++ b/lab/fleet/load.go
@@ -23,6 +23,8 @@
 	wait   sync.WaitGroup
 	mu     sync.Mutex
 	r      LoadReport
+	in     []int // satisfied lookups by when they were asked for, in parts of a second
+	began  time.Time
 	took   *hdrhistogram.Histogram // microseconds
 }
 
@@ -41,13 +43,18 @@
 }
 
 const (
+	parts     = 10 // of a second
 	mostAsked = 256
 	askIn     = 6 * time.Second // the longest latency budget and a little
 )
 
-func startLoad(l Load, r *Rig) *load {
+func startLoad(l Load, r *Rig) (*load, error) {
+	through := map[string]bool{}
+	for _, name := range l.Through {
+		through[name] = true
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	out := &load{cancel: cancel, took: hdrhistogram.New(1, 60_000_000, 2)}
+	out := &load{cancel: cancel, began: time.Now(), took: hdrhistogram.New(1, 60_000_000, 2)}
 	objects := max(1, l.Objects)
 	if l.Objects == 0 {
 		objects = 200
@@ -60,7 +67,7 @@
 		for n := 0; turns.Wait(ctx) == nil; n++ {
 			var running []*process
 			for _, p := range r.all {
-				if p.serves() {
+				if p.serves() && (len(through) == 0 || through[p.name]) {
 					running = append(running, p)
 				}
 			}
@@ -83,7 +90,7 @@
 			}()
 		}
 	}()
-	return out
+	return out, nil
 }
 
 func (l *load) count(f func(*LoadReport)) {
@@ -110,6 +117,10 @@
 			c.Broken++
 		case status == http.StatusOK:
 			c.Satisfied++
+			for at := int(due.Sub(l.began) * parts / time.Second); at >= len(l.in); {
+				l.in = append(l.in, make([]int, at-len(l.in)+1)...)
+			}
+			l.in[int(due.Sub(l.began)*parts/time.Second)]++
 			l.took.RecordValue(min(time.Since(due).Microseconds(), 60_000_000))
 		case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 			c.Nacked++
@@ -137,6 +148,55 @@
 	return got.StatusCode, err
 }
 
+// most is how many lookups were let in, at most, within so many parts in a row.
+func most(in []int, parts int) (most int) {
+	sum := 0
+	for i, n := range in {
+		sum += n
+		if i >= parts {
+			sum -= in[i-parts]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// LimitReport is what was let in against a limit of the whole fleet. A bucket lets a burst of half a second's worth through after a
+// quiet time, and each gateway's holds at least one lookup (package limit); the bound of a window is what the limit gives in it and that.
+type LimitReport struct {
+	Limit  float64 `json:"limit"`
+	Fleet  bool    `json:"fleet"`
+	Mean   float64 `json:"mean"`     // let in a second, after the first 10 s
+	Most1  float64 `json:"most_1s"`  // in any second, of the limit
+	Most10 float64 `json:"most_10s"` // in any ten seconds, a second, of the limit
+	Bound1 float64 `json:"bound_1s"`
+	Bound  float64 `json:"bound_10s"`
+	PerSec []int   `json:"per_second"`
+}
+
+func (l *load) limits(lim *Limit, gateways int) *LimitReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := &LimitReport{Limit: lim.Lookups, Fleet: lim.Fleet}
+	for i, n := range l.in {
+		if i%parts == 0 {
+			r.PerSec = append(r.PerSec, 0)
+		}
+		r.PerSec[i/parts] += n
+	}
+	sum := 0
+	for _, n := range r.PerSec[min(10, len(r.PerSec)):] {
+		sum += n
+	}
+	r.Mean = float64(sum) / float64(max(1, len(r.PerSec)-10))
+	r.Most1 = float64(most(l.in, parts)) / lim.Lookups
+	r.Most10 = float64(most(l.in, 10*parts)) / 10 / lim.Lookups
+	burst := 0.5 + float64(gateways)/lim.Lookups
+	r.Bound1 = 1 + lim.Over + burst + 1.0/parts // windows are of whole parts
+	r.Bound = 1 + lim.Over + (burst+1.0/parts)/10
+	return r
+}
+
 func (l *load) stop() {
 	l.cancel()
 	l.wait.Wait()
--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -23,6 +23,7 @@
 	Rest     Traffic      `json:"at_rest"`      // between ready and the first step
 	Churn    Traffic      `json:"in_churn"`     // from the first step on
 	Load     *LoadReport  `json:"load,omitempty"`
+	Limit    *LimitReport `json:"limit,omitempty"`
 	Events   []Event      `json:"events,omitempty"`
 	Views    []ViewAt     `json:"views,omitempty"`
 	Wrong    []string     `json:"wrong,omitempty"` // what must not be
@@ -99,6 +100,18 @@
 			rep.Wrong = append(rep.Wrong, fmt.Sprintf("%d lookups got no answer of a gateway that ran", rep.Load.Lost))
 		}
 	}
+	if l := r.s.Limit; l != nil && r.load != nil {
+		rep.Limit = r.load.limits(l, len(r.all))
+		if l.Fleet && rep.Limit.Most1 > rep.Limit.Bound1 {
+			rep.Wrong = append(rep.Wrong, fmt.Sprintf("in one second %.2f of the fleet's limit were let in, bound %.2f", rep.Limit.Most1, rep.Limit.Bound1))
+		}
+		if l.Fleet && rep.Limit.Most10 > rep.Limit.Bound {
+			rep.Wrong = append(rep.Wrong, fmt.Sprintf("in ten seconds %.2f of the fleet's limit were let in, bound %.2f", rep.Limit.Most10, rep.Limit.Bound))
+		}
+		if rep.Limit.Mean < l.Least*l.Lookups {
+			rep.Wrong = append(rep.Wrong, fmt.Sprintf("%.0f a second were let in of a limit of %.0f, at least %.0f are wanted", rep.Limit.Mean, l.Lookups, l.Least*l.Lookups))
+		}
+	}
 	if err := r.crashes(); err != nil {
 		rep.Wrong = append(rep.Wrong, err.Error())
 	}
--- a/lab/fleet/rig.go
+++ b/lab/fleet/rig.go
@@ -179,7 +179,13 @@
 	if r.s.Disk {
 		f.Folder = filepath.Join(p.dir, "kept")
 	}
-	text, err := json.Marshal(map[string]any{"fleet": f})
+	its := map[string]any{"fleet": f}
+	if l := r.s.Limit; l != nil {
+		its["routing"] = map[string]any{"pools": map[string]any{"all": map[string]any{"locations": []string{"town"}}},
+			"routes":  []any{map[string]any{"name": "all", "tenant": "all", "to": []any{map[string]any{"pool": "all"}}}},
+			"tenants": map[string]any{"all": map[string]any{"lookups_a_second": l.Lookups, "fleet": l.Fleet}}}
+	}
+	text, err := json.Marshal(its)
 	if err != nil {
 		return err
 	}
@@ -219,7 +225,7 @@
 func (r *Rig) now() time.Duration { return time.Since(r.began) }
 
 // play starts the fleet and carries the steps out.
-func (r *Rig) play() error {
+func (r *Rig) play() (err error) {
 	r.began = time.Now()
 	for _, p := range r.all[:len(r.all)-int(r.s.Late)] {
 		if err := p.start(); err != nil {
@@ -239,7 +245,9 @@
 	r.o.Tell("ready after %v", ready.Round(time.Millisecond))
 	r.mark(-1)
 	if r.s.Load.PerSecond > 0 {
-		r.load = startLoad(r.s.Load, r)
+		if r.load, err = startLoad(r.s.Load, r); err != nil {
+			return err
+		}
 	}
 	for i, st := range r.s.Steps {
 		time.Sleep(ready + time.Duration(st.AtMS)*time.Millisecond - r.now())
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -27,6 +27,7 @@
 	Late     int64        `json:"late,omitempty"`    // of these, the last so many are started by a step only
 	Caches   int64        `json:"caches,omitempty"`  // stand-in edges beside one parent and the origin
 	Load     Load         `json:"load,omitempty"`    // lookups
+	Limit    *Limit       `json:"limit,omitempty"`   // on all lookups
 	Disk     bool         `json:"disk,omitempty"`    // gateways keep who they knew
 	Seeds    int64        `json:"seeds,omitempty"`   // gateways that the others are told of; 3
 	Fleet    config.Fleet `json:"fleet,omitempty"`   // settings; addresses, seeds, folder and socket are the rig's
@@ -38,8 +39,17 @@
 
 // Load are lookups that the rig's own client sends to running gateways in turn.
 type Load struct {
-	PerSecond float64 `json:"per_second,omitempty"`
-	Objects   int64   `json:"objects,omitempty"`
+	PerSecond float64  `json:"per_second,omitempty"`
+	Objects   int64    `json:"objects,omitempty"`
+	Through   []string `json:"through,omitempty"` // these gateways only
+}
+
+// Limit is a limit on lookups that all gateways have in their settings.
+type Limit struct {
+	Lookups float64 `json:"lookups_a_second"`
+	Fleet   bool    `json:"fleet"`           // of all together; else of each, as it is without a fleet
+	Over    float64 `json:"over,omitempty"`  // the bound that the scenario is held to, as a part of the limit (docs/fleet-limits.md)
+	Least   float64 `json:"least,omitempty"` // of the limit, let in on the mean after the first 10 s
 }
 
 // Offset is a wrong clock.
@@ -120,6 +130,9 @@
 	if s.Load.PerSecond < 0 || s.Load.PerSecond > 2000 || s.Load.PerSecond > 0 && s.Caches == 0 {
 		return bad("load.per_second", fmt.Sprintf("is %g", s.Load.PerSecond), "expected 0 to 2000, and caches to ask")
 	}
+	if l := s.Limit; l != nil && (l.Lookups < 1 || l.Over < 0 || s.Load.PerSecond == 0) {
+		return bad("limit", fmt.Sprintf("%+v", *l), "a limit of at least 1 lookup a second, and a load")
+	}
 	if s.Seeds == 0 {
 		s.Seeds = min(3, s.Gateways-s.Late)
 	}
@@ -147,7 +160,7 @@
 		if st.Settle != "" && st.Settle != "sides" && st.Settle != "none" {
 			return bad(at+".settle", fmt.Sprintf("%q", st.Settle), "expected sides or none")
 		}
-		for _, who := range slices.Concat(st.Who, st.From, st.To, slices.Concat(st.Groups...)) {
+		for _, who := range slices.Concat(st.Who, st.From, st.To, slices.Concat(st.Groups...), s.Load.Through) {
 			if name, ok := strings.CutPrefix(who, "@"); ok && !picked[name] || !ok && who != "*" && !slices.Contains(s.names(), who) {
 				return bad(at, fmt.Sprintf("%q is nobody", who), "expected n1 to n"+fmt.Sprint(s.Gateways)+", * or @ and what a step before has as")
 			}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -22,8 +22,32 @@
 	Open     int     // lookups at once
 	Adaptive bool    // Open is a ceiling, and less is allowed as answers slow
 	Further  float64 // further sends, as a part of first ones; below 0: none
+	Fleet    bool    // Lookups, Bytes and Open are of all gateways together; here goes what a Lease gives
 }
 
+// Amounts are the parts of a fleet's limit that may be let in here.
+type Amounts struct {
+	Lookups, Bytes float64 // a second
+	Open           int
+}
+
+// Lease is what may be let in here until a time, and after it, if no other has come by then: a process that stood still must not go on
+// with what it had borrowed.
+type Lease struct {
+	Now, Then Amounts
+	Until     time.Time
+}
+
+// Use is what lookups wanted and what was let in since the limit was made, and how many are in.
+type Use struct {
+	Wanted, In           uint64 // lookups
+	WantedBytes, InBytes uint64
+	WantedOpen, Open     int // at once, now
+}
+
+// leastBytes is what a gateway's part of a fleet's limit of bytes may be over at once: an object is never larger.
+const leastBytes = 240_000
+
 // Burst is how long a second's worth may be saved up.
 const Burst = time.Second / 2
 
@@ -47,6 +71,10 @@
 	open    *memory.Shares
 	adapts  *Adaptive
 	further *Budget
+	lease   Lease
+	fell    bool // the lease is over, and what holds after it is in force
+	use     Use
+	turned  int // lookups turned away for want of places since Use was asked
 	Refused map[Reason]uint64
 }
 
@@ -59,6 +87,10 @@
 
 // set puts terms in place and keeps what has been used.
 func (l *Limit) set(now time.Time, t Terms) {
+	if t.Fleet {
+		l.fleet(now, t)
+		return
+	}
 	l.lookups, l.bytes = bucket(now, l.lookups, t.Lookups, 1), bucket(now, l.bytes, t.Bytes, 1<<20)
 	switch {
 	case t.Open <= 0:
@@ -87,6 +119,77 @@
 	l.terms = t
 }
 
+// fleet puts terms of a whole fleet in place: nothing is let in before a lease says how much. What is not the fleet's stays.
+func (l *Limit) fleet(now time.Time, t Terms) {
+	own := t
+	own.Fleet, own.Lookups, own.Bytes, own.Open, own.Adaptive = false, 0, 0, 0, false
+	was, shared := l.lease, l.terms.Fleet
+	if !shared {
+		was = Lease{}
+	}
+	lookups, bytes, open := l.lookups, l.bytes, l.open
+	l.set(now, own)
+	empty := func(b *rate.Limiter, a float64) *rate.Limiter {
+		if a <= 0 {
+			return nil
+		}
+		if b == nil || !shared {
+			b = rate.NewLimiter(0, 0) // empty: what another process of this name used up is not there again
+		}
+		return b
+	}
+	l.lookups, l.bytes = empty(lookups, t.Lookups), empty(bytes, t.Bytes)
+	if t.Open > 0 {
+		if l.open = open; open == nil {
+			l.open = memory.NewShares(0)
+		}
+	}
+	l.terms = t
+	l.Lease(now, was)
+}
+
+// Lease puts in place what may be let in here; for limits of the fleet only.
+func (l *Limit) Lease(now time.Time, lease Lease) {
+	if !l.terms.Fleet {
+		return
+	}
+	l.lease, l.fell = lease, false
+	l.amounts(now, lease.Now)
+}
+
+func (l *Limit) amounts(now time.Time, a Amounts) {
+	rated := func(b *rate.Limiter, r, least float64) {
+		if b == nil || float64(b.Limit()) == r {
+			return
+		}
+		burst := 0
+		if r > 0 {
+			burst = int(max(least, r*Burst.Seconds()))
+		}
+		b.SetLimitAt(now, rate.Limit(r))
+		b.SetBurstAt(now, burst)
+	}
+	rated(l.lookups, a.Lookups, 1)
+	rated(l.bytes, a.Bytes, leastBytes)
+	if l.open != nil {
+		l.open.Resize(a.Open)
+	}
+}
+
+// Use tells what was wanted, for who shares the fleet's limit out.
+func (l *Limit) Use() Use {
+	u := l.use
+	if l.open != nil {
+		u.Open = l.open.Open()
+	}
+	u.WantedOpen = u.Open + l.turned
+	l.turned = 0
+	return u
+}
+
+// Terms are those in place.
+func (l *Limit) Terms() Terms { return l.terms }
+
 // bucket is a token bucket at a new rate: what had been used of the old one stays used.
 func bucket(now time.Time, was *rate.Limiter, a, least float64) *rate.Limiter {
 	if a <= 0 {
@@ -114,11 +217,20 @@
 // Enter lets a lookup of a tenant in, or says why not and when to come back.
 func (l *Limit) Enter(now time.Time, tenant string, weight float64, bytes int) (*Ticket, Reason, time.Duration) {
 	t := &Ticket{l: l, began: now}
+	if l.terms.Fleet {
+		if !l.fell && !now.Before(l.lease.Until) {
+			l.fell = true
+			l.amounts(now, l.lease.Then)
+		}
+		l.use.Wanted++
+		l.use.WantedBytes += uint64(max(0, bytes))
+	}
 	if l.open != nil {
 		if l.adapts != nil {
 			l.open.Resize(l.adapts.Now())
 		}
 		if t.who = l.open.Holder(now, tenant, weight); !l.open.Enter(now, t.who) {
+			l.turned++
 			return nil, l.refuse(TooMany), l.after(now)
 		}
 	}
@@ -126,10 +238,13 @@
 		if t.who != nil {
 			l.open.Leave(now, t.who)
 		}
+		if b.Limit() <= 0 { // nothing of the fleet's limit is here yet
+			return nil, l.refuse(r), time.Second
+		}
 		missing := float64(min(n, b.Burst())) - b.TokensAt(now)
 		return nil, l.refuse(r), max(time.Millisecond, time.Duration(missing/float64(b.Limit())*float64(time.Second)))
 	}
-	if l.bytes != nil && l.bytes.TokensAt(now) < float64(min(bytes, l.bytes.Burst())) {
+	if l.bytes != nil && (l.bytes.Burst() == 0 || l.bytes.TokensAt(now) < float64(min(bytes, l.bytes.Burst()))) {
 		return back(TooMuch, l.bytes, bytes)
 	}
 	if l.lookups != nil && !l.lookups.AllowN(now, 1) {
@@ -141,6 +256,10 @@
 	if l.further != nil {
 		l.further.First(now)
 	}
+	if l.terms.Fleet {
+		l.use.In++
+		l.use.InBytes += uint64(max(0, bytes))
+	}
 	return t, Allowed, 0
 }
 
@@ -210,5 +329,14 @@
 	return next
 }
 
+// Fleet calls f for each limit of the fleet, by name.
+func (s *Set) Fleet(f func(name string, l *Limit)) {
+	for name, l := range s.by {
+		if l.terms.Fleet {
+			f(name, l)
+		}
+	}
+}
+
 // Of is the limit of a name; nil: none.
 func (s *Set) Of(name string) *Limit { return s.by[name] }
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -265,3 +265,73 @@
 		t.Errorf("%.2f (%.2f), %.2f (%.2f)", budgeted, plain, peak, plainPeak)
 	}
 }
+
+func TestALimitOfTheFleetLetsInWhatItsLeaseSays(t *testing.T) {
+	now := time.Unix(100, 0)
+	l := New(now, "x", Terms{Lookups: 100, Open: 10, Fleet: true})
+	enter := func(n int) (in int) {
+		for range n {
+			if _, why, wait := l.Enter(now, "t", 1, 0); why == Allowed {
+				in++
+			} else if wait <= 0 || wait > time.Minute {
+				t.Fatalf("told to come back in %v", wait)
+			}
+		}
+		return in
+	}
+	if enter(5) != 0 {
+		t.Error("something is let in before there is a lease")
+	}
+	l.Lease(now, Lease{Now: Amounts{Lookups: 20, Open: 100}, Then: Amounts{Lookups: 4, Open: 100}, Until: now.Add(3 * time.Second)})
+	if enter(5) != 0 {
+		t.Error("the part of a fleet's limit begins with a burst: a process before may have had it")
+	}
+	now = now.Add(250 * time.Millisecond)
+	if in := enter(50); in != 5 {
+		t.Errorf("%d of 5 in a quarter second", in)
+	}
+	l.Lease(now, Lease{Now: Amounts{Lookups: 20, Open: 100}, Then: Amounts{Lookups: 4, Open: 100}, Until: now.Add(3 * time.Second)})
+	now = now.Add(time.Hour) // it stood still past its loans, and a lookup comes before anybody said anything
+	if in := enter(50); in != 2 {
+		t.Errorf("%d were let in after the lease, not the burst of what is left of it", in)
+	}
+	if u := l.Use(); u.Wanted != 110 || u.In != 7 {
+		t.Errorf("%+v", u)
+	}
+}
+
+func TestPlacesOfTheFleetFollowTheLease(t *testing.T) {
+	now := time.Unix(100, 0)
+	l := New(now, "x", Terms{Open: 10, Fleet: true})
+	l.Lease(now, Lease{Now: Amounts{Open: 2}, Until: now.Add(time.Second)})
+	a, _, _ := l.Enter(now, "t", 1, 0)
+	b, _, _ := l.Enter(now, "t", 1, 0)
+	if _, why, _ := l.Enter(now, "t", 1, 0); a == nil || b == nil || why != TooMany {
+		t.Errorf("%v %v %v", a, b, why)
+	}
+	now = now.Add(2 * time.Second)
+	a.Leave(now, true, false)
+	if _, why, _ := l.Enter(now, "t", 1, 0); why != TooMany {
+		t.Error("a place is given after the lease")
+	}
+}
+
+func TestALimitBecomesTheFleetsAndBackWithoutARefill(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := NewSet(now, map[string]Terms{"x": {Lookups: 100}})
+	s = s.Carry(now, map[string]Terms{"x": {Lookups: 100, Fleet: true}})
+	if _, why, _ := s.Of("x").Enter(now, "t", 1, 0); why != TooFast {
+		t.Error("let in before a lease")
+	}
+	s = s.Carry(now, map[string]Terms{"x": {Lookups: 100, Fleet: true, Bytes: 1000}})
+	s.Of("x").Lease(now, Lease{Now: Amounts{Lookups: 50, Bytes: 500}, Until: now.Add(time.Minute)})
+	s = s.Carry(now, map[string]Terms{"x": {Lookups: 200, Fleet: true}})
+	now = now.Add(100 * time.Millisecond)
+	if _, why, _ := s.Of("x").Enter(now, "t", 1, 0); why != Allowed {
+		t.Error("the lease is lost with a change of the limit", why)
+	}
+	s = s.Carry(now, map[string]Terms{"x": {Lookups: 10}})
+	if s.Of("x").Terms().Fleet {
+		t.Error("still the fleet's")
+	}
+}
--- a/route/pools/pools.go
+++ b/route/pools/pools.go
@@ -36,10 +36,11 @@
 	Open     int64   `json:"open,omitempty"`
 	Adaptive bool    `json:"adaptive,omitempty"`
 	Further  float64 `json:"further,omitempty"` // further sends, as a part of first ones; -1: none
+	Fleet    bool    `json:"fleet,omitempty"`   // lookups, bytes and open are of all gateways together
 }
 
 func (l Limits) terms() limit.Terms {
-	return limit.Terms{Lookups: l.Lookups, Bytes: l.Bytes, Open: int(l.Open), Adaptive: l.Adaptive, Further: l.Further}
+	return limit.Terms{Lookups: l.Lookups, Bytes: l.Bytes, Open: int(l.Open), Adaptive: l.Adaptive, Further: l.Further, Fleet: l.Fleet}
 }
 
 // Pool is caches by what they are. Of several conditions all must hold; names are in any case.
@@ -256,9 +257,22 @@
 	if l.Adaptive && l.Open == 0 {
 		bad(path+".limits.adaptive", "open is not told", "open is the ceiling of an adaptive limit")
 	}
+	if l.Fleet && (l.Adaptive || l.Lookups == 0 && l.Bytes == 0 && l.Open == 0) {
+		bad(path+".limits.fleet", "what of it is the fleet's is not told", "lookups_a_second, bytes_a_second or open, and not adaptive, which is of one gateway")
+	}
 	t.limits[name] = l.terms()
 }
 
+// Shared tells whether any limit is the fleet's.
+func (t *Table) Shared() bool {
+	for _, l := range t.limits {
+		if l.Fleet {
+			return true
+		}
+	}
+	return false
+}
+
 // Limits are the limits by name, for limit.Set.
 func (t *Table) Limits() map[string]limit.Terms { return t.limits }
 
--- a/route/steer/steer.go
+++ b/route/steer/steer.go
@@ -257,6 +257,27 @@
 	return p, limit.Allowed, 0
 }
 
+// Shared calls f for each limit of the fleet in force; f must not wait.
+func (s *Steer) Shared(f func(name string, t limit.Terms, u limit.Use)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits.Fleet(func(name string, l *limit.Limit) { f(name, l.Terms(), l.Use()) })
+}
+
+// Lease puts in force what this gateway may let in of the fleet's limits, by their names.
+func (s *Steer) Lease(leases map[string]limit.Lease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.g.Now()
+	shift := now.Sub(time.Now()) // the ground's clock may be off; leases are told in the machine's
+	for name, lease := range leases {
+		if l := s.limits.Of(name); l != nil {
+			lease.Until = lease.Until.Add(shift)
+			l.Lease(now, lease)
+		}
+	}
+}
+
 // Scope is what the module may choose from.
 func (p *Pass) Scope() *logic.Scope {
 	if p.Decided.Scope == nil {
--- a/service/fleet.go
+++ b/service/fleet.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net/netip"
+	"sync"
 
 	"github.com/hashicorp/memberlist"
 
 	"foldslip/clock"
 	"foldslip/config"
 	"foldslip/door/operator"
+	"foldslip/fleet/limits/post"
 	"foldslip/fleet/link"
 	"foldslip/fleet/membership"
 	"foldslip/route/steer"
@@ -18,12 +20,13 @@
 // and no decision asks it.
 type part struct {
 	fleet *membership.Fleet
+	post  *post.Post // nil: no limits to share
 	stop  chan struct{}
 	ended chan struct{}
 }
 
 // joining makes it; nil where the operators' settings name no fleet, as on the platform.
-func joining(g clock.Ground, own *config.Settings, name string) (*part, error) {
+func joining(g clock.Ground, own *config.Settings, name string, seed uint64, routes *steer.Steer) (*part, error) {
 	if own.Fleet == nil {
 		return nil, nil
 	}
@@ -62,27 +65,45 @@
 		}
 		parts.Shelf = shelf
 	}
-	fleet, err := membership.New(set, parts)
-	if err != nil {
+	p := &part{stop: make(chan struct{}), ended: make(chan struct{})}
+	if routes != nil {
+		p.post = post.New(name, routes, g.Log(), seed)
+		parts.Take = p.post.Take
+	}
+	var err error
+	if p.fleet, err = membership.New(set, parts); err != nil {
 		return nil, err
 	}
-	return &part{fleet, make(chan struct{}), make(chan struct{})}, nil
+	if p.post != nil {
+		p.post.Over(p.fleet)
+	}
+	return p, nil
 }
 
 // Run takes part until the gateway drains or its life ends.
 func (p *part) Run(life *clock.Life) error {
 	defer close(p.ended)
-	over := make(chan struct{})
-	defer life.OnEnd(func() { close(over) })()
 	stop := make(chan struct{})
+	end := sync.OnceFunc(func() { close(stop) })
+	defer life.OnEnd(end)()
 	go func() {
 		select {
 		case <-p.stop:
-		case <-over:
+			end()
+		case <-stop:
+		}
+	}()
+	done := make(chan struct{})
+	go func() {
+		if p.post != nil {
+			p.post.Run(stop)
 		}
-		close(stop)
+		close(done)
 	}()
-	return p.fleet.Run(stop)
+	err := p.fleet.Run(stop)
+	end()
+	<-done
+	return err
 }
 
 // Prepare has nothing that changes at SIGHUP: the seeds' file is read anew by itself, the rest counts from the next start.
@@ -96,30 +117,30 @@
 
 // operators opens the sockets that the settings name, one where both are the same.
 func operators(g clock.Ground, own *config.Settings, routes *steer.Steer, p *part) (doors []Door, err error) {
-	routing, of := "", ""
+	routing, fleet := "", ""
 	if routes != nil {
 		routing = own.Routing.Socket
 	}
-	var fleet *membership.Fleet
+	of := operator.Of{Routes: routes}
 	if p != nil {
-		fleet, of = p.fleet, own.Fleet.Socket
+		of.Fleet, of.Limits, fleet = p.fleet, p.post, own.Fleet.Socket
 	}
-	open := func(what, path string, routes *steer.Steer, fleet *membership.Fleet) {
+	open := func(what, path string, of operator.Of) {
 		if path == "" || err != nil {
 			return
 		}
 		var o *operator.Operator
-		if o, err = operator.Open(g, path, routes, fleet); err != nil {
+		if o, err = operator.Open(g, path, of); err != nil {
 			err = fmt.Errorf("%s.socket: %w", what, err)
 			return
 		}
 		doors = append(doors, o)
 	}
-	if routing == of {
-		open("routing", routing, routes, fleet)
+	if routing == fleet {
+		open("routing", routing, of)
 		return doors, err
 	}
-	open("routing", routing, routes, nil)
-	open("fleet", of, nil, fleet)
+	open("routing", routing, operator.Of{Routes: routes})
+	open("fleet", fleet, operator.Of{Fleet: of.Fleet, Limits: of.Limits})
 	return doors, err
 }
