Cold budgets follow the fleet: where it counts more gateways than were told, each takes less

Cause: the router's part of what a cold cache or parent bears is one of the gateways told at the start (balancers). Change: Router.Fleet, what a fleet that knows itself counts (the dead with it), 0 where nobody says; routers() is the larger of the two, seats of a location grow in proportion. It only makes a part smaller: no peer's word loosens a budget. The service tells it once a second where the settings name a fleet.

--- a/facade/facade.go
+++ b/facade/facade.go
@@ -69,7 +69,8 @@
 	g      clock.Ground
 	mu     sync.Mutex
 	router Module
-	queued int // sends decided and not yet picked
+	its    *logic.Router // the same, whoever stands between
+	queued int           // sends decided and not yet picked
 	began  time.Time
 	base   logic.Micros // the Unix clock at began; from there the clock that never runs backwards counts
 	open   map[string]*Lookup
@@ -100,7 +101,10 @@
 func Start(g clock.Ground, seed uint64, its *logic.Charter, between Between) *Facade {
 	f := &Facade{g: g, began: g.Now(), open: map[string]*Lookup{}}
 	f.base = f.began.UnixMicro()
-	start := func(h logic.Host) Module { return logic.Start(f.base, seed, its, h) }
+	start := func(h logic.Host) Module {
+		f.its = logic.Start(f.base, seed, its, h)
+		return f.its
+	}
 	if between == nil {
 		f.router = start((*host)(f))
 	} else {
@@ -303,6 +307,13 @@
 	return heard, out
 }
 
+// Fleet tells the router how many there are, as the fleet counts them.
+func (f *Facade) Fleet(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.its.Fleet = n
+}
+
 // Open counts the lookups without a final answer or with sends still out.
 func (f *Facade) Open() int {
 	f.mu.Lock()
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -442,12 +442,15 @@
 	}
 }
 
+// routers is how many there are: as told at the start, or more where a fleet that knows itself counts more.
+func (r *Router) routers() float64 { return float64(max(r.its.Gateways, r.Fleet, 1)) }
+
 // seats is how many routers share the location.
 func (r *Router) seats() float64 {
 	if r.its.Zone < len(r.its.Seats) {
-		return float64(max(r.its.Seats[r.its.Zone], 1))
+		return float64(max(r.its.Seats[r.its.Zone], 1)) * (r.routers() / float64(max(r.its.Gateways, 1)))
 	}
-	return float64(max(r.its.Gateways, 1))
+	return r.routers()
 }
 
 // turn is when the next may go where so many routers share a thing that the limit of each is under one.
@@ -783,7 +786,7 @@
 	}
 	carried, multiple, routers := r.edgeCarries, r.its.FallMultiple, r.seats()
 	if c.Kind == r.its.ParentKind {
-		carried, multiple, routers = r.parentCarries, r.its.ParentFall, float64(max(r.its.Gateways, 1))
+		carried, multiple, routers = r.parentCarries, r.its.ParentFall, r.routers()
 	}
 	part := 1 / routers
 	link := carried / part
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -502,6 +502,16 @@
 			t.Fatalf("%d sends", sent)
 		}
 	})
+	t.Run("where a fleet counts more routers than were told, each takes a part of as many; fewer change nothing", func(t *testing.T) {
+		seats := func(told, fleet int) float64 {
+			f, _ := play(t, func(c *Charter) { c.Seats, c.Gateways, c.Zone = []int{told / 2}, told, 0 })
+			f.r.Fleet = fleet
+			return f.r.seats()
+		}
+		if seats(12, 0) != 6 || seats(12, 12) != 6 || seats(12, 5) != 6 || seats(12, 24) != 12 {
+			t.Fatal(seats(12, 0), seats(12, 12), seats(12, 5), seats(12, 24))
+		}
+	})
 	t.Run("routers of one location raise fills by a part each, and cut them when late", func(t *testing.T) {
 		grown := map[int]float64{}
 		for _, seats := range []int{1, 4} {
--- a/logic/state.go
+++ b/logic/state.go
@@ -100,6 +100,7 @@
 type Router struct {
 	host           Host
 	its            *Charter
+	Fleet          int // routers there are, as a fleet that knows itself counts them; 0: nobody says
 	now            Micros
 	chance         mwc
 	caches         []*Cache // in hash order; edges are those of the own location
--- a/service/fleet.go
+++ b/service/fleet.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/memberlist"
 
 	"foldslip/clock"
 	"foldslip/config"
 	"foldslip/door/operator"
+	"foldslip/facade"
 	"foldslip/fleet/limits/post"
 	"foldslip/fleet/link"
 	"foldslip/fleet/membership"
@@ -19,14 +21,15 @@
 // part is this gateway's part in its fleet. Like a door it runs for the gateway's life and ends with the drain; it takes no lookups,
 // and no decision asks it.
 type part struct {
-	fleet *membership.Fleet
-	post  *post.Post // nil: no limits to share
-	stop  chan struct{}
-	ended chan struct{}
+	fleet  *membership.Fleet
+	post   *post.Post // nil: no limits to share
+	router *facade.Facade
+	stop   chan struct{}
+	ended  chan struct{}
 }
 
 // joining makes it; nil where the operators' settings name no fleet, as on the platform.
-func joining(g clock.Ground, own *config.Settings, name string, seed uint64, routes *steer.Steer) (*part, error) {
+func joining(g clock.Ground, own *config.Settings, name string, seed uint64, routes *steer.Steer, router *facade.Facade) (*part, error) {
 	if own.Fleet == nil {
 		return nil, nil
 	}
@@ -65,7 +68,7 @@
 		}
 		parts.Shelf = shelf
 	}
-	p := &part{stop: make(chan struct{}), ended: make(chan struct{})}
+	p := &part{router: router, stop: make(chan struct{}), ended: make(chan struct{})}
 	if routes != nil {
 		p.post = post.New(name, routes, g.Log(), seed)
 		parts.Take = p.post.Take
@@ -100,12 +103,27 @@
 		}
 		close(done)
 	}()
+	go p.count(stop)
 	err := p.fleet.Run(stop)
 	end()
 	<-done
 	return err
 }
 
+// count tells the router how many gateways share the caches, where the fleet counts more than it was told.
+func (p *part) count(stop chan struct{}) {
+	every := time.NewTicker(time.Second)
+	defer every.Stop()
+	for {
+		select {
+		case <-every.C:
+			p.router.Fleet(p.fleet.State().Fleet)
+		case <-stop:
+			return
+		}
+	}
+}
+
 // Prepare has nothing that changes at SIGHUP: the seeds' file is read anew by itself, the rest counts from the next start.
 func (p *part) Prepare(*config.Settings) (func(), error) { return func() {}, nil }
 
