Purges of the bulletin spread among gateways, so that a deaf one heeds them within a second

Change: fleet/verdict (pure) joins purges by the bulletin's numbers: a hello tells the highest known, who has later ones answers with them (pull anti-entropy). What a peer said only makes a gateway stricter, and the own bulletin is never taken back for it. Carried by fleet/post (was fleet/limits/post). Setting fleet.purges, off by default. The rig puts the relay before the bulletin too, and has a step purge with a bound.

--- a/config/fleet.go
+++ b/config/fleet.go
@@ -19,6 +19,7 @@
 	Folder    string   `json:"folder,omitempty"`    // of this gateway alone; none: who was known ends with the process
 	Socket    string   `json:"socket,omitempty"`    // where operators of this machine call
 	Members   int64    `json:"members"`             // held at most, this one included
+	Purges    bool     `json:"purges,omitempty"`    // purges that other gateways heard first are heeded
 	Expect    int64    `json:"expect,omitempty"`    // gateways there are, if the operators know; for telling a minority
 	Probe     int64    `json:"probe_ms"`
 	Timeout   int64    `json:"probe_timeout_ms"`
--- a/door/operator/operator.go
+++ b/door/operator/operator.go
@@ -20,8 +20,8 @@
 	"foldslip/config"
 	"foldslip/config/change"
 	"foldslip/fleet/limits"
-	"foldslip/fleet/limits/post"
 	"foldslip/fleet/membership"
+	"foldslip/fleet/post"
 	"foldslip/route/pools"
 	"foldslip/route/steer"
 )
--- a/fleet/limits/book.go
+++ b/fleet/limits/book.go
@@ -1,6 +1,6 @@
 // Package limits holds limits for the fleet as a whole: what all gateways together may let in. It is pure: what the view says of the
 // fleet, what lookups wanted, asks and loans of peers and whole microseconds go in; what this gateway may let in, and what to ask of
-// whom, come out. Package fleet/limits/post carries it.
+// whom, come out. Package fleet/post carries it.
 //
 // The rule is escrow, as bounded counters have it (O'Neil, The Escrow Transactional Method, ACM TODS 1986; Balegas and others,
 // Extending Eventually Consistent Cloud Databases for Enforcing Numeric Invariants, SRDS 2015): the right to let in is split, moved, and
--- a/fleet/limits/post/post.go
+++ b/fleet/post/post.go
@@ -1,5 +1,6 @@
-// Package post carries the fleet's limits (package fleet/limits, which decides) between gateways: what lookups here wanted goes in, asks
-// and loans go over the fleet's datagrams, and leases are put in force where lookups are let in (route/steer, package limit).
+// Package post carries what gateways of a fleet tell each other beside the view: limits (package fleet/limits, which decides: what
+// lookups here wanted goes in, asks and loans go over the fleet's datagrams, leases are put in force where lookups are let in) and purges
+// (package fleet/verdict: what the own bulletin told goes in, and what peers heard before it is heeded here).
 //
 // One goroutine (Run) does all of it; Take only queues. Bounds: mostQueued frames that wait, past them they are dropped and counted, which
 // costs a loan's time and never more than the limit. It lives as long as the gateway.
@@ -16,6 +17,7 @@
 
 	"foldslip/fleet/limits"
 	"foldslip/fleet/membership"
+	"foldslip/fleet/verdict"
 	"foldslip/limit"
 )
 
@@ -28,6 +30,9 @@
 // Usual are the settings of all gateways.
 var Usual = limits.Settings{Loan: 4_000_000, Lend: 0.8, Turn: 250_000, Wait: 15_000_000}
 
+// Purges are the settings of the purges' book.
+var Purges = verdict.Settings{Turn: 500_000, Keep: 60_000_000}
+
 // Fleet is the part of membership that it needs.
 type Fleet interface {
 	Send(to string, b []byte) error
@@ -60,6 +65,10 @@
 	names map[uint64]string // of limits, by key
 	peers map[uint64]string // of gateways
 	ripe  bool
+
+	purges *verdict.Book
+	heed   func([]verdict.Purge) // nil: purges are not shared
+	due    []verdict.Purge       // to be heeded
 }
 
 // seen is what was counted of a limit at the turn before.
@@ -71,15 +80,23 @@
 	open           float64
 }
 
-// New makes a gateway's; fleet may be set later, before Run.
-func New(self string, doors Doors, log *slog.Logger, seed uint64) *Post {
+// New makes a gateway's. doors is nil where no limit can be shared, heed where purges of peers are not to be heeded.
+func New(self string, doors Doors, heed func([]verdict.Purge), log *slog.Logger, seed uint64) *Post {
 	p := &Post{self: self, doors: doors, log: log, began: time.Now(), bell: make(chan struct{}, 1), seen: map[string]*seen{},
 		names: map[uint64]string{}, peers: map[uint64]string{}}
+	p.heed, p.purges = heed, verdict.New(Purges, rand.New(rand.NewPCG(seed, 0x707572676573)), p.now())
 	p.book = limits.New(Usual, rand.New(rand.NewPCG(seed, 0x6c696d697473)), p.now())
 	return p
 }
 
-// Over sets the fleet that it goes over.
+// Told takes an event of the own bulletin: its number, and its purges.
+func (p *Post) Told(last int64, purges []verdict.Purge) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.purges.Own(last, purges, p.now())
+}
+
+// Over sets the fleet that it goes over, before Run.
 func (p *Post) Over(f Fleet) { p.fleet = f }
 
 func (p *Post) now() int64 { return time.Since(p.began).Microseconds() + 1 }
@@ -87,7 +104,7 @@
 // Take takes a datagram of a peer; the bytes are the caller's.
 func (p *Post) Take(b []byte) {
 	p.mu.Lock()
-	if len(p.in) >= mostQueued {
+	if len(p.in) >= mostQueued || len(b) == 0 {
 		p.lost++
 	} else {
 		p.in = append(p.in, slices.Clone(b))
@@ -112,7 +129,10 @@
 		case <-every.C:
 			p.send(p.step())
 		}
-		p.lease()
+		if p.doors != nil {
+			p.lease()
+		}
+		p.heeds()
 	}
 }
 
@@ -135,6 +155,10 @@
 	p.in = nil
 	now := p.now()
 	for _, b := range in {
+		if b[0] == verdict.Kind {
+			out = append(out, p.purge(b, now)...)
+			continue
+		}
 		f, err := limits.ReadFrame(b)
 		from := p.peers[f.From]
 		if err != nil || from == "" {
@@ -157,6 +181,38 @@
 	return out
 }
 
+// purge takes a frame of purges, and answers a hello.
+func (p *Post) purge(b []byte, now int64) []letter {
+	f, err := verdict.ReadFrame(b)
+	from := p.peers[f.From]
+	if err != nil || from == "" || p.heed == nil {
+		p.lost++
+		return nil
+	}
+	p.due = append(p.due, p.purges.Take(f.Purges, now)...)
+	if f.Answer {
+		return nil
+	}
+	if more := p.purges.Answer(f.Seen); len(more) > 0 {
+		return []letter{{from, verdict.Frame{From: limits.Key(p.self), Answer: true, Seen: p.purges.Hello(), Purges: more}.Append(nil)}}
+	}
+	return nil
+}
+
+// heeds brings what peers heard first to where it counts.
+func (p *Post) heeds() {
+	p.mu.Lock()
+	due := p.due
+	p.due = nil
+	p.mu.Unlock()
+	for _, one := range due {
+		p.log.Info("fleet_purge", "no", one.No, "object", one.Object, "group", one.Group, "issued_ms", one.Issued)
+	}
+	if len(due) > 0 {
+		p.heed(due)
+	}
+}
+
 // step is one turn: what was wanted, what the view says, what to ask for.
 func (p *Post) step() (out []letter) {
 	state, live := p.fleet.State(), p.fleet.Live()
@@ -168,6 +224,14 @@
 	for _, name := range peers {
 		p.peers[limits.Key(name)] = name
 	}
+	if p.heed != nil {
+		for _, to := range p.purges.Hellos(peers, now) {
+			out = append(out, letter{to, verdict.Frame{From: limits.Key(p.self), Seen: p.purges.Hello()}.Append(nil)})
+		}
+	}
+	if p.doors == nil {
+		return out
+	}
 	p.book.See(limits.Standing{Fleet: state.Fleet, Dead: state.Fleet - state.Live, Rank: state.Rank, Settled: state.Settled}, now)
 	all := map[string]limits.Limit{}
 	clear(p.names)
--- a/fleet/limits/post/post_test.go
+++ b/fleet/post/post_test.go
@@ -10,6 +10,7 @@
 
 	"foldslip/fleet/limits"
 	"foldslip/fleet/membership"
+	"foldslip/fleet/verdict"
 	"foldslip/limit"
 )
 
@@ -94,7 +95,7 @@
 		for i := range n {
 			name := fmt.Sprintf("n%d", i)
 			d := &door{set: limit.NewSet(time.Now(), map[string]limit.Terms{"tenant x": terms})}
-			p := New(name, d, slog.New(slog.DiscardHandler), uint64(i))
+			p := New(name, d, nil, slog.New(slog.DiscardHandler), uint64(i))
 			p.Over(end{w, name})
 			doors, w.all[name] = append(doors, d), p
 		}
@@ -176,3 +177,42 @@
 		}
 	})
 }
+
+func TestAPurgeOfOneBulletinIsHeededByAllOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &wire{all: map[string]*Post{}, cut: map[string]bool{}}
+		stop := make(chan struct{})
+		var mu sync.Mutex
+		heeded := map[string]int{}
+		var wait sync.WaitGroup
+		for i := range 8 {
+			name := fmt.Sprintf("n%d", i)
+			p := New(name, nil, func(some []verdict.Purge) {
+				mu.Lock()
+				defer mu.Unlock()
+				heeded[name] += len(some)
+			}, slog.New(slog.DiscardHandler), uint64(i))
+			p.Over(end{w, name})
+			p.Told(4, nil)
+			w.all[name] = p
+		}
+		for _, p := range w.all {
+			wait.Add(1)
+			go func() { defer wait.Done(); p.Run(stop) }()
+		}
+		time.Sleep(time.Second)
+		w.all["n3"].Told(5, []verdict.Purge{{No: 5, Object: "x", Issued: 1e12}})
+		time.Sleep(5 * time.Second)
+		for _, p := range w.all { // the bulletins catch up
+			p.Told(5, []verdict.Purge{{No: 5, Object: "x", Issued: 1e12}})
+		}
+		time.Sleep(2 * time.Second)
+		mu.Lock()
+		if len(heeded) != 7 || heeded["n3"] != 0 || heeded["n0"] != 1 {
+			t.Error(heeded)
+		}
+		mu.Unlock()
+		close(stop)
+		wait.Wait()
+	})
+}
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -35,6 +35,7 @@
 	env       []string
 	args      []string
 	clients   string // where clients connect
+	bulletin  string // where it hears the bulletin
 	rig       *Rig
 
 	mu      sync.Mutex // guards what follows; the rig reads it while the log is read
--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -39,6 +39,8 @@
 	Told     bool   `json:"told"`      // and each gateway said that it had settled, on the same set
 	ToldMS   int64  `json:"told_ms"`
 	BoundMS  int64  `json:"bound_ms,omitempty"`
+	Heeded   int    `json:"heeded,omitempty"`    // gateways that heard a purge of peers first
+	HeededMS int64  `json:"heeded_ms,omitempty"` // until the last of them had
 }
 
 // Traffic is of one gateway, mean over gateways, each second.
@@ -72,8 +74,19 @@
 		out := StepReport{AtMS: (from - r.marks[0].at).Milliseconds(), Do: st.Do, Awaited: st.Settle != "none", BoundMS: st.BoundMS}
 		out.Agreed, out.AgreedMS = lastTurn(r.states, from, to, func(m moment) bool { return m.agree })
 		out.Told, out.ToldMS = lastTurn(r.states, from, to, func(m moment) bool { return m.told })
+		if st.Do == "purge" {
+			for _, e := range r.events {
+				if at := time.Duration(e.AtMS) * time.Millisecond; e.State == "purge" && at >= from && at < to {
+					out.Heeded, out.HeededMS = out.Heeded+1, e.AtMS-from.Milliseconds()
+				}
+			}
+			if out.Heeded < int(st.Least) || st.BoundMS > 0 && out.HeededMS > st.BoundMS {
+				rep.Wrong = append(rep.Wrong, fmt.Sprintf("step %d (purge): %d gateways heard it of peers, the last after %d ms; at least %d within %d ms", i,
+					out.Heeded, out.HeededMS, st.Least, st.BoundMS))
+			}
+		}
 		rep.Steps = append(rep.Steps, out)
-		if !out.Awaited {
+		if !out.Awaited || st.Do == "purge" {
 			continue
 		}
 		switch {
--- a/lab/fleet/rig.go
+++ b/lab/fleet/rig.go
@@ -163,6 +163,11 @@
 			}
 			its[j].HostPort = front.String()
 		}
+		front := r.addr(9, i+10, frontPort)
+		if err := r.relay.Front(name, Bulletin, front, netip.MustParseAddrPort(r.bulletin.Addr)); err != nil {
+			return err
+		}
+		p.bulletin = front.String()
 		if err := r.settings(p, i, its, seeds, own, door); err != nil {
 			return err
 		}
@@ -193,7 +198,7 @@
 		return err
 	}
 	config := map[string]any{"name": p.name, "listen": p.clients, "seed": fmt.Sprintf("%x", r.o.Seed*1000+uint64(i)+1),
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "bulletin": r.bulletin.Addr,
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "bulletin": p.bulletin,
 		"known":    map[string]any{"no": 1, "items": []any{json.RawMessage(`{"no":1,` + standin.Roster(true, caches...)[1:])}},
 		"settings": json.RawMessage(gatewaySettings)}
 	if text, err = json.Marshal(config); err != nil {
@@ -276,6 +281,8 @@
 		r.links.Split(r.cast.Groups(st))
 	case "heal":
 		r.links.Heal()
+	case "purge":
+		r.bulletin.Tell(fmt.Sprintf(`{"recall":{"item":"%016x","issued":%d}}`, r.now().Milliseconds(), time.Now().UnixMilli()))
 	case "link":
 		r.links.Set(r.cast.names(st.From), r.cast.names(st.To), st.Fault())
 	}
@@ -398,6 +405,14 @@
 // heard takes a line of a gateway's log.
 func (r *Rig) heard(on string, f map[string]string, at time.Time) {
 	defer r.looked()
+	if f["event"] == "fleet_purge" {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if len(r.events) < mostEvents {
+			r.events = append(r.events, Event{AtMS: at.Sub(r.began).Milliseconds(), On: on, Name: f["object"], State: "purge"})
+		}
+		return
+	}
 	if f["event"] != "fleet_member" {
 		return
 	}
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -61,7 +61,7 @@
 // Step is one thing done to the fleet.
 type Step struct {
 	AtMS    int64      `json:"at_ms"` // after the fleet was ready
-	Do      string     `json:"do"`    // kill, stop, start, pause, resume, split, heal, link, mark
+	Do      string     `json:"do"`    // kill, stop, start, pause, resume, split, heal, link, purge, mark
 	Who     []string   `json:"who,omitempty"`
 	Pick    int64      `json:"pick,omitempty"` // that many running ones by chance, in place of who
 	As      string     `json:"as,omitempty"`   // a name for whom was picked; a later step's who says @name
@@ -79,10 +79,14 @@
 	RateKB  int64      `json:"rate_kb,omitempty"`
 	Settle  string     `json:"settle,omitempty"` // what is waited for until the next step: sides (usual), none
 	BoundMS int64      `json:"bound_ms,omitempty"`
+	Least   int64      `json:"least,omitempty"`  // gateways that must hear a purge of peers
 	Repeat  int64      `json:"repeat,omitempty"` // the step and those after it up to the next with every, so often
 	EveryMS int64      `json:"every_ms,omitempty"`
 }
 
+// Bulletin is the name of the bulletin in links; gateways hear it by links of their own.
+const Bulletin = "bulletin"
+
 //go:embed scenarios/*.jsonnet
 var hard embed.FS
 
@@ -154,14 +158,14 @@
 			return bad(at+".at_ms", fmt.Sprintf("is %d, before the step before it", st.AtMS), "steps stand in order")
 		}
 		last = st.AtMS
-		if !slices.Contains([]string{"kill", "stop", "start", "pause", "resume", "split", "heal", "link", "mark"}, st.Do) {
-			return bad(at+".do", fmt.Sprintf("%q", st.Do), "expected kill, stop, start, pause, resume, split, heal, link or mark")
+		if !slices.Contains([]string{"kill", "stop", "start", "pause", "resume", "split", "heal", "link", "purge", "mark"}, st.Do) {
+			return bad(at+".do", fmt.Sprintf("%q", st.Do), "expected kill, stop, start, pause, resume, split, heal, link, purge or mark")
 		}
 		if st.Settle != "" && st.Settle != "sides" && st.Settle != "none" {
 			return bad(at+".settle", fmt.Sprintf("%q", st.Settle), "expected sides or none")
 		}
 		for _, who := range slices.Concat(st.Who, st.From, st.To, slices.Concat(st.Groups...), s.Load.Through) {
-			if name, ok := strings.CutPrefix(who, "@"); ok && !picked[name] || !ok && who != "*" && !slices.Contains(s.names(), who) {
+			if name, ok := strings.CutPrefix(who, "@"); ok && !picked[name] || !ok && who != "*" && who != Bulletin && !slices.Contains(s.names(), who) {
 				return bad(at, fmt.Sprintf("%q is nobody", who), "expected n1 to n"+fmt.Sprint(s.Gateways)+", * or @ and what a step before has as")
 			}
 		}
--- a/service/fleet.go
+++ b/service/fleet.go
@@ -12,10 +12,12 @@
 	"foldslip/config"
 	"foldslip/door/operator"
 	"foldslip/facade"
-	"foldslip/fleet/limits/post"
 	"foldslip/fleet/link"
 	"foldslip/fleet/membership"
+	"foldslip/fleet/post"
+	"foldslip/fleet/verdict"
 	"foldslip/route/steer"
+	"foldslip/wire"
 )
 
 // part is this gateway's part in its fleet. Like a door it runs for the gateway's life and ends with the drain; it takes no lookups,
@@ -29,7 +31,8 @@
 }
 
 // joining makes it; nil where the operators' settings name no fleet, as on the platform.
-func joining(g clock.Ground, own *config.Settings, name string, seed uint64, routes *steer.Steer, router *facade.Facade) (*part, error) {
+func joining(g clock.Ground, own *config.Settings, name string, seed uint64, routes *steer.Steer, router *facade.Facade,
+	bulletin *wire.Bulletin) (*part, error) {
 	if own.Fleet == nil {
 		return nil, nil
 	}
@@ -69,10 +72,36 @@
 		parts.Shelf = shelf
 	}
 	p := &part{router: router, stop: make(chan struct{}), ended: make(chan struct{})}
+	var doors post.Doors
 	if routes != nil {
-		p.post = post.New(name, routes, g.Log(), seed)
+		doors = routes
+	}
+	var heed func([]verdict.Purge)
+	if c.Purges {
+		heed = func(some []verdict.Purge) {
+			var purges []facade.Purge
+			for _, v := range some {
+				issued := time.UnixMilli(v.Issued)
+				bulletin.Purges.Note(v.Object, int(v.Group), issued)
+				purges = append(purges, facade.Purge{Object: v.Object, Group: int(v.Group), Issued: issued})
+			}
+			router.Tick(nil, false, purges)
+		}
+	}
+	if doors != nil || heed != nil {
+		p.post = post.New(name, doors, heed, g.Log(), seed)
 		parts.Take = p.post.Take
 	}
+	if heed != nil {
+		bulletin.Event = func(no int64, purges []facade.Purge) {
+			var told []verdict.Purge
+			for _, v := range purges {
+				told = append(told, verdict.Purge{No: no, Object: v.Object, Group: int64(v.Group), Issued: v.Issued.UnixMilli()})
+			}
+			p.post.Told(no, told)
+		}
+		p.post.Told(bulletin.Last, nil)
+	}
 	var err error
 	if p.fleet, err = membership.New(set, parts); err != nil {
 		return nil, err
--- a/service/service.go
+++ b/service/service.go
@@ -262,7 +262,7 @@
 			return err
 		}
 	}
-	fleet, err := joining(g, own, s.Name, seed, routes, router)
+	fleet, err := joining(g, own, s.Name, seed, routes, router, bulletin)
 	if err != nil {
 		return err
 	}
--- a/wire/bulletin.go
+++ b/wire/bulletin.go
@@ -40,6 +40,8 @@
 	Members *member.Members
 	// Heard, if set, is told of each event before the router is; it must not wait.
 	Heard func(c roster.Change)
+	// Event, if set, is told the number of each event and its purges once they count; it must not wait.
+	Event func(no int64, purges []facade.Purge)
 	// Listed, if set, is called once a whole list has been told.
 	Listed func()
 	// Spread, if set, draws a pause by chance up to the one given.
@@ -212,6 +214,9 @@
 		b.Caches.Forget(id)
 	}
 	b.Last = *e.No
+	if b.Event != nil {
+		b.Event(b.Last, purges)
+	}
 	if b.Members != nil {
 		b.Members.Told(b.change(&e))
 	}
