--- a/fleet/post/post_test.go
+++ b/fleet/post/post_test.go
@@ -172,9 +172,11 @@
 		for range 3 * mostQueued {
 			p.Take([]byte{limits.Kind})
 		}
+		p.mu.Lock()
 		if len(p.in) > mostQueued {
 			t.Error("the queue grows")
 		}
+		p.mu.Unlock()
 	})
 }
 
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -335,3 +335,21 @@
 		t.Error("still the fleet's")
 	}
 }
+
+// What a limit's check costs a lookup, of one gateway and of the fleet.
+func BenchmarkEnter(b *testing.B) {
+	for name, fleet := range map[string]bool{"own": false, "fleet": true} {
+		b.Run(name, func(b *testing.B) {
+			now := time.Unix(100, 0)
+			l := New(now, "x", Terms{Lookups: 1e6, Open: 1000, Fleet: fleet})
+			l.Lease(now, Lease{Now: Amounts{Lookups: 1e6, Open: 1000}, Until: now.Add(time.Hour)})
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(2 * time.Microsecond)
+				if t, _, _ := l.Enter(now, "t", 1, 0); t != nil {
+					t.Leave(now, true, false)
+				}
+			}
+		})
+	}
+}
