A gateway whose suspicion words cleared is asked to speak up; late wrong deaths after a bridge

Ruled out: the links (healed, both ways open), agreement (told in 1 s once the views agree). Change: view.Doubts names those whose suspicion was cleared by words and not by the detector; they are asked three times to say anew that they live, which raises their incarnation; however many ask, they do so once in 2 s.

--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -46,6 +46,11 @@
 	wordsEvery   = 180 * time.Millisecond
 	restless     = 3 * time.Second // words ride on gossip for so long after a change, or until the view has settled
 	mostRestless = 30 * time.Second
+
+	// speakUp is the datagram that asks a gateway to say anew that it is alive: the detector's incarnation rises, and all who still hold
+	// an old suspicion drop it. However many ask, it says so once in speakEvery.
+	speakUp    = 4
+	speakEvery = 2 * time.Second
 )
 
 // Settings are what a gateway is told of its fleet. Times of the detector are those of the SWIM paper's protocol period.
@@ -92,6 +97,8 @@
 	claimBy  uint64 // its stamp
 	calling  bool
 	spoke    int64 // when words last rode on gossip
+	wanted   bool  // somebody asked this gateway to speak up
+	uttered  int64 // when it last did
 	seen     recover.Sight
 	seenAt   uint64 // the view's version that it is of
 	counts   Counts
@@ -327,7 +334,19 @@
 		f.say(slog.LevelInfo, "fleet_settled", "live", f.view.Count(), "seen", seen, "fleet", fleet, "minority", f.view.Minority(),
 			"digest", fmt.Sprintf("%08x", f.view.Digest()), "version", f.view.Version(), "took_ms", took/1000)
 	}
+	doubts := f.view.Doubts(now)
+	speak := f.wanted && !f.leaving && f.list != nil && now-f.uttered >= us(speakEvery)
+	if speak {
+		f.wanted, f.uttered = false, now
+	}
+	list := f.list
 	f.mu.Unlock()
+	for _, name := range doubts {
+		f.Send(name, []byte{speakUp})
+	}
+	if speak {
+		go list.UpdateNode(callIn)
+	}
 	f.claims(now)
 	f.calls(now)
 	f.keep(now)
@@ -523,6 +542,12 @@
 
 // NotifyMsg takes words that rode on gossip, and what another part of a peer sent to this one's; memberlist's Delegate.
 func (f *Fleet) NotifyMsg(b []byte) {
+	if len(b) == 1 && b[0] == speakUp {
+		f.mu.Lock()
+		f.wanted = true
+		f.mu.Unlock()
+		return
+	}
 	if len(b) > 0 && b[0] != view.Form {
 		if f.parts.Take != nil {
 			f.parts.Take(b)
--- a/fleet/view/view.go
+++ b/fleet/view/view.go
@@ -83,6 +83,8 @@
 	Restarts int    `json:"restarts"`  // new stamps seen under the name
 	Deaths   int    `json:"deaths"`
 	Wrong    int    `json:"wrong"` // deaths after which the same process came back
+	doubt    int64  // when words cleared a suspicion that the detector may still hold; 0: none
+	asked    int    // times it was asked to speak up since
 	said     []Said
 }
 
@@ -108,7 +110,10 @@
 	Evident int64 // words older than this are not passed on
 }
 
-const lastSaid = 16 // words kept a member
+const (
+	lastSaid = 16 // words kept a member
+	mostAsks = 3
+)
 
 // View is one gateway's view. Use New.
 type View struct {
@@ -284,7 +289,7 @@
 	was := m.State
 	newer := m.Stamp != id.Stamp
 	m.ID = id
-	m.Heard, m.By, m.Accused = max(m.Heard, now), by, 0
+	m.Heard, m.By, m.Accused, m.doubt = max(m.Heard, now), by, 0, 0
 	if was.Live() && newer { // the live set has another process in it, though the name was in it before
 		v.mark(now)
 	}
@@ -332,6 +337,7 @@
 	}
 	m.Heard, m.By = min(at, now), by
 	if m.State == Suspect && at > m.Accused {
+		m.doubt, m.asked = now, 0
 		return []Change{v.turnTo(m, Alive, by, "heard", now)}
 	}
 	if !m.State.Live() && by != v.self {
@@ -341,6 +347,25 @@
 	return nil
 }
 
+// Doubts are live members that are to be asked to speak up now: words cleared a suspicion of them here, and the detector, which heeds
+// no words, may still hold it (it missed their refutation) and take them for dead when it runs out, up to half a minute later. Each is
+// asked mostAsks times, each time after twice as long.
+func (v *View) Doubts(now int64) (names []string) {
+	for name, m := range v.members {
+		if m.doubt == 0 || now-m.doubt < v.set.Settle<<m.asked {
+			continue
+		}
+		if m.asked++; m.asked == mostAsks || !m.State.Live() {
+			m.doubt = 0
+		}
+		if m.State.Live() {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Accuse takes the word that a probe by somebody of a member failed at a time.
 func (v *View) Accuse(name, by string, at, now int64) []Change {
 	m := v.members[name]
--- a/fleet/view/view_test.go
+++ b/fleet/view/view_test.go
@@ -42,6 +42,27 @@
 	state(t, v, "b", Alive)
 }
 
+func TestWhoWasClearedByWordsIsAskedToSpeakUp(t *testing.T) {
+	v := of("b", "c")
+	v.Accuse("b", "c", 5*second, 5*second)
+	v.Heard("b", "c", 6*second, 6*second)
+	asked := 0
+	for now := 6 * second; now < 60*second; now += second / 2 {
+		asked += len(v.Doubts(now))
+	}
+	if asked != mostAsks {
+		t.Errorf("asked %d times", asked)
+	}
+	v.Accuse("b", "c", 70*second, 70*second)
+	v.Heard("b", "c", 71*second, 71*second)
+	again := id("b")
+	again.Stamp = 2
+	v.Update(again, 71*second) // the detector itself heard of it
+	if d := v.Doubts(90 * second); len(d) > 0 {
+		t.Error(d)
+	}
+}
+
 func TestWordsNeitherKillNorBringBack(t *testing.T) {
 	v := of("b", "c")
 	v.Gone("b", false, 2*second)
