--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -275,7 +275,10 @@
 // end leaves and stops. The word that this gateway goes rides on its meta first: the detector tells its peers that it is gone, but
 // not to whom it listens whether it was by its own will.
 func (f *Fleet) end() {
-	if f.list == nil {
+	if f.parts.Shelf != nil {
+		defer f.parts.Shelf.Close()
+	}
+	if f.list == nil { // it gave way to another of its name
 		return
 	}
 	f.mu.Lock()
@@ -292,9 +295,6 @@
 	f.mu.Unlock()
 	f.list.Shutdown()
 	f.list = nil
-	if f.parts.Shelf != nil {
-		f.parts.Shelf.Close()
-	}
 	f.parts.Log.Info("fleet_left", "name", f.id.Name)
 }
 
