--- a/lab/fleet/virtual.go
+++ b/lab/fleet/virtual.go
@@ -173,6 +173,9 @@
 func (p *port) Shutdown() error {
 	p.mu.Lock()
 	p.over = true
+	for len(p.streams) > 0 { // nobody takes them any more
+		(<-p.streams).Close()
+	}
 	p.mu.Unlock()
 	p.net.mu.Lock()
 	defer p.net.mu.Unlock()
@@ -394,4 +397,5 @@
 			<-g.ended
 		}
 	}
+	time.Sleep(time.Minute) // streams to who was killed run into their deadlines: nothing may be left when the story ends
 }
