What is still owed when something ends: waiting sends, requests in sockets, drains

Cause, found by reading every path that ends something against PROTOCOL, each shown by a story that fails without its mend: - wire/links.go cancel did nothing where the settings allow no cancelling, so a send whose connection was late to come up went out after its client had left; facade.Next handed out sends decided before their lookup ended; neither looked at what the list had told since the decision (rule 3 counts from the first byte). Now facade.May is asked in Next and at the first byte (links.next), and what was never begun is withdrawn under any settings and reported as never sent. The line is made when it is written, so w tells what is left by then. After an end o.flights was walked by index and not by number: a send was not undone where an earlier one had found no cache. - An answer older than a purge was reported as never sent though it had run: a side-effecting lookup went out again (rule 2; 6 times in a story, also at the door for other proxies). It counts as no answer in time. - wire/front.go: with a next request read, nobody saw the client go; Drain, rest and displace closed connections with a request read or in the socket; the listener closed with connections in its backlog. Stop lets the module say nack or failed (logic.GiveUp). acceptOn 0.70 s (0.65): what comes to 0.7 s is owed.

--- a/door/door.go
+++ b/door/door.go
@@ -395,7 +395,8 @@
 }
 
 // report takes the headers of a response. What is no use to the lookup counts for the module as at the users' door: an
-// answer older than a purge that was told past its grace as never sent, word of another copy than the client's as an error.
+// answer older than a purge that was told past its grace as none in time, since it has run, word of another copy than the client's as
+// an error.
 func (d *Door) report(st *stream, m Message) {
 	r := readReport(m.Get)
 	d.mu.Lock()
@@ -411,12 +412,12 @@
 			case issued.IsZero():
 			case r.born.IsZero():
 				d.odd["birth_untold"]++ // with a purge about, an answer of no known age is not passed on
-				r.how, r.remark = logic.NeverSent, logic.Untold
+				r.how, r.remark = logic.TimedOut, logic.Untold
 			case r.born.Before(issued):
 				now := d.g.Now()
 				d.g.Log().Warn("outdated_copy", "caller", st.caller.name, "older_ms", issued.Sub(r.born).Milliseconds(), "told_ms_ago",
 					now.Sub(told).Milliseconds())
-				r.how, r.remark = logic.NeverSent, logic.Untold
+				r.how, r.remark = logic.TimedOut, logic.Untold
 			}
 		}
 	}
--- a/facade/facade.go
+++ b/facade/facade.go
@@ -86,6 +86,7 @@
 	Ended(now logic.Micros, lk *logic.Lookup, n int, e logic.Ending, remark logic.Remark, took, waited logic.Micros,
 		closed bool)
 	Departed(now logic.Micros, lk *logic.Lookup)
+	GiveUp(now logic.Micros, lk *logic.Lookup)
 	Purged(now logic.Micros, name string, group int, ago logic.Micros)
 	Woken(now logic.Micros, token int64)
 	Within(s *logic.Scope)
@@ -170,18 +171,35 @@
 	}
 }
 
-// Next is a lookup's next step if there is one now.
+// Next is a lookup's next step if there is one now. A send that may not go out any more is none: it ends here, as never sent.
 func (f *Facade) Next(l *Lookup) (s Step, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(l.steps) == 0 {
-		return s, false
-	}
-	s = l.steps[0]
-	if l.steps = l.steps[1:]; s.What == Send {
-		f.queued--
+	for len(l.steps) > 0 {
+		s = l.steps[0]
+		if l.steps = l.steps[1:]; s.What != Send {
+			return s, true
+		}
+		if f.queued--; f.may(l, s) {
+			return s, true
+		}
+		f.ended(l, s.N, logic.NeverSent, logic.Untold, 0)
 	}
-	return s, true
+	return Step{}, false
+}
+
+// May tells whether a send that was decided some time ago may begin to go out now; if not, it is to be reported as never sent.
+func (f *Facade) May(l *Lookup, s Step) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.may(l, s)
+}
+
+// may guards the time between a decision and its first byte, in which a send waits for its lookup's goroutine, for its connection to
+// come up or behind what a cache does not take. Meanwhile the lookup may have ended or its client left, its time may be over, and
+// the list may have told that the cache or its source drains or is gone (rule 3 counts a send from its first byte).
+func (f *Facade) may(l *Lookup, s Step) bool {
+	return !l.over && f.g.Now().Before(l.Deadline) && s.To.State == logic.Ready && s.Source.State == logic.Ready
 }
 
 // LateBy is past a lookup's deadline: one that nothing has ended by then is to be failed, as Pick does by itself.
@@ -194,6 +212,11 @@
 func (f *Facade) Report(l *Lookup, n int, how logic.Ending, remark logic.Remark, waited logic.Micros) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.ended(l, n, how, remark, waited)
+}
+
+// ended takes a send's ending, under the lock.
+func (f *Facade) ended(l *Lookup, n int, how logic.Ending, remark logic.Remark, waited logic.Micros) bool {
 	now, used := f.now(), how == logic.Satisfied && !l.over
 	if l.out--; used {
 		l.end(Step{What: Satisfied, N: n})
@@ -222,7 +245,8 @@
 	}
 }
 
-// Stop fails every lookup still open; the gateway is about to be killed.
+// Stop has the router give up every lookup still open; the gateway is about to be killed. A lookup that may have had its effect
+// fails, any other is nacked.
 func (f *Facade) Stop() {
 	f.mu.Lock()
 	open := make([]*Lookup, 0, len(f.open))
@@ -231,7 +255,17 @@
 	}
 	f.mu.Unlock()
 	for _, l := range open {
-		f.close(l, Failed)
+		f.giveUp(l)
+		f.close(l, Failed) // only after a fault of the module
+	}
+}
+
+func (f *Facade) giveUp(l *Lookup) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !l.over {
+		defer f.guard()
+		f.router.GiveUp(f.now(), l.its)
 	}
 }
 
--- a/lab/day/plant.go
+++ b/lab/day/plant.go
@@ -53,6 +53,10 @@
 	return c, err
 }
 
+func (t tampered) SetDeadline(at time.Time) error {
+	return t.Listener.(interface{ SetDeadline(time.Time) error }).SetDeadline(at)
+}
+
 func (g *ground) Listen(addr string) (net.Listener, error) {
 	l, err := g.Ground.Listen(addr)
 	return tampered{l, g}, err
--- a/logic/host.go
+++ b/logic/host.go
@@ -48,6 +48,13 @@
 // Within narrows the lookup that arrives next.
 func (r *Router) Within(s *Scope) { r.scope = s }
 
+// GiveUp ends a lookup that its gateway can carry no further, as what was sent of it allows.
+func (r *Router) GiveUp(now Micros, lk *Lookup) {
+	if r.now = now; !lk.over {
+		r.giveUp(lk)
+	}
+}
+
 // InFlight counts the sends whose ending has not been told.
 func (r *Router) InFlight() int { return len(r.open) }
 
--- /dev/null
+++ b/service/ending_test.go
@@ -0,0 +1,102 @@
+package service
+
+import (
+	"io"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"foldslip/example/standin"
+)
+
+// settingsOf is the example's settings with changes by top-level key of the settings.
+func settingsOf(change func(settings map[string]any)) map[string]any {
+	s := graceOf(300000)
+	change(s["settings"].(map[string]any))
+	return s
+}
+
+// The kill comes 0.7 s after the longest deadline, and a deadline past 3 s counts as 3 s: what nothing has answered by then is given
+// up before it, each lookup as its object kind allows.
+func TestWhatNothingAnsweredIsGivenUpBeforeTheKill(t *testing.T) {
+	for name, story := range map[string]struct {
+		deadline int // of the kind that is asked for, in ms
+		kill     time.Duration
+	}{"a long deadline": {5000, 3700 * time.Millisecond}, "a short one": {1000, 1700 * time.Millisecond}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			came := make(chan standin.Do, 9)
+			s := begin(t, func(_ int, d standin.Do) { came <- d }, settingsOf(func(settings map[string]any) {
+				for _, k := range settings["classes"].([]any) {
+					k.(map[string]any)["deadline"] = story.deadline * 1000
+				}
+				settings["classes"].([]any)[1].(map[string]any)["effect"] = "at_most_once"
+			}))
+			s.cmd.Process.Signal(syscall.SIGTERM)
+			told := time.Now()
+			time.Sleep(550 * time.Millisecond) // as late as lookups come on open connections
+			safe, once := s.dial(), s.dial()
+			io.WriteString(safe, s.lookup("segment", "o"))
+			io.WriteString(once, s.lookup("page", "o"))
+			soon(t, came)
+			soon(t, came)
+			s.cmd.Process.Signal(syscall.SIGTERM) // a second one changes nothing
+			got, _ := safe.answer(t)
+			if s.expect(503, got); got.Header.Get("X-Wait-Ms") == "" {
+				t.Error("nacked without a time to come back")
+			}
+			got, _ = once.answer(t)
+			s.expect(502, got)
+			select {
+			case err := <-s.ended:
+				if took := time.Since(told); err != nil || took > story.kill {
+					t.Errorf("ended after %v with %v; the kill comes after %v", took, err, story.kill)
+				}
+			case <-time.After(5 * time.Second):
+				t.Error("still running")
+			}
+		})
+	}
+}
+
+// A request on an open connection 0.66 s after SIGTERM, past the last that the platform sends: answered all the same.
+func TestTheLastToCome(t *testing.T) {
+	t.Parallel()
+	s := begin(t, hit)
+	c := s.dial()
+	io.WriteString(c, s.lookup("segment", "o"))
+	c.answer(t)
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	s.until("word of stopping", func() bool { return strings.Contains(s.out.String(), "event=stopping") })
+	time.Sleep(660 * time.Millisecond)
+	io.WriteString(c, s.lookup("segment", "o"))
+	got, _ := c.answer(t)
+	s.expect(200, got)
+}
+
+// SIGTERM before there is a list: each lookup is nacked or failed, none is left without an answer, and the gateway ends well.
+func TestStopWhileNotReady(t *testing.T) {
+	t.Parallel()
+	s := begin(t, hit)
+	c := s.dial()
+	gone := s.members[0]
+	other := s.members[1]
+	gone.Phase, other.Phase = "removed", "removed"
+	s.bulletin.Tell(standin.Roster(false, gone, other))
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	s.until("word of stopping", func() bool { return strings.Contains(s.out.String(), "event=stopping") })
+	s.cmd.Process.Signal(syscall.SIGHUP) // a reread amid the end
+	io.WriteString(c, s.lookup("segment", "o"))
+	if got, _ := c.answer(t); got.StatusCode != 503 && got.StatusCode != 200 {
+		t.Errorf("status %d", got.StatusCode)
+	}
+	select {
+	case err := <-s.ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(6 * time.Second):
+		t.Error("still running")
+	}
+}
--- a/service/service.go
+++ b/service/service.go
@@ -25,10 +25,11 @@
 )
 
 const (
-	// At a planned restart connections keep coming for 0.4 s, requests on open ones for a further 0.2 s.
-	acceptOn   = 650 * time.Millisecond
-	stopBefore = 300 * time.Millisecond // before the kill, which comes after the longest deadline and 0.7 s
-	leastKill  = 3 * time.Second
+	// At a planned restart connections keep coming for 0.4 s, requests on open ones for a further 0.2 s; what comes in the 0.1 s
+	// after them is owed an answer all the same.
+	acceptOn   = 700 * time.Millisecond
+	stopBefore = 250 * time.Millisecond // before the kill, which comes after the longest deadline and 0.7 s
+	mostKill   = 3 * time.Second        // a longer deadline counts as this
 	purgeSlack = 5 * time.Second
 	confirmIn  = 10 * time.Minute // for routes of a file that was read anew
 
@@ -407,19 +408,19 @@
 	return err
 }
 
-// drain stops the gateway as the platform stops it.
+// drain stops the gateway as the platform stops it. What is still open shortly before the kill is given up, so that it has its answer.
 func drain(g clock.Ground, terms *charter.Terms, router *facade.Facade, front *wire.Front, doors []Door,
 	listener net.Listener) error {
-	kill := leastKill
+	kill := time.Duration(0)
 	for _, k := range terms.Router.Kinds {
 		kill = max(kill, time.Duration(k.GiveUp)*time.Microsecond)
 	}
-	cut := g.Now().Add(kill + 700*time.Millisecond - stopBefore)
+	cut := g.Now().Add(min(kill, mostKill) + 700*time.Millisecond - stopBefore)
 	g.Log().Info("stopping")
 	front.Unready()
 	g.Bell().Wait(acceptOn)
-	listener.Close()
 	front.Drain()
+	front.Shut(listener)
 	for _, d := range doors {
 		d.Drain()
 	}
--- a/wire/front.go
+++ b/wire/front.go
@@ -32,6 +32,8 @@
 	lingerBytes = 256 << 10
 	acceptAgain = 10 * time.Millisecond
 	tellAgain   = time.Second
+	lastLook    = 5 * time.Millisecond // for a request that came just before this side ends its connection
+	mostAhead   = 64 << 10             // bytes that a client may send before its answer; past it nobody sees it go meanwhile
 )
 
 // Front is the side of the clients.
@@ -43,6 +45,7 @@
 	room     *memory.Room
 	places   *memory.Places // in it, of direct clients
 	most     int            // connections
+	spare    int            // of these, for those that make room, while they are looked at once more
 	Routes   *steer.Steer   // nil: a lookup may go anywhere
 	kinds    map[string]int
 	mu       sync.Mutex
@@ -52,12 +55,14 @@
 	count    int64 // connections so far
 	group    clock.Group
 	accepted clock.Bell // rung when no more are accepted
+	leaving  int        // displaced connections that are looked at once more
+	left     clock.Bell // rung when one of them has ended
 }
 
 // NewFront makes a front that takes so many connections at most.
 func NewFront(g clock.Ground, terms *charter.Terms, router *facade.Facade, links *Links, room *memory.Room, most int) *Front {
-	f := &Front{g: g, terms: terms, router: router, links: links, room: room, places: room.For("clients", 1), most: most, kinds: map[string]int{},
-		clients: map[*client]bool{}, group: g.Group(), accepted: g.Bell()}
+	f := &Front{g: g, terms: terms, router: router, links: links, room: room, places: room.For("clients", 1), most: most, spare: most / 8, kinds: map[string]int{},
+		clients: map[*client]bool{}, group: g.Group(), accepted: g.Bell(), left: g.Bell()}
 	for i, k := range terms.Kinds {
 		f.kinds[k] = i
 	}
@@ -73,6 +78,9 @@
 	lk     *open      // the lookup that it is
 	done   clock.Bell // rung when the next request may be taken
 	no     int64      // in the order of accepting
+	begun  bool       // bytes of a request are there
+	ahead  bool       // a next request is there while one is being answered
+	going  string     // why this side ends it once nothing is there
 	reason string
 	since  time.Time // without a request on it
 	usual  bool      // a lookup of it was satisfied
@@ -100,13 +108,13 @@
 	same  bool
 }
 
-// keep holds an answer of a cache for its lookup, with room for the head before it; false if there is no room for it.
-func (o *open) keep(n int, a answer) bool {
+// keep holds an answer of a cache for its lookup, with room for the head before it; not if the lookup is over or there is no room.
+func (o *open) keep(n int, a answer) (kept, over bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	size := headRoom + len(a.body)
 	if o.closed || !o.room.Hold(size) {
-		return false
+		return false, o.closed
 	}
 	o.held += size
 	c := &copied{tag: a.tag, same: a.same, block: make([]byte, size)}
@@ -115,7 +123,7 @@
 		o.got = map[int]*copied{}
 	}
 	o.got[n] = c
-	return true
+	return true, false
 }
 
 // close gives back what is held; nothing is kept from now on.
@@ -147,14 +155,26 @@
 	f.mu.Unlock()
 }
 
-// Accept takes clients until the listener closes.
+// Accept takes clients until the listener closes; see Shut.
 func (f *Front) Accept(life *clock.Life, from net.Listener) error {
 	defer f.accepted.Ring()
 	again := f.g.Bell() // rung at the end
 	defer life.OnEnd(again.Ring)()
 	var told time.Time
+	last := int64(-1) // connections when it was looked for the last ones
 	for {
 		conn, err := from.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			// Guards the connections that wait to be accepted when no more are wanted: closing the listener resets them, with
+			// the requests that may be on them. So it closes after a look that found none.
+			if last == f.count {
+				from.Close()
+				return nil
+			}
+			last = f.count
+			from.(limited).SetDeadline(f.g.Now().Add(lastLook))
+			continue
+		}
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return nil
@@ -173,30 +193,54 @@
 		f.mu.Lock()
 		f.count++
 		c.no = f.count
-		full, draining := len(f.clients) >= f.most && !f.displace(), f.draining
-		if !full && !draining {
+		for len(f.clients)-f.leaving >= f.most-f.spare && f.displace() {
+		}
+		for len(f.clients) >= f.most && f.leaving > 0 {
+			f.mu.Unlock()
+			f.left.Wait(lastLook)
+			f.mu.Lock()
+		}
+		full := len(f.clients) >= f.most
+		if !full {
 			f.clients[c] = true
 		}
-		f.mu.Unlock()
-		if draining { // it came just as the listener closed
-			conn.Close()
-			continue
+		if f.draining { // it came just as the listener closes, and its request may be there
+			c.going = "stopping"
 		}
+		f.mu.Unlock()
 		f.group.Go("client", func() error { c.run(full); return nil })
 	}
 }
 
+// limited is a listener that can be told to stop waiting.
+type limited interface{ SetDeadline(time.Time) error }
+
+// Shut takes the connections that are waiting to be accepted and closes the listener; it does not wait for that.
+func (f *Front) Shut(from net.Listener) {
+	if l, ok := from.(limited); !ok || l.SetDeadline(f.g.Now()) != nil {
+		from.Close()
+	}
+}
+
 // displace makes room for a new connection, under the front's lock: the one longest without a request goes, first among
-// those that never had a lookup satisfied. That guards usual clients against silent connections by the hundreds.
+// those that never had a lookup satisfied, and of these first one without a part of a request. That guards usual clients against
+// silent connections by the hundreds.
 func (f *Front) displace() bool {
 	var last *client
-	var usual bool
-	var since time.Time
+	var rank int
 	for c := range f.clients {
 		c.mu.Lock()
-		if !c.busy && (last == nil || usual && !c.usual || usual == c.usual && (c.since.Before(since) ||
-			c.since.Equal(since) && c.no < last.no)) {
-			last, usual, since = c, c.usual, c.since
+		if !c.busy && c.going == "" && c.reason == "" {
+			its := 0
+			if c.begun {
+				its++
+			}
+			if c.usual {
+				its += 2
+			}
+			if last == nil || cmp.Or(its-rank, c.since.Compare(last.since), cmp.Compare(c.no, last.no)) < 0 {
+				last, rank = c, its
+			}
 		}
 		c.mu.Unlock()
 	}
@@ -208,8 +252,8 @@
 	if last.busy { // a request came this moment
 		return false
 	}
-	last.close("displaced")
-	delete(f.clients, last)
+	last.retire("displaced")
+	f.leaving++
 	return true
 }
 
@@ -218,16 +262,15 @@
 	return slices.SortedFunc(maps.Keys(f.clients), func(a, b *client) int { return cmp.Compare(a.no, b.no) })
 }
 
-// Drain closes the connections without a lookup, and each other one once it is answered.
+// Drain closes the connections without a lookup, and each other one once it is answered. A request that is there already, read
+// or not, is taken and answered first.
 func (f *Front) Drain() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.draining = true
 	for _, c := range f.inOrder() {
 		c.mu.Lock()
-		if !c.busy {
-			c.close("stopping")
-		}
+		c.retire("stopping")
 		c.mu.Unlock()
 	}
 }
@@ -264,6 +307,23 @@
 	}
 }
 
+// retire ends the connection once nothing is open on it, unless a next request is there, under the client's lock: whoever reads on
+// it looks once more. Closing it here would drop a request that has come whole and that its goroutine has not read yet.
+func (c *client) retire(reason string) {
+	if c.reason == "" && c.going == "" {
+		if c.going = reason; !c.busy {
+			c.conn.SetReadDeadline(c.f.g.Now())
+		}
+	}
+}
+
+// ends tells whether this side wants the connection to end.
+func (c *client) ends() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.going != ""
+}
+
 func (c *client) shut(reason string) {
 	c.mu.Lock()
 	c.close(reason)
@@ -281,6 +341,10 @@
 	}
 	c.f.mu.Lock()
 	delete(c.f.clients, c)
+	if c.going == "displaced" {
+		c.f.leaving--
+		c.f.left.Ring()
+	}
 	c.f.mu.Unlock()
 	c.done.Wait(-1) // what answers on it has ended
 	c.f.g.Log().Info("client_closed", "addr", c.conn.RemoteAddr().String(), "reason", c.reason, "answers", c.served,
@@ -289,24 +353,38 @@
 
 func (c *client) read() {
 	var buf memory.Buffer
-	c.conn.SetReadDeadline(c.since.Add(firstWithin))
-	started := false // a request's first bytes are there
+	c.mu.Lock()
+	first := c.since.Add(firstWithin)
+	if c.going != "" {
+		first = c.f.g.Now().Add(lastLook)
+	}
+	c.conn.SetReadDeadline(first)
+	c.mu.Unlock()
+	looked := false
 	for {
 		req, size, err := parseRequest(buf.Bytes())
 		var fault *Fault
 		switch {
 		case errors.Is(err, errShort):
-			if len(buf.Bytes()) > 0 && !started {
-				started = true
+			if len(buf.Bytes()) > 0 {
 				c.hurry()
 			}
-			if err := buf.Fill(c.conn, mostHead); err != nil {
+			err := buf.Fill(c.conn, mostHead)
+			if looked = errors.Is(err, os.ErrDeadlineExceeded) && !looked; looked {
+				// Guards a request that came at the same moment as the time ran out or as this side wants to end: a time-out does
+				// not say that nothing is there, a read that has waited does.
+				c.conn.SetReadDeadline(c.f.g.Now().Add(lastLook))
+				continue
+			}
+			if err != nil {
 				c.left(err)
 				return
 			}
 			continue
 		case errors.As(err, &fault):
-			c.done.Wait(-1)
+			if !c.await(&buf) {
+				return
+			}
 			c.plain(fault.Status, fault.Text, 0, true)
 			c.linger()
 			c.done.Ring()
@@ -315,8 +393,9 @@
 		}
 		came := c.f.g.Now()
 		buf.Skip(size)
-		started = false
-		c.done.Wait(-1) // one at a time
+		if !c.await(&buf) {
+			return
+		}
 		if !c.begin() {
 			c.done.Ring()
 			return
@@ -328,14 +407,41 @@
 	}
 }
 
+// await waits until the request before has its answer, with the next one read, and takes what ends c.done; false if the client has
+// gone meanwhile. It reads on: a client that sends ahead and goes is seen to go, and its lookup is not sent on.
+func (c *client) await(buf *memory.Buffer) bool {
+	for {
+		c.mu.Lock()
+		if c.ahead = c.busy; c.ahead {
+			c.conn.SetReadDeadline(time.Time{})
+		}
+		busy := c.ahead
+		c.mu.Unlock()
+		if !busy {
+			break
+		}
+		err := buf.Fill(c.conn, mostAhead)
+		if errors.Is(err, memory.ErrFull) {
+			break
+		}
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.left(err)
+			return false
+		}
+	}
+	c.done.Wait(-1) // one at a time
+	return true
+}
+
 // hurry gives a request that has begun little time, unless the one before it is still being answered. The first has
 // its time from connecting on.
 func (c *client) hurry() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy && c.served > 0 {
+	if !c.busy && !c.begun && (c.served > 0 || c.going != "") {
 		c.conn.SetReadDeadline(c.f.g.Now().Add(slowRequest))
 	}
+	c.begun = true
 }
 
 // linger reads on for a moment, so that what the client still sends does not undo the answer it was sent.
@@ -359,6 +465,9 @@
 	}
 	c.mu.Lock()
 	lk := c.lk
+	if c.going != "" && reason == "idle" {
+		reason = c.going
+	}
 	c.close(reason)
 	c.mu.Unlock()
 	if lk != nil {
@@ -368,9 +477,17 @@
 
 // begin marks the connection busy, unless it has just been closed.
 func (c *client) begin() bool {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.going == "displaced" { // it was to make room, and stays until this is answered
+		c.going = "made_room"
+		c.f.leaving--
+		c.f.left.Ring()
+	}
 	c.busy = c.reason == ""
+	c.begun, c.ahead = false, false
 	c.conn.SetReadDeadline(time.Time{})
 	return c.busy
 }
@@ -380,9 +497,9 @@
 	f := c.f
 	kind, known := f.kinds[req.Kind]
 	f.mu.Lock()
-	ready, draining := f.ready, f.draining
+	ready := f.ready
 	f.mu.Unlock()
-	end := req.Close || draining
+	end := req.Close || c.ends()
 	status, text := 0, ""
 	switch {
 	case req.Method != "GET":
@@ -396,7 +513,8 @@
 	case req.ID == "":
 		status, text, end = 400, "X-Job-Id is missing", true
 	}
-	if known { // a client that names no time or an odd one has what its kind has
+	if known {
+		// A client that names no time or an odd one has what its kind has.
 		if most := time.Duration(f.terms.Router.Kinds[kind].GiveUp) * time.Microsecond; req.Allow < 0 || req.Allow > most {
 			req.Allow = most
 		}
@@ -451,19 +569,20 @@
 	return true
 }
 
-// rest waits for the next request, or closes when draining.
+// rest waits for the next request. When this side wants to end the connection it does so unless one is there.
 func (c *client) rest() {
-	c.f.mu.Lock()
-	draining := c.f.draining
-	c.f.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy, c.lk, c.since = false, nil, c.f.g.Now()
-	if draining {
-		c.close("stopping")
-		return
+	now := c.f.g.Now()
+	c.busy, c.lk, c.since = false, nil, now
+	wait := idleClient
+	switch {
+	case c.ahead || c.going != "": // whoever reads looks up at once
+		wait = 0
+	case c.begun:
+		wait = slowRequest
 	}
-	c.conn.SetReadDeadline(c.f.g.Now().Add(idleClient))
+	c.conn.SetReadDeadline(now.Add(wait))
 }
 
 // answer carries out a lookup's steps up to its end, and says the end.
@@ -479,13 +598,9 @@
 			f.links.cancel(o, s.N)
 			continue
 		}
-		for n := range o.flights {
-			f.links.cancel(o, n)
-		}
+		f.links.leave(o)
 		o.leave(s.What, f.g.Now().Sub(o.came) > f.terms.Budget(f.kinds[o.req.Kind], o.req.KB))
-		f.mu.Lock()
-		end := o.req.Close || f.draining
-		f.mu.Unlock()
+		end := o.req.Close || c.ends()
 		switch s.What {
 		case facade.Satisfied:
 			c.mu.Lock()
--- a/wire/links.go
+++ b/wire/links.go
@@ -60,7 +60,8 @@
 	group  int
 	open   *open
 	n      int
-	line   []byte
+	step   facade.Step
+	till   time.Time // it is given up then
 	over   clock.Timer
 	hush   clock.Timer
 	no     int64 // in the order of boarding
@@ -73,9 +74,15 @@
 // stop ends its timers.
 func (f *flight) stop() {
 	f.over.Stop()
-	f.hush.Stop()
+	if f.hush != nil { // not before its connection is up
+		f.hush.Stop()
+	}
 }
 
+// begun tells whether its line has begun to be written, under the lock of its link. One that has not can be withdrawn, whatever
+// the settings say of giving up: the cache has seen nothing of it.
+func (f *flight) begun() bool { return f.at.no > 0 && f.at.no <= f.on.begun }
+
 // link is one connection to a cache, from its dialling on.
 type link struct {
 	ls      *Links
@@ -111,17 +118,12 @@
 		ls.router.Report(o.lk, s.N, logic.Unconnected, logic.Untold, 0)
 		return
 	}
-	source := ""
-	if s.Source != s.To {
-		source = s.Source.Name
-	}
-	f := &flight{open: o, n: s.N, object: o.req.Object, group: o.req.Group,
-		line: appendDo(nil, o.req.ID, o.req.Kind, o.req.Object, o.req.Part, s.Patience, source, s.Rank, s.Oldest,
-			s.How, o.req.Tag)}
+	f := &flight{open: o, n: s.N, step: s, object: o.req.Object, group: o.req.Group,
+		till: ls.g.Now().Add(time.Duration(s.Patience) * time.Microsecond)}
+	f.at.f = f
 	o.flights = append(o.flights, f)
 	ls.flying.Add(1)
-	patience, hush := time.Duration(s.Patience)*time.Microsecond, time.Duration(s.Hush)*time.Microsecond
-	for !ls.pick(to, o.req.ID).board(f, patience, hush) {
+	for !ls.pick(to, o.req.ID).board(f) {
 	}
 }
 
@@ -159,7 +161,7 @@
 }
 
 // board puts a send on the connection: at once, or when it is up.
-func (l *link) board(f *flight, patience, hush time.Duration) bool {
+func (l *link) board(f *flight) bool {
 	l.mu.Lock()
 	if l.dead || l.doubted {
 		l.mu.Unlock()
@@ -168,8 +170,7 @@
 	l.flights[f.open.req.ID] = f
 	f.no = l.ls.boards.Add(1)
 	f.on = l
-	f.over = l.ls.g.AfterFunc(patience, func() { l.ls.undo(f, logic.TimedOut) })
-	f.hush = l.ls.g.AfterFunc(hush, func() { l.doubt(f) })
+	f.over = l.ls.g.AfterFunc(f.till.Sub(l.ls.g.Now()), func() { l.ls.undo(f, logic.TimedOut) })
 	if l.conn != nil {
 		l.put(f)
 	}
@@ -178,17 +179,24 @@
 	return true
 }
 
-// put queues a send once the connection is up, under the link's lock.
+// put queues a send once the connection is up, under the link's lock. Its line says how long is left by now, and its hush begins:
+// a connection that was late to come up has not been silent for that.
 func (l *link) put(f *flight) {
 	f.sent = l.ls.g.Now()
-	f.at.text = f.line
+	source, s, q := "", f.step, f.open.req
+	if s.Source != s.To {
+		source = s.Source.Name
+	}
+	f.at.text = appendDo(nil, q.ID, q.Kind, q.Object, q.Part, f.till.Sub(f.sent).Microseconds(), source, s.Rank, s.Oldest, s.How, q.Tag)
+	f.hush = l.ls.g.AfterFunc(time.Duration(s.Hush)*time.Microsecond, func() { l.doubt(f) })
 	l.write(&f.at)
 }
 
 // line is a line to a cache, with its number on the connection.
 type line struct {
 	no   int64
-	text []byte // nil once it is withdrawn
+	text []byte  // nil once it is withdrawn
+	f    *flight // the send it is of; nil: an undo
 }
 
 // write queues a line, under the link's lock. A peer that takes so few that they pile up has its connection ended.
@@ -208,13 +216,26 @@
 		text, l.rest = l.rest, nil
 		return text
 	}
-	for len(l.out) > 0 && text == nil { // one at a time: what waits behind a peer that takes nothing can be withdrawn
-		text = l.out[0].text
-		l.begun = l.out[0].no
+	for len(l.out) > 0 { // one at a time: what waits behind a peer that takes nothing can be withdrawn
+		one := l.out[0]
 		l.out = l.out[1:]
+		l.waiting -= len(one.text)
+		if f := one.f; f != nil && one.text != nil && !l.ls.router.May(f.open.lk, f.step) {
+			// Guards rule 3, lookups that are over and clients that left: the send was decided some time ago. Nothing of it has
+			// gone out, so it is as never sent, and the router says what next.
+			delete(l.flights, f.open.req.ID)
+			f.stop()
+			at := slices.IndexFunc(l.undone, func(u undone) bool { return u.no > one.no })
+			l.undone = slices.Insert(l.undone, cmp.Or(at+1, len(l.undone)+1)-1, undone{f, logic.NeverSent, one.no})
+			l.closeEmpty()
+			one.text = nil
+		}
+		if l.begun = one.no; one.text != nil {
+			return one.text
+		}
+		l.gone = l.begun // all before it is out
 	}
-	l.waiting -= len(text)
-	return text
+	return nil
 }
 
 // flush writes what is queued, as far as the connection takes it at once; where it does not, pour goes on. So the wake of
@@ -256,8 +277,9 @@
 			text = l.next()
 		}
 		l.writing = l.writing || text != nil
-		dead := l.dead
+		dead, out := l.dead, l.settled(false)
 		l.mu.Unlock()
+		l.tell(out)
 		if dead {
 			return
 		}
@@ -273,7 +295,7 @@
 		if err == nil {
 			l.gone = l.begun
 		}
-		out := l.settled(false)
+		out = l.settled(false)
 		l.mu.Unlock()
 		l.tell(out)
 		if err != nil {
@@ -286,21 +308,19 @@
 	}
 }
 
-// take removes a send; whoever gets it reports its ending.
-func (l *link) take(f *flight, late bool) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// take removes a send, under the link's lock; whoever gets it reports its ending. up: it is given up, an answer may still come.
+func (l *link) take(f *flight, up bool) bool {
 	id := f.open.req.ID
 	if l.flights[id] != f {
 		return false
 	}
 	delete(l.flights, id)
 	f.stop()
-	if late && f.hushed && !l.heard.After(f.sent) {
+	if up = up && f.begun(); up && f.hushed && !l.heard.After(f.sent) {
 		l.doubted = true
 	}
 	l.closeEmpty()
-	if late && l.conn != nil {
+	if up {
 		now := l.ls.g.Now()
 		for k, at := range l.late {
 			if now.Sub(at) > forgetLateIn {
@@ -338,18 +358,24 @@
 	}
 }
 
-// undo gives a send up, unless it has ended. Where the settings allow no giving up the cache is not told.
+// undo gives a send up, unless it has ended. Where the settings allow no giving up the cache is not told, and only what it has seen
+// nothing of is withdrawn before its time is over.
 func (ls *Links) undo(f *flight, how logic.Ending) {
 	l := f.on
-	if l == nil || !l.take(f, true) {
+	if l == nil {
 		return
 	}
 	l.mu.Lock()
+	tells := ls.terms.Router.Cancelling
+	if f.begun() && how == logic.Cancelled && !tells || !l.take(f, true) {
+		l.mu.Unlock()
+		return
+	}
 	switch {
-	case f.at.no > l.begun: // it waits behind what the cache does not take
+	case !f.begun(): // its connection is not up, or it waits behind what the cache does not take
 		l.waiting -= len(f.at.text)
 		f.at.text, how = nil, logic.NeverSent
-	case ls.terms.Router.Cancelling && f.at.no > 0 && !l.dead:
+	case tells && !l.dead:
 		// Behind its own line, which it cannot overtake. It has ended once that is out: the next send of the lookup
 		// must not be on its way before.
 		undo := &line{text: appendUndo(nil, f.open.req.ID)}
@@ -363,7 +389,8 @@
 	ls.report(f, how, logic.Untold, 0)
 }
 
-// undone is a send that was given up, with the number of its undo's line.
+// undone is a send that was given up, with the number of its undo's line, or of its own where that was not written; in the order of
+// these numbers.
 type undone struct {
 	f   *flight
 	how logic.Ending
@@ -409,12 +436,19 @@
 // cancel gives up the lookup's send of that number.
 func (ls *Links) cancel(o *open, n int) {
 	for _, f := range o.flights {
-		if f.n == n && ls.terms.Router.Cancelling {
+		if f.n == n {
 			ls.undo(f, logic.Cancelled)
 		}
 	}
 }
 
+// leave gives up all that is still out for a lookup that is over.
+func (ls *Links) leave(o *open) {
+	for _, f := range o.flights {
+		ls.undo(f, logic.Cancelled)
+	}
+}
+
 // run dials, reads until the connection ends, and reports what was open on it.
 func (l *link) run() {
 	ls, began := l.ls, l.ls.g.Now()
@@ -459,7 +493,7 @@
 	lost, unsent := inOrder(l.flights), map[*flight]bool{}
 	l.flights = nil
 	for _, f := range lost {
-		if f.stop(); how == logic.Reset && (f.at.no == 0 || f.at.no > l.begun) {
+		if f.stop(); how == logic.Reset && !f.begun() {
 			unsent[f] = true
 		}
 	}
@@ -569,7 +603,10 @@
 		l.ls.g.Log().Warn("cache_fault", "cache", l.peer.ID, "text", fault.Error())
 		return "bad_answer"
 	}
-	if !l.take(f, false) {
+	l.mu.Lock()
+	its := l.take(f, false)
+	l.mu.Unlock()
+	if !its {
 		return "" // given up this moment
 	}
 	if a.same && a.tag != f.open.req.Tag {
@@ -577,15 +614,21 @@
 		l.ls.g.Log().Warn("cache_fault", "cache", l.peer.ID, "text", "VALID for a copy that the client does not hold")
 	}
 	if issued, told := l.ls.purges.Heeded(f.object, f.group); a.end == logic.Satisfied && a.born.Before(issued) {
-		// Guards rule 5, past the grace whenever the send went out. To the module it is as if never sent: it
-		// sends anew with the purge in mind, and may join a fill under way.
+		// Guards rule 5, past the grace whenever the send went out. To the module it is as if no answer had come: where the
+		// object kind allows it, it sends anew with the purge in mind. The send has run, so it is never as if it had not gone out
+		// (rule 2: a side-effecting lookup would go out a second time).
 		now := l.ls.g.Now()
 		l.ls.g.Log().Warn("outdated_copy", "cache", l.peer.ID, "older_ms", issued.Sub(a.born).Milliseconds(), "told_ms_ago",
 			now.Sub(told).Milliseconds(), "sent_ms_ago", now.Sub(f.sent).Milliseconds())
-		a.end, a.remark = logic.NeverSent, logic.Untold
-	}
-	if a.end == logic.Satisfied && !f.open.keep(f.n, a) {
-		a.end = logic.Errored // the lookup is over, or answers that clients are slow to take fill the room
+		a.end, a.remark = logic.TimedOut, logic.Untold
+	}
+	if a.end == logic.Satisfied {
+		switch kept, over := f.open.keep(f.n, a); {
+		case over:
+			a.end = logic.TimedOut // its lookup has just ended: no fault of the cache
+		case !kept:
+			a.end = logic.Errored // answers that clients are slow to take fill the room; it may have run
+		}
 	}
 	l.ls.report(f, a.end, a.remark, a.waited)
 	return ""
