A list that falls silent is asked anew within the drain grace; settings refused where a rule hangs on them

Cause: a silent bulletin was noticed after 2.5 s, whatever the settings' grace; an event counts as told while the watch is dead, so a drain under a grace of 1 s or 2 s was heard too late (wire/bulletin.go silentAfter). Ruled out: half lines and trickles, since only a whole line moves the deadline. charter skipped stop_sending_within, and took a missing effect for idempotent (rule 2), a missing deadline for none (every lookup turned away), a missing attempt limit for 0 (every lookup nacked).

Change: a session may be silent for the grace less 0.5 s, at least 1.25 s (a line is due every second), at most 2.5 s as before; sessions without any line double that up to 5 s, so that a late bulletin is not asked without end. Settings: effect, deadline, aim, a deduplicated kind's group, names told twice, streaming answers, places outside their lists and an unknown way of discovery are refused with class and key; a missing attempt limit is none.

--- a/charter/charter.go
+++ b/charter/charter.go
@@ -5,6 +5,8 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"math"
+	"slices"
 	"time"
 
 	"foldslip/logic"
@@ -18,16 +20,21 @@
 	IdleFor                logic.Micros // a connection to a cache is closed when idle for so long
 	Streams                int          // open sends that one connection to a cache carries
 	PurgeGrace             logic.Micros // time to heed a purge
+	DrainGrace             logic.Micros // time to heed that a cache drains or is gone
 }
 
-// What holds where the settings do not tell it.
+// What holds where the settings do not tell it. What else is missing counts as its strictest value: no giving up of sends, no time
+// to heed a purge or a drain.
 const (
 	connectWithin = 1e6
 	idleFor       = 30e6
 	streams       = 100
+	sendLimit     = math.MaxInt32 // sends of one lookup
 )
 
-// Read turns the settings text into terms; unknown keys are skipped.
+// Read turns the settings text into terms; unknown keys are skipped, as the wire asks for. What a rule hangs on and is missing or not
+// understood is an error that says where: guessing it would break the rule without a word. Not read, as the gateway holds to them
+// whatever they say: second copies (it has never two sends of a lookup out), probes and words to peers (it sends none).
 func Read(text []byte) (*Terms, error) {
 	var in struct {
 		Areas     []string
@@ -50,6 +57,7 @@
 			ColdFrom     float64 `json:"cold_from"`
 			Fall         float64
 			FallMultiple float64 `json:"fall_multiple"`
+			StopSending  float64 `json:"stop_sending_within"`
 		}
 		Classes []struct {
 			Name       string
@@ -61,6 +69,7 @@
 			LateWorth  float64 `json:"late_worth"`
 			Points     float64
 			Window     float64
+			Stream     bool
 		}
 		Specifics struct {
 			Seats     []int     `json:"seats_by_zone"`
@@ -95,15 +104,31 @@
 	default:
 		return nil, fmt.Errorf("weights: %q, expected off, nominal, rough or live", w)
 	}
+	switch d := in.Discovery; d { // where it is to be asked for, the list is subscribed to
+	case "", "push", "ask":
+	default:
+		return nil, fmt.Errorf("discovery: %q, expected push or ask", d)
+	}
 	if len(in.Classes) == 0 {
 		return nil, fmt.Errorf("classes is empty, expected one entry a class")
 	}
+	if in.Zone < 0 || len(in.Areas) > 0 && in.Zone >= len(in.Areas) {
+		return nil, fmt.Errorf("az: %d, expected a place in areas, which has %d", in.Zone, len(in.Areas))
+	}
+	for name, at := range map[string]*int{"parent_kind": in.Specifics.Parent, "source_kind": in.Specifics.Origin} {
+		if at != nil && (*at < -1 || len(in.Machines) > 0 && *at >= len(in.Machines)) {
+			return nil, fmt.Errorf("specifics.%s: %d, expected -1 or a place in machine_types, which has %d", name, *at, len(in.Machines))
+		}
+	}
+	if in.Ceilings.TryLimit < 0 {
+		return nil, fmt.Errorf("ceilings.try_limit: %d, expected how many sends a lookup may have", in.Ceilings.TryLimit)
+	}
 	us := func(v float64) logic.Micros { return logic.Micros(v) }
 	x := in.Specifics
 	c := &logic.Charter{Gateways: in.Balancers, Zone: in.Zone, Seats: x.Seats, ParentKind: -1, OriginKind: -1,
 		Joins: x.Merges, FirstByteTold: x.Tells == "all", HitsTold: x.Tells != "off" && x.Tells != "none",
 		Weighted: in.Weights == "nominal", Sized: in.Weights == "nominal" || in.Weights == "rough",
-		FlowKB: x.Flow, SendLimit: in.Ceilings.TryLimit,
+		FlowKB: x.Flow, SendLimit: cmp.Or(in.Ceilings.TryLimit, sendLimit),
 		Cancelling:  in.Ceilings.Cancelling,
 		AsksForList: in.Discovery == "ask",
 		ColdShare:   in.Rules.ColdFrom, ColdFor: us(in.Rules.Cold),
@@ -120,23 +145,35 @@
 	}
 	t := &Terms{Router: c, Zones: in.Areas, Machines: in.Machines, ConnectWithin: us(cmp.Or(in.Ceilings.Connect, connectWithin)),
 		IdleFor: us(cmp.Or(in.Ceilings.KeepAlive, idleFor)), Streams: cmp.Or(in.Ceilings.Streams, streams),
-		PurgeGrace: us(x.Obey)}
+		PurgeGrace: us(x.Obey), DrainGrace: us(in.Rules.StopSending)}
 	if t.ConnectWithin < 0 || t.IdleFor < 0 || t.Streams < 0 {
 		return nil, fmt.Errorf("ceilings: a time or count is negative")
 	}
+	if t.PurgeGrace < 0 || t.DrainGrace < 0 {
+		return nil, fmt.Errorf("specifics.obey_after, rules.stop_sending_within: a time is negative")
+	}
 	for i, k := range in.Classes {
+		where := fmt.Sprintf("classes[%d] %s", i, k.Name)
+		switch {
+		case !(k.Deadline > 0) || !(k.Aim > 0):
+			return nil, fmt.Errorf("%s: deadline %g, aim %g, expected microseconds above 0", where, k.Deadline, k.Aim)
+		case k.Name != "" && slices.Contains(t.Kinds, k.Name):
+			return nil, fmt.Errorf("%s: the name is another class's too", where)
+		case k.Stream:
+			return nil, fmt.Errorf("%s: stream is true; answers that stream are not known here", where)
+		}
 		t.Kinds = append(t.Kinds, k.Name)
 		row := logic.ObjectKind{Budget: us(k.Aim), Stretch: k.AimStretch, GiveUp: us(k.Deadline),
 			Utility: k.Points, LateUtility: k.LateWorth, Memory: us(k.Window), Fresh: us(at(x.Fresh, i)),
 			Grace: us(at(x.Grace, i)), AgedUtility: at(x.AgedWorth, i), PassThrough: at(x.PassOn, i)}
 		switch k.Effect {
-		case "idempotent", "":
+		case "idempotent":
 		case "deduplicated":
 			row.Effect = logic.Deduplicated
 		case "at_most_once":
 			row.Effect = logic.SideEffecting
 		default:
-			return nil, fmt.Errorf("classes: effect %q, expected idempotent, deduplicated or at_most_once", k.Effect)
+			return nil, fmt.Errorf("%s: effect %q, expected idempotent, deduplicated or at_most_once", where, k.Effect)
 		}
 		switch k.Group {
 		case "all", "":
@@ -145,7 +182,10 @@
 		case "cell":
 			row.Circle = logic.SameCell
 		default:
-			return nil, fmt.Errorf("classes: group %q, expected all, zone or cell", k.Group)
+			return nil, fmt.Errorf("%s: group %q, expected all, zone or cell", where, k.Group)
+		}
+		if k.Group == "" && row.Effect == logic.Deduplicated {
+			return nil, fmt.Errorf("%s: group is missing, expected all, zone or cell with effect deduplicated", where)
 		}
 		c.Kinds = append(c.Kinds, row)
 	}
--- a/lab/day/day.go
+++ b/lab/day/day.go
@@ -27,6 +27,7 @@
 	rampMore = 2.0
 	obey     = 300 * time.Millisecond // to heed a purge
 	leave    = 2 * time.Second        // to heed a drain
+	goneFor  = 300 * time.Millisecond // after a client left, its lookup is not sent on
 	slack    = 50 * time.Millisecond  // more on sockets
 	toldBy   = 7 * time.Second        // what is published counts as told by then, if the gateway could hear
 	hearing  = 4500 * time.Millisecond
@@ -271,7 +272,7 @@
 		"weights": "nominal", "machine_types": []string{"edge", "parent", "origin"},
 		"ceilings": map[string]any{"cancelling": true, "connect_timeout": 400000, "keepalive": 30000000,
 			"max_retry_after": 2000000, "max_streams": 24, "retry_after": true, "second_copies": false, "try_limit": tries},
-		"rules":   map[string]any{"cold": us(coldFor), "cold_from": coldFrom, "fall": us(fallFor), "fall_multiple": fallMore},
+		"rules":   map[string]any{"cold": us(coldFor), "cold_from": coldFrom, "fall": us(fallFor), "fall_multiple": fallMore, "stop_sending_within": us(leave)},
 		"classes": classes,
 		"specifics": map[string]any{"cleared_within": 6000000, "flow_kb_per_s": flowKB, "grace_for": grace, "max_age": fresh,
 			"merges_fills": true, "obey_after": us(obey), "parent_breaks_at": rampMore, "parent_kind": 1, "parent_ramp": us(rampFor),
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -46,7 +46,7 @@
 	members *Members
 }
 
-var settings = []byte(`{"areas":["town"],"machine_types":["edge","parent","origin"],"classes":[{"name":"segment","aim":400000,"deadline":5000000}],
+var settings = []byte(`{"areas":["town"],"machine_types":["edge","parent","origin"],"classes":[{"name":"segment","aim":400000,"deadline":5000000,"effect":"idempotent"}],
 "specifics":{"parent_kind":1,"source_kind":2,"max_age":[0],"grace_for":[0],"pass_on":[false],"seats_by_zone":[1],"cleared_within":6000000}}`)
 
 // morning starts from a folder into which a gateway before wrote some changes.
--- a/service/ending_test.go
+++ b/service/ending_test.go
@@ -100,3 +100,50 @@
 		t.Error("still running")
 	}
 }
+
+// A list that falls silent right after an event's predecessor: the drain it does not tell is heard within its grace.
+func TestAListThatFallsSilent(t *testing.T) {
+	for name, quiet := range map[string]func(b *standin.Bulletin){
+		"and stays open":     func(b *standin.Bulletin) { b.Mute(true) },
+		"amid half a line":   func(b *standin.Bulletin) { b.Half(`{"no":2,"ro`); b.Mute(true) },
+		"in a trickle of it": func(b *standin.Bulletin) { b.Mute(true); b.Trickle(`{"no":2,"roster":{"revision":1,`) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := begin(t, hit, settingsOf(func(settings map[string]any) {
+				settings["rules"].(map[string]any)["stop_sending_within"] = 2000000
+			}))
+			if after := soon(t, s.bulletin.After); after != 1 {
+				t.Fatal("asked after", after)
+			}
+			told := time.Now()
+			quiet(s.bulletin)
+			m := s.members[0]
+			m.Phase = "draining"
+			s.bulletin.Tell(standin.Roster(false, m))
+			select {
+			case <-s.bulletin.After:
+			case <-time.After(6 * time.Second):
+				t.Fatal("not asked again")
+			}
+			if took := time.Since(told); took > 2*time.Second {
+				t.Errorf("asked again after %v, past the grace of 2 s", took)
+			}
+		})
+	}
+}
+
+// Sessions that are silent from their first moment on are not asked in an endless row: each waits twice as long as the one before.
+func TestSessionsThatSayNothing(t *testing.T) {
+	t.Parallel()
+	s := begin(t, hit)
+	s.bulletin.Mute(true)
+	for range 3 { // the first is the start's
+		soon(t, s.bulletin.After)
+	}
+	began := time.Now()
+	soon(t, s.bulletin.After)
+	if took := time.Since(began); took < 2*time.Second {
+		t.Errorf("the second silent session waited %v", took)
+	}
+}
--- a/wire/bulletin.go
+++ b/wire/bulletin.go
@@ -23,7 +23,11 @@
 
 const (
 	mostEvent     = 1 << 20
-	silentAfter   = 2500 * time.Millisecond // a line is due every second
+	dueEvery      = time.Second             // a line of the bulletin
+	silentAfter   = 2500 * time.Millisecond // without one it is asked anew, or sooner:
+	silentLeast   = dueEvery + 250*time.Millisecond
+	silentMost    = 5 * time.Second        // doubled up to it while sessions end without a line
+	askWithin     = 500 * time.Millisecond // the time to ask anew, in which what was missed comes
 	dialBulletin  = 500 * time.Millisecond
 	retryBulletin = 50 * time.Millisecond // doubled up to retryMost
 	retryMost     = 800 * time.Millisecond
@@ -50,6 +54,7 @@
 	failed int64 // number of the event that could not be used when it came last
 	mu     sync.Mutex
 	addr   string
+	quiet  int         // sessions in a row that fell silent without a line
 	its    *clock.Life // of the session under way
 	moved  bool        // it is to be asked at once
 	turn   clock.Bell  // rung when moved is set, and at the end
@@ -320,6 +325,18 @@
 	}
 }
 
+// silent is how long a session may bring no whole line. An event counts as told while the watch is dead, and the time to heed it runs:
+// where it is short the silence is noticed so soon that asking anew still fits into it, as far as lines that come every second allow
+// that. Sessions that brought no line at all wait longer each time, so that a bulletin that is late is not asked without end.
+func (b *Bulletin) silent() time.Duration {
+	heed := time.Duration(b.Terms.DrainGrace) * time.Microsecond
+	first := min(silentAfter, max(silentLeast, heed-askWithin))
+	for range min(max(0, b.quiet-1), 8) {
+		first = min(2*first, silentMost)
+	}
+	return first
+}
+
 // session is one connection, from after the last event held up to its end.
 func (b *Bulletin) session(life *clock.Life, addr string) (reason string) {
 	conn, err := b.g.Dial(life, addr, dialBulletin)
@@ -328,7 +345,8 @@
 	}
 	defer conn.Close()
 	defer life.OnEnd(func() { conn.Close() })()
-	conn.SetDeadline(b.g.Now().Add(silentAfter))
+	silent := b.silent()
+	conn.SetDeadline(b.g.Now().Add(silent))
 	if _, err := fmt.Fprintf(conn, "after %d\n", b.Last); err != nil {
 		return "write_failed"
 	}
@@ -354,7 +372,11 @@
 				b.Last++ // it came twice and cannot be used: the events after it count more than it
 			}
 			buf.Skip(len(line) + 1)
-			conn.SetReadDeadline(b.g.Now().Add(silentAfter))
+			if b.quiet > 0 {
+				b.quiet = 0
+				silent = b.silent()
+			}
+			conn.SetReadDeadline(b.g.Now().Add(silent))
 		}
 		if err := buf.Fill(conn, mostEvent); err != nil {
 			switch {
@@ -365,6 +387,7 @@
 			}
 			var late net.Error
 			if errors.As(err, &late) && late.Timeout() {
+				b.quiet++
 				return "silent"
 			}
 			return "closed_by_bulletin"
