Lookups that write: PUT with bytes, passed on whole; answers of the origin without ver or born

Past that, 387 cache_fault "a copy without ver or born": what ran at the origin brings neither. PROTOCOL says that the body passes on unchanged and gives every send a length; we took it for always 0. Ruled out: room, deadlines, the module (it had never seen one of them). At fault: wire/request.go field, wire/lines.go appendDo and content, wire/front.go take.

Change: PUT for an object kind that the settings let run at the origin, with Content-Length alone, 240,000 bytes at most; anything else is refused as before. The bytes are read into a block of their own, counted in the room for bytes until the lookup is over (no room: 503), and follow each send's line. An answer without ver or born is taken for such kinds only, and goes on without ETag.

--- a/door/door.go
+++ b/door/door.go
@@ -396,7 +396,7 @@
 
 // report takes the headers of a response. What is no use to the lookup counts for the module as at the users' door: an
 // answer older than a purge that was told past its grace as none in time, since it has run, word of another copy than the client's as
-// an error.
+// an error. What ran at the origin and tells no birth is no copy: no purge concerns it.
 func (d *Door) report(st *stream, m Message) {
 	r := readReport(m.Get)
 	d.mu.Lock()
@@ -410,6 +410,7 @@
 			issued, told := d.purges.Heeded(lk.Object, lk.Group)
 			switch {
 			case issued.IsZero():
+			case r.born.IsZero() && d.its.Router.Kinds[lk.Asked.Kind].PassThrough:
 			case r.born.IsZero():
 				d.odd["birth_untold"]++ // with a purge about, an answer of no known age is not passed on
 				r.how, r.remark = logic.TimedOut, logic.Untold
--- a/wire/ending_test.go
+++ b/wire/ending_test.go
@@ -443,3 +443,68 @@
 		t.Error("sent again")
 	}
 }
+
+// A lookup with bytes: they go on whole and unchanged, what ran at the origin brings no tag, and the room it took is given back.
+func TestALookupWithBytes(t *testing.T) {
+	r := stand(t, &held{}, true, 50)
+	bytes := strings.Repeat("\r\n0\r\n\r\nHTTP/1.1 200 OK\r\n\x00", 4000)
+	head := strings.Replace(r.text("order", fmt.Sprintf("Content-Length: %d\r\n", len(bytes))), "GET", "PUT", 1)
+	c := r.connect()
+	for _, piece := range []string{head, bytes[:7], bytes[7:50000], bytes[50000:] + r.text("segment")[:20]} {
+		io.WriteString(c, piece)
+		time.Sleep(2 * time.Millisecond)
+	}
+	d := r.take()
+	if string(d.Body) != bytes || d.Fields["rank"] != "" {
+		t.Fatalf("%d bytes of %d, %v", len(d.Body), len(bytes), d.Fields)
+	}
+	d.On.Say(d.ID + " HIT - 4\r\ndone\r\n")
+	got, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, _ := io.ReadAll(got.Body); string(body) != "done" || got.Header.Get("ETag") != "" || got.StatusCode != 200 {
+		t.Errorf("status %d, %q, tag %q", got.StatusCode, body, got.Header.Get("ETag"))
+	}
+	r.until("room given back", func() bool {
+		if !r.front.room.Hold(1 << 20) {
+			return false
+		}
+		r.front.room.Free(1 << 20)
+		return true
+	})
+	t.Run("not for an object kind that is kept", func(t *testing.T) {
+		c := r.connect()
+		io.WriteString(c, strings.Replace(r.text("segment", "Content-Length: 2\r\n"), "GET", "PUT", 1)+"no")
+		r.status(c, 405)
+	})
+	t.Run("past the room for bytes it is nacked", func(t *testing.T) {
+		c := r.connect()
+		r.front.room.Hold(1 << 20)
+		defer r.front.room.Free(1 << 20)
+		io.WriteString(c, strings.Replace(r.text("order", "Content-Length: 200000\r\n"), "GET", "PUT", 1))
+		r.status(c, 503)
+	})
+	t.Run("half of them and the end: nothing is sent, the room is given back", func(t *testing.T) {
+		c := r.connect()
+		io.WriteString(c, strings.Replace(r.text("order", "Content-Length: 200000\r\n"), "GET", "PUT", 1)+"half")
+		c.Close()
+		r.until("room given back", func() bool {
+			if !r.front.room.Hold(1 << 20) {
+				return false
+			}
+			r.front.room.Free(1 << 20)
+			return true
+		})
+		r.nothingCame()
+	})
+	t.Run("a copy that tells no tag is none for a kind that is kept", func(t *testing.T) {
+		c := r.ask("segment")
+		d := r.take()
+		d.On.Say(d.ID + " HIT - 4\r\ndone\r\n")
+		r.take().Hit(time.Now(), "hit", "whole")
+		if body := r.status(c, 200); body != "whole" {
+			t.Errorf("got %q", body)
+		}
+	})
+}
--- a/wire/front.go
+++ b/wire/front.go
@@ -93,11 +93,12 @@
 	lk      *facade.Lookup
 	flights []*flight
 	room    *memory.Room
+	runs    bool        // at the origin: what it brings is no copy
 	pass    *steer.Pass // nil: it came by no route
 	came    time.Time
 	mu      sync.Mutex
 	got     map[int]*copied
-	held    int // bytes of room that got takes
+	held    int // bytes of room that the request's body and got take
 	closed  bool
 }
 
@@ -391,12 +392,16 @@
 			c.shut("bad_request")
 			return
 		}
+		if buf.Skip(size); req.Length > 0 && !c.body(&req, &buf) {
+			return
+		}
 		came := c.f.g.Now()
-		buf.Skip(size)
 		if !c.await(&buf) {
+			c.f.room.Free(len(req.Body))
 			return
 		}
 		if !c.begin() {
+			c.f.room.Free(len(req.Body))
 			c.done.Ring()
 			return
 		}
@@ -407,6 +412,33 @@
 	}
 }
 
+// body reads the bytes that follow a head, into a block of their own: the connection's buffer stays small. They count in the room for
+// bytes until the lookup is over. false if the connection ends.
+func (c *client) body(req *Request, buf *memory.Buffer) bool {
+	c.hurry()
+	if !c.f.room.Hold(req.Length) {
+		if c.await(buf) {
+			c.plain(503, "no room for the body", 0, true)
+			c.linger()
+			c.done.Ring()
+			c.shut("no_room")
+		}
+		return false
+	}
+	req.Body = make([]byte, req.Length)
+	n := copy(req.Body, buf.Bytes())
+	buf.Skip(n)
+	for n < req.Length {
+		m, err := c.conn.Read(req.Body[n:])
+		if n += m; err != nil && n < req.Length {
+			c.f.room.Free(req.Length)
+			c.left(err)
+			return false
+		}
+	}
+	return true
+}
+
 // await waits until the request before has its answer, with the next one read, and takes what ends c.done; false if the client has
 // gone meanwhile. It reads on: a client that sends ahead and goes is seen to go, and its lookup is not sent on.
 func (c *client) await(buf *memory.Buffer) bool {
@@ -502,8 +534,8 @@
 	end := req.Close || c.ends()
 	status, text := 0, ""
 	switch {
-	case req.Method != "GET":
-		status, text, end = 405, "only GET is known", true
+	case req.Method != "GET" && (req.Method != "PUT" || req.Ping || known && !f.terms.Router.Kinds[kind].PassThrough):
+		status, text, end = 405, "only GET is known, and PUT for an object kind that runs at the origin", true
 	case req.Ping && ready:
 		status, text = 200, "ready"
 	case req.Ping:
@@ -519,7 +551,8 @@
 			req.Allow = most
 		}
 	}
-	o, wait := &open{req: req, room: f.room, came: came}, time.Duration(0)
+	o, wait := &open{req: req, room: f.room, came: came, held: len(req.Body),
+		runs: known && f.terms.Router.Kinds[kind].PassThrough}, time.Duration(0)
 	switch {
 	case status != 0:
 	case req.Allow <= 0:
@@ -547,6 +580,7 @@
 		}
 	}
 	if status != 0 {
+		o.close()
 		c.plain(status, text, wait, end)
 		if end {
 			c.shut("asked")
@@ -635,7 +669,11 @@
 		status = 304
 	}
 	var room [headRoom]byte
-	head := appendHead(room[:0], status, len(got.block)-headRoom, "ETag: \""+got.tag+"\"\r\n", end)
+	tag := ""
+	if got.tag != "" { // of a copy; what ran at the origin is none
+		tag = "ETag: \"" + got.tag + "\"\r\n"
+	}
+	head := appendHead(room[:0], status, len(got.block)-headRoom, tag, end)
 	if len(head) > headRoom { // only with an unusually long tag
 		c.say(append(head, got.block[headRoom:]...), o.lk.Deadline)
 		return
--- a/wire/lines.go
+++ b/wire/lines.go
@@ -19,9 +19,9 @@
 	mostAnswer = mostLine + MostObject + 4
 )
 
-// appendDo writes the line of a send.
+// appendDo writes the line of a send, with the bytes that its client sent.
 func appendDo(b []byte, id, kind, object string, part int, patience logic.Micros, source string, rank int,
-	oldest logic.Micros, how logic.How, tag string) []byte {
+	oldest logic.Micros, how logic.How, tag string, body []byte) []byte {
 	b = fmt.Appendf(b, "do %s c=%s,k=%s,p=%d,w=%d", id, kind, object, part, max(1, (patience+999)/1000))
 	if source != "" {
 		b = fmt.Appendf(b, ",from=%s", source)
@@ -45,7 +45,8 @@
 	if tag != "" {
 		b = fmt.Appendf(b, ",seen=%s", tag)
 	}
-	return append(b, " 0\r\n\r\n"...) // no bytes, and the line end that follows bytes
+	b = fmt.Appendf(b, " %d\r\n", len(body))
+	return append(append(b, body...), "\r\n"...)
 }
 
 func appendUndo(b []byte, id string) []byte { return fmt.Appendf(b, "undo %s\r\n", id) }
@@ -59,6 +60,7 @@
 	waited logic.Micros
 	tag    string
 	born   time.Time
+	bare   bool   // without ver or born: no copy, only what a lookup that ran at the origin brought
 	body   []byte // within the buffer that was parsed
 }
 
@@ -122,8 +124,8 @@
 	if err := a.fields(fields); err != nil {
 		return err
 	}
-	if a.end == logic.Satisfied && (a.tag == "" || a.born.IsZero()) || a.same && len(a.body) > 0 {
-		return errors.New("a copy without ver or born, or bytes where none belong")
+	if a.bare = a.end == logic.Satisfied && (a.tag == "" || a.born.IsZero()); a.same && (a.bare || len(a.body) > 0) {
+		return errors.New("VALID without ver or born, or with bytes")
 	}
 	return nil
 }
--- a/wire/links.go
+++ b/wire/links.go
@@ -24,7 +24,7 @@
 	linksACache  = 4                // connections to one cache; a second only when the first is full
 	forgetLateIn = 10 * time.Second // an answer of a send that was given up may come for so long
 	writeWithin  = time.Second
-	mostQueued   = 64 << 10               // bytes of lines that wait for a cache to take those before them
+	mostQueued   = 64<<10 + MostObject    // bytes of lines that wait for a cache to take those before them
 	stalledAfter = 250 * time.Millisecond // an answer that has begun brings nothing more
 )
 
@@ -187,7 +187,8 @@
 	if s.Source != s.To {
 		source = s.Source.Name
 	}
-	f.at.text = appendDo(nil, q.ID, q.Kind, q.Object, q.Part, f.till.Sub(f.sent).Microseconds(), source, s.Rank, s.Oldest, s.How, q.Tag)
+	f.at.text = appendDo(nil, q.ID, q.Kind, q.Object, q.Part, f.till.Sub(f.sent).Microseconds(), source, s.Rank, s.Oldest, s.How, q.Tag,
+		q.Body)
 	f.hush = l.ls.g.AfterFunc(time.Duration(s.Hush)*time.Microsecond, func() { l.doubt(f) })
 	l.write(&f.at)
 }
@@ -599,6 +600,9 @@
 	if f == nil {
 		return ""
 	}
+	if fault == nil && a.bare && !f.open.runs { // guards clients against bytes that no cache vouches for
+		fault = errors.New("a copy without ver or born")
+	}
 	if fault != nil {
 		l.ls.g.Log().Warn("cache_fault", "cache", l.peer.ID, "text", fault.Error())
 		return "bad_answer"
@@ -613,7 +617,7 @@
 		a.end = logic.Errored // word of another copy than the client's is none
 		l.ls.g.Log().Warn("cache_fault", "cache", l.peer.ID, "text", "VALID for a copy that the client does not hold")
 	}
-	if issued, told := l.ls.purges.Heeded(f.object, f.group); a.end == logic.Satisfied && a.born.Before(issued) {
+	if issued, told := l.ls.purges.Heeded(f.object, f.group); a.end == logic.Satisfied && !a.bare && a.born.Before(issued) {
 		// Guards rule 5, past the grace whenever the send went out. To the module it is as if no answer had come: where the
 		// object kind allows it, it sends anew with the purge in mind. The send has run, so it is never as if it had not gone out
 		// (rule 2: a side-effecting lookup would go out a second time).
--- a/wire/request.go
+++ b/wire/request.go
@@ -25,6 +25,8 @@
 	KB                   float64
 	Allow                time.Duration // -1: not told
 	Ping, Close          bool
+	Length               int    // of the bytes that follow the head; only with PUT
+	Body                 []byte // these, once they have been read
 }
 
 // Fault is a request that gets a plain answer and never reaches the module.
@@ -39,7 +41,7 @@
 
 var errShort = errors.New("not whole yet")
 
-// parseRequest reads a request at the front of b and tells how long it is; errShort asks for more bytes.
+// parseRequest reads a request's head at the front of b and tells how long it is; errShort asks for more bytes. Length bytes follow it.
 func parseRequest(b []byte) (Request, int, error) {
 	r := Request{Allow: -1}
 	end := headEnd(b)
@@ -88,6 +90,9 @@
 	if err := r.target(target); err != nil {
 		return r, 0, err
 	}
+	if r.Length > 0 && r.Method != "PUT" {
+		return r, 0, bad("a lookup has no body")
+	}
 	return r, end, nil
 }
 
@@ -165,11 +170,16 @@
 			r.Tag = tag[1 : len(tag)-1]
 		}
 	case "content-length":
-		if v != "0" {
-			return bad("a lookup has no body")
+		n, err := strconv.ParseUint(v, 10, 63)
+		if err != nil {
+			return bad("Content-Length is not a length")
+		}
+		if n > MostObject {
+			return bad("the body is too long")
 		}
+		r.Length = int(n)
 	case "transfer-encoding":
-		return bad("a lookup has no body")
+		return bad("the length of a body is told by Content-Length alone")
 	case "connection":
 		for _, o := range strings.Split(strings.ToLower(v), ",") {
 			switch strings.TrimSpace(o) {
