--- a/lab/day/plant.go
+++ b/lab/day/plant.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"net"
+	"os"
 	"slices"
 	"time"
 
@@ -104,6 +106,7 @@
 	clock.Conn
 	write func(c clock.Conn, b []byte) (int, error)
 	read  func(b []byte) []byte // of the same length
+	ended func()                // before the far side's end is told
 	close func(c clock.Conn) error
 }
 
@@ -119,6 +122,9 @@
 	if n > 0 && w.read != nil {
 		copy(b[:n], w.read(b[:n]))
 	}
+	if err != nil && w.ended != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		w.ended()
+	}
 	return n, err
 }
 
@@ -306,6 +312,12 @@
 				return c.Write(b)
 			}}
 		})},
+		"leave_unheard": {"that a client left is heard 1.5 s late", onConns(func(_ *Day, _ *life, g clock.Ground, c clock.Conn, dialled bool) clock.Conn {
+			if dialled {
+				return c
+			}
+			return &wired{Conn: c, ended: func() { g.Bell().Wait(1500 * time.Millisecond) }}
+		})},
 		"drain_unheard": {"a drain does not reach the module", onTold(func(_ *Day, _ *life, t *told) {
 			t.rows = func(rows []logic.Row) []logic.Row {
 				for i := range rows {
--- a/lab/day/plant_test.go
+++ b/lab/day/plant_test.go
@@ -20,6 +20,7 @@
 	"ending_untold":    {1, "in flight"},
 	"gone_unheard":     {3, "rule 3"},
 	"goroutine_leaked": {1, "leak"},
+	"leave_unheard":    {86, "gone client"},
 	"nack_kept_back":   {1, "rule 1"},
 	"purge_late":       {1, "rule 5"},
 	"purge_unheard":    {1, "rule 5"},
--- a/lab/day/referee.go
+++ b/lab/day/referee.go
@@ -44,6 +44,7 @@
 	taken      time.Duration // its last byte reached the gateway's machine; 0: not yet
 	over       bool          // answered, or nothing is owed any more
 	left       bool
+	leftAt     time.Duration // its client closed or reset the connection
 	sends      []*send
 	lastOut    time.Duration // when a send was last out
 	again      int
@@ -293,6 +294,10 @@
 	if a.over && !a.left && first > a.c.overAt {
 		r.broken("rule 1", "%s sends %s to %s after its final answer", l.p.Name, q.id, k.c.id)
 	}
+	// A client that left while its lookup waited: aim for never, and past this the users count it.
+	if a.left && a.leftAt > 0 && !a.c.split && first > a.leftAt+goneFor {
+		r.broken("gone client", "%s sends %s to %s %v after its client left", l.p.Name, q.id, k.c.id, first-a.leftAt)
+	}
 	for _, s := range a.sends {
 		if s.out {
 			r.broken("rule 2", "%s has %s out at %s and sends it to %s", l.p.Name, q.id, s.k.c.id, k.c.id)
