The word by which caches know a lookup again goes on to them; displaced connections hold up none

At fault: wire/request.go field, wire/lines.go appendDo. My fault of: one that is to make room has 0.2 s / 1000 for its last look now, no time for parts, and the wait for it is bounded.

Change: X-Unique (one word, 128 bytes) goes on as i with every send.

--- a/lab/day/cache.go
+++ b/lab/day/cache.go
@@ -217,6 +217,7 @@
 // do is a send as it reached the cache.
 type do struct {
 	id, kind, object, from, seen, mode string
+	bytes                              string
 	part, rank                         int
 	wait, oldest                       time.Duration
 	k                                  *cacheConn
@@ -228,13 +229,26 @@
 
 func (q *do) key() string { return q.object + "/" + strconv.Itoa(q.part) }
 
-// readDo reads the line of a send; the line's end and its empty body are cut off.
-func readDo(line string) (*do, error) {
+// doLength is how many bytes follow the line of a send; -1: it is none.
+func doLength(line string) int {
 	words := strings.Split(line, " ")
-	if len(words) != 4 || words[0] != "do" || words[3] != "0" {
+	if len(words) != 4 || words[0] != "do" {
+		return -1
+	}
+	n, err := strconv.ParseUint(words[3], 10, 20)
+	if err != nil {
+		return -1
+	}
+	return int(n)
+}
+
+// readDo reads the line of a send, without the line's end, and the bytes that follow it.
+func readDo(line, bytes string) (*do, error) {
+	words := strings.Split(line, " ")
+	if doLength(line) < 0 {
 		return nil, fmt.Errorf("%q is no send", line)
 	}
-	q := &do{id: words[1], kind_: -1}
+	q := &do{id: words[1], kind_: -1, bytes: bytes}
 	for _, f := range strings.Split(words[2], ",") {
 		name, v, _ := strings.Cut(f, "=")
 		n := 0
@@ -523,13 +537,16 @@
 		}
 		fields := fmt.Sprintf("note=%s,waited=%.3f,ver=%s,born=%d", note, float64(waited.Microseconds())/1000, got.ver,
 			got.born.UnixMilli())
+		if kinds[q.kind_].passOn && q.k.to == nil { // what ran at the origin is no copy
+			fields = fmt.Sprintf("note=%s,waited=%.3f", note, float64(waited.Microseconds())/1000)
+		}
 		if same {
 			d.ref.answered(q, got, true)
 			c.end(q, "VALID", fields)
 			return
 		}
 		body := got.body(q.key())
-		if d.spoil.answer(q, fields, body) {
+		if d.spoil.answer(q, got, fields, body) {
 			return
 		}
 		if d.look.answering != nil {
@@ -648,11 +665,13 @@
 			}
 			continue
 		}
-		if len(k.in) < i+4 {
+		n := max(0, doLength(line))
+		if len(k.in) < i+n+4 {
 			return
 		}
-		k.in = k.in[i+4:]
-		q, err := readDo(line)
+		text := string(k.in[i+2 : i+2+n])
+		k.in = k.in[i+n+4:]
+		q, err := readDo(line, text)
 		if err != nil {
 			k.c.d.ref.broken("protocol", "%s reads: %v", k.c.id, err)
 			k.e.Reset()
@@ -727,11 +746,13 @@
 			k.c.d.ref.undone(k, id)
 			continue
 		}
-		if len(k.wire) < i+4 {
+		n := max(0, doLength(line))
+		if len(k.wire) < i+n+4 {
 			return
 		}
-		k.wire = k.wire[i+4:]
-		if q, err := readDo(line); err == nil {
+		text := string(k.wire[i+2 : i+2+n])
+		k.wire = k.wire[i+n+4:]
+		if q, err := readDo(line, text); err == nil {
 			k.c.d.ref.sent(k, q, k.since)
 		}
 		k.since = k.c.d.w.Now()
--- a/lab/day/client.go
+++ b/lab/day/client.go
@@ -201,7 +201,13 @@
 	if a.tag != "" {
 		text += "If-None-Match: \"" + a.tag + "\"\r\n"
 	}
-	text += "\r\n"
+	if kinds[a.kind].passOn { // it writes: as many bytes as its id has them, some none
+		if n := int(sum(a.id) % 9000); n > 1000 {
+			a.bytes = strings.Repeat(a.id+"\r\n", n/18)
+			text = fmt.Sprintf("PUT%sContent-Length: %d\r\n", text[3:], len(a.bytes))
+		}
+	}
+	text += "\r\n" + a.bytes
 	c.sent += len(text)
 	c.e.Send([]byte(text))
 	d.after(a.allow+answerLag+50*time.Millisecond, func() {
--- a/lab/day/faults.go
+++ b/lab/day/faults.go
@@ -411,7 +411,7 @@
 func (s spoil) fault(c *cache) bool { return c.flavor == "edge" && s.on(c.d, "fault", 4) }
 
 // answer spoils a good answer, or passes.
-func (s spoil) answer(q *do, fields, body string) bool {
+func (s spoil) answer(q *do, got *copied, fields, body string) bool {
 	d, k := q.k.c.d, q.k
 	good := fmt.Sprintf("%s HIT %s %d\r\n%s\r\n", q.id, fields, len(body), body)
 	last := func(text string) bool {
@@ -441,12 +441,12 @@
 	case s.on(d, "short", 8):
 		return torn(good[:d.chance(len(good))])
 	case s.on(d, "double", 4):
-		d.ref.answered(q, s.made(d, q, fields), false)
+		d.ref.answered(q, got, false)
 		return last(good + good)
 	case s.on(d, "late", 6):
 		d.after(q.came+q.wait-d.w.Now()+time.Duration(d.chance(200))*time.Millisecond, func() {
 			if !q.over || k.open[q.id] == q {
-				d.ref.answered(q, s.made(d, q, fields), false)
+				d.ref.answered(q, got, false)
 			}
 			if !k.e.Gone() && k.c.up {
 				k.say(q, good)
@@ -459,23 +459,6 @@
 	return false
 }
 
-// made is the copy that an answer's fields tell of.
-func (s spoil) made(d *Day, q *do, fields string) *copied {
-	got := &copied{size: sizeOf(q.object, q.part)}
-	for _, f := range strings.Split(fields, ",") {
-		name, v, _ := strings.Cut(f, "=")
-		switch name {
-		case "ver":
-			got.ver = v
-		case "born":
-			var ms int64
-			fmt.Sscan(v, &ms)
-			got.born = time.UnixMilli(ms).UTC()
-		}
-	}
-	return got
-}
-
 func (d *Day) bulletinLag(f Fault) {
 	b := d.bulletins[f.Who%2]
 	b.lag = time.Duration(200+f.More%2500) * time.Millisecond
--- a/lab/day/referee.go
+++ b/lab/day/referee.go
@@ -36,7 +36,7 @@
 	id, object string
 	kind, part int
 	group      int
-	tag        string
+	tag, bytes string
 	allow      time.Duration
 	l          *life
 	c          *clientConn
@@ -235,7 +235,8 @@
 	var got *copied
 	for _, s := range a.sends {
 		for _, c := range s.answers {
-			if c.ver == tag && (status == 304 && s.sameTold || status == 200 && c.body(a.object+"/"+strconv.Itoa(a.part)) == body) {
+			bare := tag == "" && kinds[a.kind].passOn
+			if (c.ver == tag || bare) && (status == 304 && s.sameTold || status == 200 && c.body(a.object+"/"+strconv.Itoa(a.part)) == body) {
 				by, got = s, c
 			}
 		}
@@ -287,7 +288,8 @@
 		r.broken("protocol", "%s sends %s, which no client asked of it", l.p.Name, q.id)
 		return
 	}
-	if q.object != a.object || q.part != a.part || q.kind != kinds[a.kind].name || q.seen != "" && q.seen != a.tag {
+	if q.object != a.object || q.part != a.part || q.kind != kinds[a.kind].name || q.seen != "" && q.seen != a.tag ||
+		q.bytes != a.bytes {
 		r.broken("protocol", "%s sends %s with other fields than its client's: %s %s/%d", l.p.Name, q.id, q.kind, q.object, q.part)
 		return
 	}
--- a/wire/ending_test.go
+++ b/wire/ending_test.go
@@ -448,14 +448,14 @@
 func TestALookupWithBytes(t *testing.T) {
 	r := stand(t, &held{}, true, 50)
 	bytes := strings.Repeat("\r\n0\r\n\r\nHTTP/1.1 200 OK\r\n\x00", 4000)
-	head := strings.Replace(r.text("order", fmt.Sprintf("Content-Length: %d\r\n", len(bytes))), "GET", "PUT", 1)
+	head := strings.Replace(r.text("order", fmt.Sprintf("X-Unique: u7\r\nContent-Length: %d\r\n", len(bytes))), "GET", "PUT", 1)
 	c := r.connect()
 	for _, piece := range []string{head, bytes[:7], bytes[7:50000], bytes[50000:] + r.text("segment")[:20]} {
 		io.WriteString(c, piece)
 		time.Sleep(2 * time.Millisecond)
 	}
 	d := r.take()
-	if string(d.Body) != bytes || d.Fields["rank"] != "" {
+	if string(d.Body) != bytes || d.Fields["rank"] != "" || d.Fields["i"] != "u7" {
 		t.Fatalf("%d bytes of %d, %v", len(d.Body), len(bytes), d.Fields)
 	}
 	d.On.Say(d.ID + " HIT - 4\r\ndone\r\n")
--- a/wire/front.go
+++ b/wire/front.go
@@ -32,8 +32,9 @@
 	lingerBytes = 256 << 10
 	acceptAgain = 10 * time.Millisecond
 	tellAgain   = time.Second
-	lastLook    = 5 * time.Millisecond // for a request that came just before this side ends its connection
-	mostAhead   = 64 << 10             // bytes that a client may send before its answer; past it nobody sees it go meanwhile
+	lastLook    = 5 * time.Millisecond   // for a request that came just before this side ends its connection
+	briefLook   = 200 * time.Microsecond // the same, while a new connection waits for its place
+	mostAhead   = 64 << 10               // bytes that a client may send before its answer; past it nobody sees it go meanwhile
 )
 
 // Front is the side of the clients.
@@ -79,6 +80,7 @@
 	done   clock.Bell // rung when the next request may be taken
 	no     int64      // in the order of accepting
 	begun  bool       // bytes of a request are there
+	bad    bool       // what came is no request; it ends
 	ahead  bool       // a next request is there while one is being answered
 	going  string     // why this side ends it once nothing is there
 	reason string
@@ -196,7 +198,7 @@
 		c.no = f.count
 		for len(f.clients)-f.leaving >= f.most-f.spare && f.displace() {
 		}
-		for len(f.clients) >= f.most && f.leaving > 0 {
+		for n := 0; len(f.clients) >= f.most && f.leaving > 0 && n < 8; n++ {
 			f.mu.Unlock()
 			f.left.Wait(lastLook)
 			f.mu.Lock()
@@ -253,6 +255,11 @@
 	if last.busy { // a request came this moment
 		return false
 	}
+	if last.bad { // nothing it sends is taken any more; it may be slow to take its answer
+		last.close("displaced")
+		delete(f.clients, last)
+		return true
+	}
 	last.retire("displaced")
 	f.leaving++
 	return true
@@ -374,7 +381,13 @@
 			if looked = errors.Is(err, os.ErrDeadlineExceeded) && !looked; looked {
 				// Guards a request that came at the same moment as the time ran out or as this side wants to end: a time-out does
 				// not say that nothing is there, a read that has waited does.
-				c.conn.SetReadDeadline(c.f.g.Now().Add(lastLook))
+				c.mu.Lock()
+				wait := lastLook
+				if c.going == "displaced" { // others wait behind it to be accepted
+					wait = briefLook
+				}
+				c.conn.SetReadDeadline(c.f.g.Now().Add(wait))
+				c.mu.Unlock()
 				continue
 			}
 			if err != nil {
@@ -386,6 +399,12 @@
 			if !c.await(&buf) {
 				return
 			}
+			c.mu.Lock()
+			c.bad = true
+			if c.going == "displaced" { // others wait for its place
+				c.close("displaced")
+			}
+			c.mu.Unlock()
 			c.plain(fault.Status, fault.Text, 0, true)
 			c.linger()
 			c.done.Ring()
@@ -470,7 +489,7 @@
 func (c *client) hurry() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy && !c.begun && (c.served > 0 || c.going != "") {
+	if !c.busy && !c.begun && c.going != "displaced" && (c.served > 0 || c.going != "") {
 		c.conn.SetReadDeadline(c.f.g.Now().Add(slowRequest))
 	}
 	c.begun = true
--- a/wire/lines.go
+++ b/wire/lines.go
@@ -21,7 +21,7 @@
 
 // appendDo writes the line of a send, with the bytes that its client sent.
 func appendDo(b []byte, id, kind, object string, part int, patience logic.Micros, source string, rank int,
-	oldest logic.Micros, how logic.How, tag string, body []byte) []byte {
+	oldest logic.Micros, how logic.How, tag, unique string, body []byte) []byte {
 	b = fmt.Appendf(b, "do %s c=%s,k=%s,p=%d,w=%d", id, kind, object, part, max(1, (patience+999)/1000))
 	if source != "" {
 		b = fmt.Appendf(b, ",from=%s", source)
@@ -45,6 +45,9 @@
 	if tag != "" {
 		b = fmt.Appendf(b, ",seen=%s", tag)
 	}
+	if unique != "" {
+		b = fmt.Appendf(b, ",i=%s", unique)
+	}
 	b = fmt.Appendf(b, " %d\r\n", len(body))
 	return append(append(b, body...), "\r\n"...)
 }
--- a/wire/links.go
+++ b/wire/links.go
@@ -188,7 +188,7 @@
 		source = s.Source.Name
 	}
 	f.at.text = appendDo(nil, q.ID, q.Kind, q.Object, q.Part, f.till.Sub(f.sent).Microseconds(), source, s.Rank, s.Oldest, s.How, q.Tag,
-		q.Body)
+		q.Unique, q.Body)
 	f.hush = l.ls.g.AfterFunc(time.Duration(s.Hush)*time.Microsecond, func() { l.doubt(f) })
 	l.write(&f.at)
 }
--- a/wire/request.go
+++ b/wire/request.go
@@ -15,6 +15,7 @@
 	mostHead   = 16 << 10 // bytes of a request's head
 	mostFields = 64
 	mostAllow  = time.Hour
+	mostUnique = 128 // bytes of the word by which caches know a lookup again
 )
 
 // Request is one request of a client, or what is wrong with it.
@@ -22,6 +23,7 @@
 	Method, Kind, Object string
 	Part, Group          int
 	ID, Tag              string // Tag: of the copy that the client holds
+	Unique               string // by which caches know a lookup again, also when its client repeats it under another id
 	KB                   float64
 	Allow                time.Duration // -1: not told
 	Ping, Close          bool
@@ -131,7 +133,7 @@
 // field takes one header field; those that a lookup is made of may come once only.
 func (r *Request) field(name, v string, seen map[string]bool, host *bool) error {
 	switch name {
-	case "x-job-id", "x-allow-ms", "x-group", "x-ram-kb", "if-none-match", "host", "content-length":
+	case "x-job-id", "x-allow-ms", "x-group", "x-ram-kb", "x-unique", "if-none-match", "host", "content-length":
 		if seen[name] {
 			return bad(name + " comes twice")
 		}
@@ -163,6 +165,11 @@
 			return bad("X-Ram-Kb is not a size")
 		}
 		r.KB = n
+	case "x-unique":
+		if !isWord(v) || len(v) > mostUnique {
+			return bad("X-Unique is not a word that can be passed on")
+		}
+		r.Unique = v
 	case "if-none-match":
 		// One strong or weak tag that a cache's line can carry is passed on; anything else is as none.
 		tag := strings.TrimPrefix(v, "W/")
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -103,7 +103,12 @@
 	if r, n, err := parseRequest([]byte(put + "bytes")); err != nil || n != len(put) || r.Length != 240000 || r.Method != "PUT" {
 		t.Errorf("%+v, %d, %v", r, n, err)
 	}
+	if r, _, err := parseRequest([]byte(strings.Replace(put, "Content", "X-Unique: bcedd3\r\nContent", 1))); err != nil || r.Unique != "bcedd3" {
+		t.Errorf("%+v, %v", r, err)
+	}
 	for name, text := range map[string]string{
+		"known by no word":  strings.Replace(put, "Content", "X-Unique: a,from=x\r\nContent", 1),
+		"known by two":      strings.Replace(put, "Content", "X-Unique: a\r\nX-Unique: a\r\nContent", 1),
 		"too long":          strings.Replace(put, "240000", "240001", 1),
 		"past all":          strings.Replace(put, "240000", "99999999999999999999", 1),
 		"negative":          strings.Replace(put, "240000", "-1", 1),
@@ -122,16 +127,16 @@
 }
 
 func TestSendLine(t *testing.T) {
-	got := string(appendDo(nil, "0a", "segment", "k1", 3, 1500500, "p-1", 2, 999, logic.Join|logic.Renew, "v1", nil))
+	got := string(appendDo(nil, "0a", "segment", "k1", 3, 1500500, "p-1", 2, 999, logic.Join|logic.Renew, "v1", "", nil))
 	if want := "do 0a c=segment,k=k1,p=3,w=1501,from=p-1,rank=2,oldest=1,mode=j+r,seen=v1 0\r\n\r\n"; got != want {
 		t.Errorf("%q", got)
 	}
-	got = string(appendDo(nil, "0a", "segment", "k1", 0, 1000, "", 0, 0, 0, "", nil))
+	got = string(appendDo(nil, "0a", "segment", "k1", 0, 1000, "", 0, 0, 0, "", "", nil))
 	if want := "do 0a c=segment,k=k1,p=0,w=1 0\r\n\r\n"; got != want {
 		t.Errorf("%q", got)
 	}
-	got = string(appendDo(nil, "0a", "order", "k1", 0, 1000, "o-1", 0, 0, 0, "", []byte("a\r\nb")))
-	if want := "do 0a c=order,k=k1,p=0,w=1,from=o-1 4\r\na\r\nb\r\n"; got != want {
+	got = string(appendDo(nil, "0a", "order", "k1", 0, 1000, "o-1", 0, 0, 0, "", "u7", []byte("a\r\nb")))
+	if want := "do 0a c=order,k=k1,p=0,w=1,from=o-1,i=u7 4\r\na\r\nb\r\n"; got != want {
 		t.Errorf("%q", got)
 	}
 }
