--- a/lab/day/client.go
+++ b/lab/day/client.go
@@ -159,8 +159,9 @@
 	next     *ask // to be asked once it is up
 	sent     int  // bytes towards the gateway, and how many of them reached it
 	arrived  int
-	wire     []byte // written by the gateway and not yet a whole answer
-	wireOver bool   // the gateway ended its side
+	wire     []byte        // written by the gateway and not yet a whole answer
+	wireAt   time.Duration // its first byte
+	wireOver bool          // the gateway ended its side
 	overAt   time.Duration
 	in       []byte
 	last     time.Duration
@@ -332,6 +333,9 @@
 	if c.closed {
 		return // it has left, and the gateway has not heard of it yet
 	}
+	if len(c.wire) == 0 {
+		c.wireAt = now
+	}
 	c.wire = append(c.wire, b...)
 	status, tag, body, wait, size := readAnswer(c.wire)
 	if size == 0 {
