--- a/wire/ending_test.go
+++ b/wire/ending_test.go
@@ -28,13 +28,38 @@
 	read   chan bool // each read of a client's connection waits for one
 	asked  chan bool // told of each read that waits
 	accept chan bool // each Accept waits for one
+	write  chan bool // each write to a cache waits for one
+	stuck  chan bool // told of each write that waits
 }
 
 func (h *held) Dial(life *clock.Life, addr string, within time.Duration) (net.Conn, error) {
 	if h.dial != nil {
 		<-h.dial
 	}
-	return h.System.Dial(life, addr, within)
+	c, err := h.System.Dial(life, addr, within)
+	if err == nil && h.write != nil {
+		return &slowWriter{c, h}, nil
+	}
+	return c, err
+}
+
+func (h *held) Direct(c net.Conn) clock.Direct {
+	if h.write != nil {
+		return nil
+	}
+	return h.System.Direct(c)
+}
+
+// slowWriter is a connection whose peer takes nothing until the gate opens.
+type slowWriter struct {
+	net.Conn
+	h *held
+}
+
+func (s *slowWriter) Write(b []byte) (int, error) {
+	s.h.stuck <- true
+	<-s.h.write
+	return s.Conn.Write(b)
 }
 
 type gated struct {
@@ -263,6 +288,30 @@
 	})
 }
 
+// A send waits behind one that its cache does not take, and the cache is told draining: what has begun goes on, what has not goes elsewhere.
+func TestASendBehindAPeerThatTakesNothing(t *testing.T) {
+	h := &held{write: make(chan bool), stuck: make(chan bool, 99)}
+	r := stand(t, h, true, 50)
+	first := r.ask("segment")
+	<-h.stuck
+	second := r.ask("segment")
+	r.sent(2)
+	home, other := r.home()
+	r.tell(home, logic.Draining)
+	close(h.write)
+	at := map[string]int{}
+	for range 2 {
+		d := r.take()
+		at[d.On.LocalAddr().String()]++
+		d.Hit(time.Now(), "hit", "ok")
+	}
+	r.status(first, 200)
+	r.status(second, 200)
+	if at[r.caches.Find(home).Addr] != 1 || at[r.caches.Find(other).Addr] != 1 {
+		t.Errorf("sends by cache: %v", at)
+	}
+}
+
 // home is the edge that the rig's open lookup has a send at, and the other one.
 func (r *rig) home() (home, other string) {
 	r.t.Helper()
