A cache lags only by a part of the latency budget, half stay in, the last is used again

Cause: edgeBack timed edges a KB with a floor of 0, so 5 us a KB against 2 put a cache out; where routes left only that one, all was refused (service TestRoutes, status 503). Change: a lag must also cost a tenth of a lookup's latency budget; no more than half of a group are put out for their times; an edge out for its times alone is used again where no other is left, unless it is silent or fails. Parents timed a KB have the same floor. Reverting each part fails its story in logic/outlier_test.go (floor, half, panic, silent, trial failed).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,7 +1,7 @@
 // Package logic decides for one router: which cache, which source, which rank, how long, what is given up.
 // The door (an adapter or a gateway) makes a Router with Start and caches with NewCache, and tells it what
-// happens and when. It answers through Host; plain types are in host.go and state.go. One call at a time.
-// A lookup goes down the chain intake > copies > edge > parent > dispatch as the draft of a send. A stage
+// happens and when; it answers through Host (host.go; plain types in state.go). One call at a time. A lookup
+// goes down the chain intake > copies > edge > parent > dispatch as the draft of a send. A stage
 // passes it on, keeps it (held) or ends it; what comes back runs the same stages in reverse.
 package logic
 
@@ -43,9 +43,9 @@
 	roomToSpill = 0.7        // another cache takes a crowded one's lookup while under this part of its limit
 	fullCut     = 0.75       // of a cache's limit of open sends, when it turns one away as full
 
-	recentTimes           = 10            // of a parent, over which its mean is taken
-	trialEvery            = 1 * second    // pause between trials of a cache or parent that is out
-	lagMultiple, lagFloor = 3.0, 250 * ms // a parent lags when its mean is above this multiple of the others'
+	recentTimes                    = 10                // of a cache or parent, over which its mean is taken
+	trialEvery                     = 1 * second        // between trials of a cache or parent that is out
+	lagMultiple, lagFloor, lagPart = 3.0, 250 * ms, .1 // of others' mean; past it, of first bytes; of a budget
 )
 
 // NewCache makes the cache for a name at the door.
@@ -92,7 +92,7 @@
 	for _, c := range r.caches {
 		if o := was[c.Name]; o != nil && o != c {
 			c.coldFrom, c.tokens, c.tokensAt = max(c.coldFrom, o.coldFrom), min(c.tokens, o.tokens), o.tokensAt
-			c.out, c.outAt, c.nextAt, c.died = o.out, o.outAt, o.nextAt, o.died
+			c.out, c.outAt, c.nextAt, c.died, c.lags = o.out, o.outAt, o.nextAt, o.died, o.lags
 		}
 	}
 	r.log("carried: %d counts, %d purges, %d caches", len(from.counts), len(from.purged), len(was))
@@ -305,7 +305,7 @@
 		case c.State != Ready || c == lk.failedAt || !r.mayRepeat(lk, c) || !r.trialDue(c, lk) || !lk.scope.edge(c):
 		case !r.warmEnough(c, lk.part) || !r.afford(c, lk.kind.mean(r.now)):
 			wait = true
-		case float64(c.open)-r.fillsOpen(c) >= part*c.limit || r.now < c.pauseTill:
+		case float64(c.open)-r.fillsOpen(c.sends) >= part*c.limit || r.now < c.pauseTill:
 			if part < 1 {
 				return keep // two homes are enough: a third would fill what they hold
 			}
@@ -329,7 +329,7 @@
 	// Guards against a cache that slows: its lookups move to the others of its location. Its hits are timed
 	// where they are told (a fill's time is its source's), else all its sends.
 	if r.timed(s, got) && (got.remark == Hit || got.remark == Aged || !r.its.HitsTold) {
-		r.timeAmong(c, r.edges, float64(got.took), max(lk.kb, 1), 0)
+		r.timeAmong(c, r.edges, float64(got.took), max(lk.kb, 1), lagPart*float64(lk.span()))
 	}
 	switch {
 	case got.end == Satisfied || got.end == Missed || got.remark >= SourceRefused:
@@ -396,7 +396,7 @@
 			}
 			return pass
 		}
-		if pressed && (r.fillsOpen(nil) >= r.fills || r.now < r.nextFill) {
+		if pressed && (r.fillsOpen(r.open) >= r.fills || r.now < r.nextFill) {
 			return keep
 		}
 	}
@@ -415,12 +415,8 @@
 	return pass
 }
 
-// fillsOpen counts sends that are fills or too long out for a hit, at one cache or (nil) at all.
-func (r *Router) fillsOpen(c *Cache) (n float64) {
-	sends := r.open
-	if c != nil {
-		sends = c.sends
-	}
+// fillsOpen counts those sends that are fills or too long out for a hit.
+func (r *Router) fillsOpen(sends []*Send) (n float64) {
 	for _, s := range sends {
 		if s.source != s.to && (s.lk.missed != nil || r.now-s.at > 50*ms+2*s.lk.work) {
 			n++
@@ -464,7 +460,7 @@
 		r.fillsAt = r.now
 		share := leastOpen * float64(max(len(r.edges), 1)) / r.seats()
 		share += math.Sqrt(share) * (1 - 1/r.seats()) // not all routers are busy at once
-		r.fills = max(share, 0.9*min(r.fills, r.fillsOpen(nil)+1))
+		r.fills = max(share, 0.9*min(r.fills, r.fillsOpen(r.open)+1))
 	}
 	if r.pressedTill < r.now {
 		r.log("fills pressed, limit %.1f", r.fills)
@@ -515,7 +511,7 @@
 	// A parent's fills are timed to their first byte where that is told, else a KB; where nothing tells a fill,
 	// all sends that named it are, hits that passed it by too.
 	if r.timed(s, got) && (got.end == Satisfied && filled || !r.its.HitsTold) {
-		took, n, floor := float64(got.took), max(lk.kb, 1), 0.0
+		took, n, floor := float64(got.took), max(lk.kb, 1), lagPart*float64(lk.span())
 		if r.its.FirstByteTold {
 			took, n, floor = float64(got.waited), 1, float64(lagFloor)
 		}
@@ -546,21 +542,26 @@
 	return got.end == Satisfied || r.now >= s.overdue && (got.end == TimedOut || got.end == Cancelled)
 }
 
-// timeAmong keeps recent times and puts out one whose mean is far above its group's others' (and by floor).
+// timeAmong keeps recent times and puts out one that lags behind its group's others, while half are in.
 func (r *Router) timeAmong(p *Cache, group []*Cache, took, n, floor float64) {
 	i := p.recents % recentTimes
 	p.recentTook[i], p.recentN[i] = took, n
 	if p.recents++; p.recents < recentTimes || p.out {
 		return
 	}
-	mine, others, heard := p.mean(), 0.0, 0.0 // the unheard count as average
+	mine, others, heard, out := p.mean(), 0.0, 0.0, 1 // the unheard count as average
 	for _, o := range group {
+		if o.out {
+			out++
+		}
 		if o != p && o.recents > 0 {
 			others, heard = others+o.mean(), heard+1
 		}
 	}
-	if others /= max(heard, 1); heard > 0 && mine > lagMultiple*others && mine > others+floor {
+	others /= max(heard, 1)
+	if heard > 0 && 2*out <= len(group) && mine > max(lagMultiple*others, others+floor/n) {
 		r.putOut(p, fmt.Sprintf("lags, mean %.0f against %.0f", mine, others))
+		p.lags = p.Kind != r.its.ParentKind
 	}
 }
 
@@ -729,21 +730,24 @@
 // strike weighs one account: so many failures in a row put the cache out, a failed trial puts the next off.
 func (r *Router) strike(c *Cache, n, most int, why string) {
 	if c.out {
-		c.nextAt = r.now + trialEvery
+		c.nextAt, c.lags = r.now+trialEvery, false
 	} else if n >= most {
 		r.putOut(c, fmt.Sprintf("%s, %d in a row", why, n))
 	}
 }
 
 func (r *Router) putOut(c *Cache, why string) {
-	c.out, c.outAt = true, r.now
+	c.out, c.outAt, c.lags = true, r.now, false
 	c.nextAt = r.now + trialEvery/2 + Micros(r.chance.next()%uint32(trialEvery/2))
 	r.log("%s out: %s", c.Name, why)
 }
 
-// trialDue tells whether a cache may have the lookup: one that is out gets one at a time, of no unusual size.
+// trialDue tells whether a cache may have the lookup: one that is out gets one at a time, of no unusual size,
+// or any, where it only lags and routes leave no other edge that is in (a panic threshold).
 func (r *Router) trialDue(c *Cache, lk *Lookup) bool {
-	return !c.out || c.trial == nil && r.now >= c.nextAt && float64(lk.work) <= 1.5*lk.kind.mean(r.now)
+	in := func(o *Cache) bool { return !o.out && o.State == Ready && lk.scope.edge(o) }
+	return !c.out || c.lags && c.mute == 0 && !slices.ContainsFunc(r.edges, in) ||
+		c.trial == nil && r.now >= c.nextAt && float64(lk.work) <= 1.5*lk.kind.mean(r.now)
 }
 
 // hear notes a good answer; a good trial brings a cache back, and one that died warms up as if started then.
@@ -834,19 +838,17 @@
 		}
 		return -math.Log(u)
 	}
-	order := slices.Clone(caches)
-	slices.SortStableFunc(order, func(a, b *Cache) int { return cmp.Compare(far(a), far(b)) })
-	return order
+	nearer := func(a, b *Cache) int { return cmp.Compare(far(a), far(b)) }
+	return slices.SortedStableFunc(slices.Values(caches), nearer)
 }
 
 // halve ages the counts and drops what has none left, and purges that no copy can be older than.
 func (r *Router) halve() {
 	r.halveAt = r.now + halveEvery
 	for part, n := range r.counts {
-		if r.counts[part] = n / 2; n < 2 {
-			delete(r.counts, part)
-		}
+		r.counts[part] = n / 2
 	}
+	maps.DeleteFunc(r.counts, func(_ uint64, n float64) bool { return n < 1 })
 	maps.DeleteFunc(r.purged, func(_ uint64, at Micros) bool { return r.now > at+r.its.PurgeDone+second })
 }
 
--- /dev/null
+++ b/logic/outlier_test.go
@@ -0,0 +1,102 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// Outlier ejection by time: a ratio alone says nothing where the times are next to nothing, and whoever is ejected is used again
+// where no other is left.
+func TestOutliers(t *testing.T) {
+	// hits brings so many hits of 1 KB to each edge, the first of them as slow as told, and tells who that is.
+	hits := func(f *fake, all []*Cache, slow, usual Micros, among func(*Cache) bool) *Cache {
+		lagged := all[0]
+		for i := 0; i < 3000 && (all[0].recents < 2*recentTimes || all[1].recents < 2*recentTimes); i++ {
+			f.askSized(0, fmt.Sprint("o", i), 1)
+			s, took := f.last(), usual
+			if s.to == lagged {
+				took = slow
+			}
+			f.now += took
+			f.end(s, Satisfied, Hit, took)
+			if lagged.out && among == nil {
+				break
+			}
+		}
+		return lagged
+	}
+	budget := func(b Micros) func(*Charter) {
+		return func(its *Charter) { its.Kinds[0].Budget = b }
+	}
+	t.Run("microseconds a KB are no lag, whatever their ratio", func(t *testing.T) {
+		f, all := play(t, nil)
+		if c := hits(f, all, 50, 2, nil); c.out {
+			t.Error("out by 48 us a KB of a budget of 400 ms")
+		}
+	})
+	t.Run("under a small and a large latency budget the same part of it is a lag", func(t *testing.T) {
+		for _, b := range []Micros{10 * ms, 400 * ms, 4 * second} {
+			f, all := play(t, budget(b))
+			if c := hits(f, all, b/20, b/100, nil); c.out {
+				t.Errorf("budget %d us: out by 4%% of it", b)
+			}
+			f, all = play(t, budget(b))
+			if c := hits(f, all, b/5, b/100, nil); !c.out {
+				t.Errorf("budget %d us: in, though it lags by 19%% of it", b)
+			}
+		}
+	})
+	t.Run("no more than half of a location's caches are out when one more lags", func(t *testing.T) {
+		f, all := play(t, nil)
+		f.r.putOut(all[1], "unreachable")
+		f.r.putOut(all[2], "unreachable")
+		for range 2 * recentTimes {
+			f.r.timeAmong(all[1], f.r.edges, float64(ms), 1, 0)
+			f.r.timeAmong(all[0], f.r.edges, float64(second), 1, 0)
+		}
+		if all[0].out {
+			t.Error("the last one is put out for its times")
+		}
+	})
+	// lag puts out the first edge for its times.
+	lag := func(f *fake, all []*Cache) *Cache {
+		if c := hits(f, all, 100*ms, 5*ms, nil); !c.out || !c.lags {
+			t.Fatal("it does not lag")
+		}
+		return all[0]
+	}
+	t.Run("where routes leave none but one that lags, lookups go to it, several at a time", func(t *testing.T) {
+		f, all := play(t, nil)
+		c := lag(f, all)
+		for i := range 3 {
+			f.r.Within(&Scope{Caches: map[string]bool{c.Name: true}})
+			if lk := f.askSized(0, fmt.Sprint("only", i), 1); lk.over || f.last().lk != lk || f.last().to != c {
+				t.Fatalf("lookup %d is refused: %v", i, f.said)
+			}
+		}
+	})
+	t.Run("while others are left it gets trials alone", func(t *testing.T) {
+		f, all := play(t, nil)
+		c := lag(f, all)
+		for i := range 30 {
+			if f.askSized(0, fmt.Sprint("any", i), 1); f.last().to == c {
+				t.Fatal("it gets a lookup before its trial is due")
+			}
+		}
+	})
+	for what, ail := range map[string]func(f *fake, c *Cache){
+		"is silent":          func(_ *fake, c *Cache) { c.mute = 1 },
+		"fails its trial":    func(f *fake, c *Cache) { f.r.strike(c, 1, 1, "trial failed") },
+		"is unreachable too": func(f *fake, c *Cache) { f.r.putOut(c, "unreachable") },
+	} {
+		t.Run("one that lags and "+what+" is not used, though no other is left", func(t *testing.T) {
+			f, all := play(t, nil)
+			c := lag(f, all)
+			ail(f, c)
+			f.r.Within(&Scope{Caches: map[string]bool{c.Name: true}})
+			if lk := f.askSized(0, "only", 1); !lk.over {
+				t.Error("it goes there")
+			}
+		})
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -9,6 +9,7 @@
 	Row
 
 	out, died     bool   // gets nothing but trials; died: will be cold when it returns
+	lags          bool   // out for nothing but its times
 	outAt, nextAt Micros // since when; when the next trial may go
 	trial         *Send
 	strikes       int    // broken or refused connections (of a parent: failed fills) in a row
