Scale: a stand-in for the discovery watch of thousands of gateways

The example's stand-in serves a handful of gateways that all started at once. This one has one listener on the loopback device, knows a gateway by the address that it dials (127.64.x.y), numbers events from 1 at each gateway's start, keeps a bounded backlog and counts what each watch is told.

--- /dev/null
+++ b/lab/scale/discovery.go
@@ -0,0 +1,432 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"foldslip/example/standin"
+)
+
+const (
+	askWithin  = 5 * time.Second // for the line "after N" of a watch
+	askMost    = 64              // bytes of it
+	takeWithin = 5 * time.Second // for a watcher to take what is written; a slower one is dropped
+	writeMost  = 64 << 10        // bytes of one write, and of the buffer of each watch
+	pulseEvery = time.Second     // a line with the last number alone
+	mostWatch  = 8192            // gateways
+)
+
+// Discovery is the stand-in for the discovery watch of the whole fleet: one listener on loopback, one watch a gateway, events numbered
+// from 1 at each start of each gateway. A gateway is known by the address that it dials, 127.64.x.y, so that programs with no more than
+// an address in their configuration can watch it too; the listener is bound to the loopback device.
+//
+// Bounds: Gateways watches, one goroutine and one buffer of 64 KB at most each; Keep events for those that come back. A watcher that is
+// behind them is dropped and counted, as is one that takes nothing for 5 s.
+type Discovery struct {
+	listen net.Listener
+	port   uint16
+	wait   sync.WaitGroup
+	asking chan struct{} // a place each for connections that have not asked yet
+
+	mu      sync.Mutex
+	keep    int
+	members []standin.Member
+	at      map[string]int // place in members by id
+	whole   []byte         // the list as an event without its number; nil: to be made anew
+	first   int64          // position of events[0]; positions go on over all starts, numbers are a gateway's own
+	events  [][]byte       // events without their numbers
+	by      []*watcher
+	cut     func(gateway int) bool // whose watches are refused; nil: nobody's
+	closed  bool
+}
+
+// watcher is what a gateway hears, over its connections.
+type watcher struct {
+	joined bool
+	base   int64  // position of the event that is its number 1
+	list   []byte // event 1, where it comes over the watch
+	conn   net.Conn
+	poke   chan struct{}
+	count  WatchCounts
+}
+
+// WatchCounts are of one gateway's watch since the stand-in began. Bytes are payload; see Wire for what TCP adds.
+type WatchCounts struct {
+	BytesOut, Writes, Events atomic.Int64
+	BytesIn, Connects        atomic.Int64
+	Behind, Slow             atomic.Int64 // times that it was dropped
+}
+
+// DiscoveryOptions bound a stand-in.
+type DiscoveryOptions struct {
+	Gateways int // 1 to 8192
+	Keep     int // events kept for watchers that come back; 65,536 if 0 (ten minutes of 100 a second)
+	Members  []standin.Member
+}
+
+// NewDiscovery serves on a port of its own.
+func NewDiscovery(o DiscoveryOptions) (*Discovery, error) {
+	if o.Gateways < 1 || o.Gateways > mostWatch {
+		return nil, fmt.Errorf("%d gateways watch, expected 1 to %d", o.Gateways, mostWatch)
+	}
+	if o.Keep <= 0 {
+		o.Keep = 65536
+	}
+	onLoopback := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		if e := c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptString(int(fd), syscall.SOL_SOCKET, syscall.SO_BINDTODEVICE, "lo")
+		}); e != nil {
+			return e
+		}
+		return err
+	}}
+	l, err := onLoopback.Listen(context.Background(), "tcp4", "0.0.0.0:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &Discovery{listen: l, port: l.Addr().(*net.TCPAddr).AddrPort().Port(), keep: o.Keep, members: slices.Clone(o.Members), at: map[string]int{},
+		first: 1, by: make([]*watcher, o.Gateways), asking: make(chan struct{}, 256)}
+	for i, m := range d.members {
+		d.at[m.ID] = i
+	}
+	for i := range d.by {
+		d.by[i] = &watcher{poke: make(chan struct{}, 1)}
+	}
+	d.wait.Go(d.accept)
+	return d, nil
+}
+
+// Addr is where a gateway finds the stand-in.
+func (d *Discovery) Addr(gateway int) string {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 64, byte(gateway >> 8), byte(gateway)}), d.port).String()
+}
+
+// gatewayAt is the gateway that dialled an address; -1: none.
+func (d *Discovery) gatewayAt(a net.Addr) int {
+	t, ok := a.(*net.TCPAddr)
+	if !ok {
+		return -1
+	}
+	b := t.AddrPort().Addr().Unmap().As4()
+	if i := int(b[2])<<8 | int(b[3]); b[0] == 127 && b[1] == 64 && i < len(d.by) {
+		return i
+	}
+	return -1
+}
+
+// Join starts a gateway: its events are numbered from 1 anew, and the first is the whole list. It returns what the gateway's
+// configuration holds under `known`, and the position from which its numbers count. Told says that the list stands there already;
+// otherwise it comes over the watch.
+func (d *Discovery) Join(gateway int, told bool) (known json.RawMessage, base int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w := d.by[gateway]
+	w.drop()
+	w.joined, w.base, w.list = true, d.last(), d.list()
+	if !told {
+		return json.RawMessage(`{"no":0,"items":[]}`), w.base
+	}
+	return fmt.Appendf(nil, `{"no":1,"items":[{"no":1,%s]}`, w.list), w.base
+}
+
+// Leave ends a gateway: it is told nothing until it joins again.
+func (d *Discovery) Leave(gateway int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.by[gateway].joined = false
+	d.by[gateway].drop()
+}
+
+// drop ends a watch, under the lock.
+func (w *watcher) drop() {
+	if w.conn != nil {
+		w.conn.Close()
+		w.conn = nil
+		w.ring()
+	}
+}
+
+func (w *watcher) ring() {
+	select {
+	case w.poke <- struct{}{}:
+	default:
+	}
+}
+
+// list is the whole list as an event, under the lock: shared by all that join before it changes.
+func (d *Discovery) list() []byte {
+	if d.whole == nil {
+		d.whole = []byte(standin.Roster(true, d.members...)[1:])
+	}
+	return d.whole
+}
+
+// last is the position of the last event.
+func (d *Discovery) last() int64 { return d.first + int64(len(d.events)) - 1 }
+
+// Last is the position of the last event told.
+func (d *Discovery) Last() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.last()
+}
+
+// Purge tells of a purge of an object, or of a group where the name is empty, and returns its position.
+func (d *Discovery) Purge(object string, group int, issued time.Time) int64 {
+	var b []byte
+	if object != "" {
+		b = fmt.Appendf(nil, `"recall":{"item":%q,"issued":%d}}`, object, issued.UnixMilli())
+	} else {
+		b = fmt.Appendf(nil, `"recall":{"lot":%d,"issued":%d}}`, group, issued.UnixMilli())
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.tell(b)
+}
+
+// Change tells of changed, new or removed members of the list, and returns its position.
+func (d *Discovery) Change(members ...standin.Member) int64 {
+	b := []byte(standin.Roster(false, members...)[1:])
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.whole = nil
+	for _, m := range members {
+		i, held := d.at[m.ID]
+		switch {
+		case m.Phase == "removed" && held:
+			d.members = slices.Delete(d.members, i, i+1)
+			delete(d.at, m.ID)
+			for id, j := range d.at {
+				if j > i {
+					d.at[id] = j - 1
+				}
+			}
+		case m.Phase == "removed":
+		case held:
+			d.members[i] = m
+		default:
+			d.at[m.ID] = len(d.members)
+			d.members = append(d.members, m)
+		}
+	}
+	return d.tell(b)
+}
+
+// tell adds an event, under the lock.
+func (d *Discovery) tell(event []byte) int64 {
+	d.events = append(d.events, event)
+	if len(d.events) >= 2*d.keep { // twice, so that each is moved once
+		gone := len(d.events) - d.keep
+		d.first += int64(gone)
+		d.events = append([][]byte(nil), d.events[gone:]...)
+	}
+	for _, w := range d.by {
+		if w.conn != nil {
+			w.ring()
+		}
+	}
+	return d.last()
+}
+
+// Cut ends the watches of some gateways and refuses them until Cut is called again: their control machine is lost, or they are cut off
+// from all. Nil refuses nobody.
+func (d *Discovery) Cut(who func(gateway int) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cut = who
+	for i, w := range d.by {
+		if who != nil && who(i) {
+			w.drop()
+		}
+	}
+}
+
+// Watching is how many gateways watch now.
+func (d *Discovery) Watching() (n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, w := range d.by {
+		if w.conn != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// Counts are those of a gateway's watch.
+func (d *Discovery) Counts(gateway int) *WatchCounts { return &d.by[gateway].count }
+
+// Close ends the stand-in and all watches.
+func (d *Discovery) Close() {
+	d.listen.Close()
+	d.mu.Lock()
+	d.closed = true
+	for _, w := range d.by {
+		w.joined = false
+		w.drop()
+	}
+	d.mu.Unlock()
+	d.wait.Wait()
+}
+
+func (d *Discovery) accept() {
+	for {
+		conn, err := d.listen.Accept()
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				time.Sleep(10 * time.Millisecond) // out of descriptors
+				continue
+			}
+			return
+		}
+		d.asking <- struct{}{} // at most askWithin until a place is free
+		d.wait.Go(func() {
+			d.serve(conn)
+			conn.Close()
+		})
+	}
+}
+
+// ask reads the number of the last event that a watcher holds.
+func ask(conn net.Conn) (after int64, n int, err error) {
+	conn.SetReadDeadline(time.Now().Add(askWithin))
+	buf := make([]byte, 0, askMost)
+	for {
+		k, err := conn.Read(buf[len(buf):askMost])
+		buf = buf[:len(buf)+k]
+		if line, _, whole := bytes.Cut(buf, []byte("\n")); whole {
+			word, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("after "))
+			if !ok {
+				return 0, len(buf), fmt.Errorf("a watch began with %q", line)
+			}
+			after, err = strconv.ParseInt(string(word), 10, 64)
+			return after, len(buf), err
+		}
+		if err == nil && len(buf) == askMost {
+			err = errors.New("a watch began with a line that is too long")
+		}
+		if err != nil {
+			return 0, len(buf), err
+		}
+	}
+}
+
+func (d *Discovery) serve(conn net.Conn) {
+	i := d.gatewayAt(conn.LocalAddr())
+	after, asked, err := int64(0), 0, errors.New("nobody's address")
+	if i >= 0 {
+		after, asked, err = ask(conn)
+	}
+	<-d.asking
+	if err != nil {
+		return
+	}
+	w := d.by[i]
+	d.mu.Lock()
+	if d.closed || !w.joined || after < 0 || d.cut != nil && d.cut(i) {
+		d.mu.Unlock()
+		return
+	}
+	w.drop() // a gateway has one watch
+	w.conn = conn
+	base := w.base
+	d.mu.Unlock()
+	w.count.Connects.Add(1)
+	w.count.BytesIn.Add(int64(asked))
+	d.watch(w, conn, base, after)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w.conn == conn {
+		w.conn = nil
+	}
+}
+
+// watch tells one watcher what it does not hold yet, for as long as it is the gateway's watch.
+func (d *Discovery) watch(w *watcher, conn net.Conn, base, after int64) {
+	pulse := time.NewTicker(pulseEvery)
+	defer pulse.Stop()
+	var buf []byte
+	var held [64][]byte // events of one turn
+	for beat := false; ; {
+		d.mu.Lock()
+		if w.conn != conn {
+			d.mu.Unlock()
+			return
+		}
+		last := d.last() - base + 1 // as the gateway counts
+		some := held[:0]
+		behind := false
+		for no := after + 1; no <= last && len(some) < len(held); no++ {
+			switch pos := base + no - 1; {
+			case no == 1:
+				some = append(some, w.list)
+			case pos < d.first:
+				behind = true
+			default:
+				some = append(some, d.events[pos-d.first])
+			}
+		}
+		d.mu.Unlock()
+		if behind {
+			w.count.Behind.Add(1)
+			return
+		}
+		buf = buf[:0]
+		from := after
+		for _, e := range some { // all, or as many as the buffer takes
+			after++
+			buf = append(strconv.AppendInt(append(buf, `{"no":`...), after, 10), ',')
+			buf = append(append(buf, e...), '\n')
+			if len(buf) > writeMost {
+				break
+			}
+		}
+		told := after - from
+		if beat && after >= last {
+			buf = append(strconv.AppendInt(append(buf, `{"no":`...), after, 10), "}\n"...)
+		}
+		beat = false
+		if len(buf) > 0 {
+			conn.SetWriteDeadline(time.Now().Add(takeWithin))
+			n, err := conn.Write(buf)
+			w.count.BytesOut.Add(int64(n))
+			w.count.Writes.Add(1)
+			if err != nil {
+				if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
+					w.count.Slow.Add(1)
+				}
+				return
+			}
+			w.count.Events.Add(told)
+			if cap(buf) > writeMost {
+				buf = nil // after a whole list
+			}
+			if after < last {
+				continue
+			}
+		}
+		select {
+		case <-w.poke:
+		case <-pulse.C:
+			beat = true
+		}
+	}
+}
+
+// Wire is what TCP over IPv4 adds to a watch, as arithmetic: 52 bytes (20 and 20, and 12 of timestamps) for each segment of up to 1,448
+// bytes, and for each acknowledgement the other way, one for two segments. A write is one segment at least.
+func Wire(payload, writes int64) (down, up int64) {
+	segments := max(writes, (payload+1447)/1448)
+	return payload + 52*segments, 52 * (segments + 1) / 2
+}
--- /dev/null
+++ b/lab/scale/discovery_test.go
@@ -0,0 +1,191 @@
+package scale
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"foldslip/example/standin"
+)
+
+func discovery(t *testing.T, o DiscoveryOptions) *Discovery {
+	d, err := NewDiscovery(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return d
+}
+
+// listener is a watch of a test: it asks and reads lines.
+type listener struct {
+	net.Conn
+	in *bufio.Reader
+	t  *testing.T
+}
+
+func listen(t *testing.T, d *Discovery, gateway int, after int64) *listener {
+	conn, err := net.Dial("tcp", d.Addr(gateway))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	fmt.Fprintf(conn, "after %d\n", after)
+	conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	return &listener{conn, bufio.NewReader(conn), t}
+}
+
+// event reads up to the next event, past lines with the last number alone.
+func (l *listener) event() (text string) {
+	l.t.Helper()
+	for {
+		line, err := l.in.ReadString('\n')
+		if err != nil {
+			l.t.Fatal(err)
+		}
+		if strings.Contains(line, ",") {
+			return strings.TrimSpace(line)
+		}
+	}
+}
+
+func (l *listener) ended() {
+	l.t.Helper()
+	if _, err := io.Copy(io.Discard, l.in); err != nil && !strings.Contains(err.Error(), "reset") {
+		l.t.Fatal(err)
+	}
+}
+
+var issued = time.UnixMilli(1764576000123)
+
+func TestEachGatewaysEventsAreNumberedFromItsOwnStart(t *testing.T) {
+	d := discovery(t, DiscoveryOptions{Gateways: 300, Members: Members(3, 1)})
+	known, _ := d.Join(2, true)
+	var held struct {
+		No    int64
+		Items []json.RawMessage
+	}
+	if err := json.Unmarshal(known, &held); err != nil || held.No != 1 || len(held.Items) != 1 || !strings.Contains(string(held.Items[0]), `"id":"c0000"`) {
+		t.Fatalf("known: %s, %v", known, err)
+	}
+	d.Purge("00000000000000aa", 0, issued)
+	d.Join(299, false)
+	a, b := listen(t, d, 2, 1), listen(t, d, 299, 0)
+	if got := a.event(); got != `{"no":2,"recall":{"item":"00000000000000aa","issued":1764576000123}}` {
+		t.Errorf("the first: %s", got)
+	}
+	if got := b.event(); !strings.HasPrefix(got, `{"no":1,"roster":{"revision":1,"complete":true,"members":[{"id":"c0000"`) {
+		t.Errorf("the second: %s", got)
+	}
+	d.Purge("", 17, issued)
+	for who, l := range map[int64]*listener{3: a, 2: b} {
+		if got := l.event(); got != fmt.Sprintf(`{"no":%d,"recall":{"lot":17,"issued":1764576000123}}`, who) {
+			t.Errorf("told %s, expected number %d", got, who)
+		}
+	}
+	d.Join(2, true) // a restart
+	a.ended()
+	a = listen(t, d, 2, 1)
+	d.Purge("00000000000000bb", 0, issued)
+	if got := a.event(); !strings.HasPrefix(got, `{"no":2,`) || !strings.Contains(got, "bb") {
+		t.Errorf("after a restart: %s", got)
+	}
+}
+
+func TestWhoComesBackIsToldWhatItMissedOrDroppedWhereThatIsNotKept(t *testing.T) {
+	d := discovery(t, DiscoveryOptions{Gateways: 2, Keep: 100})
+	d.Join(0, true)
+	d.Join(1, true)
+	for i := range 150 {
+		d.Purge(fmt.Sprintf("%016x", i), 0, issued)
+	}
+	l := listen(t, d, 0, 51)
+	for no := int64(52); no <= 151; no++ {
+		if got := l.event(); !strings.HasPrefix(got, fmt.Sprintf(`{"no":%d,`, no)) || !strings.Contains(got, fmt.Sprintf(`"%016x"`, no-2)) {
+			t.Fatalf("number %d: %s", no, got)
+		}
+	}
+	for i := range 100 {
+		d.Purge(fmt.Sprintf("%016x", 150+i), 0, issued)
+	}
+	listen(t, d, 1, 1).ended()
+	if got := d.Counts(1).Behind.Load(); got != 1 {
+		t.Errorf("dropped %d times for being behind", got)
+	}
+	if c := d.Counts(0); c.Events.Load() < 100 || c.BytesOut.Load() < 100*70 {
+		t.Errorf("counted %d events, %d bytes", c.Events.Load(), c.BytesOut.Load())
+	}
+}
+
+func TestASilentWatchIsToldTheLastNumberEverySecond(t *testing.T) {
+	d := discovery(t, DiscoveryOptions{Gateways: 1})
+	d.Join(0, true)
+	l := listen(t, d, 0, 1)
+	began := time.Now()
+	for range 2 {
+		if line, err := l.in.ReadString('\n'); err != nil || line != "{\"no\":1}\n" {
+			t.Fatalf("%q, %v", line, err)
+		}
+	}
+	if took := time.Since(began); took < 1500*time.Millisecond {
+		t.Errorf("two within %v", took)
+	}
+}
+
+func TestOneWatchAGatewayAndNoneForStrangersOrWhileItsMachineIsLost(t *testing.T) {
+	d := discovery(t, DiscoveryOptions{Gateways: 2})
+	d.Join(0, true)
+	first := listen(t, d, 0, 1)
+	d.Purge("00000000000000aa", 0, issued)
+	first.event()
+	second := listen(t, d, 0, 1)
+	second.event()
+	first.ended()
+	listen(t, d, 1, 1).ended() // has not joined
+	listen(t, d, 7, 1).ended() // is none of ours
+	d.Cut(func(i int) bool { return i == 0 })
+	second.ended()
+	listen(t, d, 0, 2).ended()
+	d.Cut(nil)
+	d.Purge("00000000000000bb", 0, issued)
+	if got := listen(t, d, 0, 2).event(); !strings.Contains(got, "bb") {
+		t.Errorf("after it came back: %s", got)
+	}
+	d.Leave(0)
+	listen(t, d, 0, 3).ended()
+	bad, err := net.Dial("tcp", d.Addr(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(bad, "%s\n", strings.Repeat("x", askMost))
+	bad.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if n, err := bad.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Error("a watch that asked for nothing was told something")
+	}
+	bad.Close()
+}
+
+func TestAJoinSeesTheListAsItIs(t *testing.T) {
+	members := Members(3, 1)
+	d := discovery(t, DiscoveryOptions{Gateways: 1, Members: members})
+	gone := members[1]
+	gone.Phase = "removed"
+	d.Change(gone)
+	drains := members[2]
+	drains.Phase = "draining"
+	d.Change(drains, standin.Member{ID: "new", HostPort: "127.0.0.1:1", Locality: "z00", Flavor: "edge", Phase: "up", Size: 1})
+	known, base := d.Join(0, true)
+	for word, want := range map[string]bool{members[0].ID: true, members[1].ID: false, members[2].ID: true, `"draining"`: true, `"new"`: true} {
+		if strings.Contains(string(known), word) != want {
+			t.Errorf("%s in the list: %v", word, !want)
+		}
+	}
+	if base != 2 || d.Last() != 2 {
+		t.Errorf("base %d, last %d", base, d.Last())
+	}
+}
