The referee counts an attempt for a client that left 0.1 s ago; a leave heard 0.2 s late is found

The bound is 0.1 s, and every client that leaves counts. A second planted fault, leave_late, hears a leave 0.2 s late.

--- a/lab/day/client.go
+++ b/lab/day/client.go
@@ -254,9 +254,7 @@
 	c.a, c.next = nil, nil
 	if a != nil {
 		a.left = true
-		if a.taken > 0 {
-			a.leftAt = c.f.d.w.Now()
-		}
+		a.leftAt = c.f.d.w.Now()
 		if a.c == nil {
 			a.c = c
 		}
--- a/lab/day/day.go
+++ b/lab/day/day.go
@@ -27,7 +27,7 @@
 	rampMore = 2.0
 	obey     = 300 * time.Millisecond // to heed a purge
 	leave    = 2 * time.Second        // to heed a drain
-	goneFor  = 300 * time.Millisecond // after a client left, its lookup is not sent on
+	goneFor  = 100 * time.Millisecond // after a client left, its lookup is not sent on
 	slack    = 50 * time.Millisecond  // more on sockets
 	toldBy   = 7 * time.Second        // what is published counts as told by then, if the gateway could hear
 	hearing  = 4500 * time.Millisecond
--- a/lab/day/plant.go
+++ b/lab/day/plant.go
@@ -221,6 +221,16 @@
 	}
 }
 
+// leftLate plants that the end of a client's connection is heard late.
+func leftLate(by time.Duration) func(*Day, *life) (facade.Between, func(clock.Ground) clock.Ground) {
+	return onConns(func(_ *Day, _ *life, g clock.Ground, c clock.Conn, dialled bool) clock.Conn {
+		if dialled {
+			return c
+		}
+		return &wired{Conn: c, ended: func() { g.Bell().Wait(by) }}
+	})
+}
+
 func onGround(change func(d *Day, g *ground)) func(*Day, *life) (facade.Between, func(clock.Ground) clock.Ground) {
 	return func(d *Day, _ *life) (facade.Between, func(clock.Ground) clock.Ground) {
 		return nil, func(under clock.Ground) clock.Ground {
@@ -312,12 +322,8 @@
 				return c.Write(b)
 			}}
 		})},
-		"leave_unheard": {"that a client left is heard 1.5 s late", onConns(func(_ *Day, _ *life, g clock.Ground, c clock.Conn, dialled bool) clock.Conn {
-			if dialled {
-				return c
-			}
-			return &wired{Conn: c, ended: func() { g.Bell().Wait(1500 * time.Millisecond) }}
-		})},
+		"leave_unheard": {"that a client left is heard 1.5 s late", leftLate(1500 * time.Millisecond)},
+		"leave_late":    {"that a client left is heard 0.2 s late", leftLate(200 * time.Millisecond)},
 		"drain_unheard": {"a drain does not reach the module", onTold(func(_ *Day, _ *life, t *told) {
 			t.rows = func(rows []logic.Row) []logic.Row {
 				for i := range rows {
--- a/lab/day/plant_test.go
+++ b/lab/day/plant_test.go
@@ -21,6 +21,7 @@
 	"gone_unheard":     {3, "rule 3"},
 	"goroutine_leaked": {1, "leak"},
 	"leave_unheard":    {72, "gone client"},
+	"leave_late":       {86, "gone client"},
 	"nack_kept_back":   {1, "rule 1"},
 	"purge_late":       {1, "rule 5"},
 	"purge_unheard":    {1, "rule 5"},
