A line of which a cache has taken no byte has not begun: its client leaves, it stays

Where the peer took nothing (its window full), the first byte went out up to 1 s later, whatever had ended by then: the client gone, the lookup answered, the cache told draining.

A line of which the connection took nothing at once goes back to the front of the queue, and Facade.May is asked again before each further try, every 5 ms; a peer that takes nothing for 1 s has its connection ended as before. Stories also for the paths that were right: held (backoff), an attempt that ends after its client left (a miss, an error, a broken fill, a reset), a lookup behind another's.

--- a/wire/ending_test.go
+++ b/wire/ending_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,12 +26,15 @@
 // held is the system's ground with gates in it; a nil gate is open.
 type held struct {
 	*clock.System
-	dial   chan bool // each connection to a cache waits for one
-	read   chan bool // each read of a client's connection waits for one
-	asked  chan bool // told of each read that waits
-	accept chan bool // each Accept waits for one
-	write  chan bool // each write to a cache waits for one
-	stuck  chan bool // told of each write that waits
+	dial   chan bool    // each connection to a cache waits for one
+	read   chan bool    // each read of a client's connection waits for one
+	asked  chan bool    // told of each read that waits
+	accept chan bool    // each Accept waits for one
+	write  chan bool    // each write to a cache waits for one
+	stuck  chan bool    // told of each write that waits
+	deaf   chan bool    // caches take nothing, not a byte, until it is closed
+	failed atomic.Int32 // so many Accepts fail, as without a descriptor
+	idle   chan bool    // each read of a client whose lookup is open waits for one
 }
 
 func (h *held) Dial(life *clock.Life, addr string, within time.Duration) (net.Conn, error) {
@@ -40,6 +45,9 @@
 	if err == nil && h.write != nil {
 		return &slowWriter{c, h}, nil
 	}
+	if err == nil && h.deaf != nil {
+		return &deafWriter{c, h}, nil
+	}
 	return c, err
 }
 
@@ -47,9 +55,31 @@
 	if h.write != nil {
 		return nil
 	}
+	if d, ok := c.(*deafWriter); ok {
+		direct := h.System.Direct(d.Conn)
+		return func(b []byte) int {
+			select {
+			case <-h.deaf:
+				return direct(b)
+			default:
+				return 0
+			}
+		}
+	}
 	return h.System.Direct(c)
 }
 
+// deafWriter is a connection that takes nothing at once, and whose Write waits, until the gate is gone.
+type deafWriter struct {
+	net.Conn
+	h *held
+}
+
+func (d *deafWriter) Write(b []byte) (int, error) {
+	<-d.h.deaf
+	return d.Conn.Write(b)
+}
+
 // slowWriter is a connection whose peer takes nothing until the gate opens.
 type slowWriter struct {
 	net.Conn
@@ -71,13 +101,39 @@
 	if g.h.accept != nil {
 		<-g.h.accept
 	}
+	if g.h.failed.Add(-1) >= 0 {
+		return nil, syscall.EMFILE
+	}
 	c, err := g.TCPListener.Accept()
+	if err == nil && g.h.idle != nil {
+		c.(*net.TCPConn).SetReadBuffer(1 << 20)
+		return &idleReader{TCPConn: c.(*net.TCPConn), h: g.h}, nil
+	}
 	if err == nil && g.h.read != nil {
 		return &slowReader{c.(*net.TCPConn), g.h}, nil
 	}
 	return c, err
 }
 
+// idleReader is a connection whose reads without a deadline, as while a lookup is open, wait for the gate.
+type idleReader struct {
+	*net.TCPConn
+	h     *held
+	timed atomic.Bool
+}
+
+func (i *idleReader) SetReadDeadline(at time.Time) error {
+	i.timed.Store(!at.IsZero())
+	return i.TCPConn.SetReadDeadline(at)
+}
+
+func (i *idleReader) Read(b []byte) (int, error) {
+	if !i.timed.Load() {
+		<-i.h.idle
+	}
+	return i.TCPConn.Read(b)
+}
+
 type slowReader struct {
 	*net.TCPConn
 	h *held
--- /dev/null
+++ b/wire/gone_test.go
@@ -0,0 +1,161 @@
+package wire
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Every path on which an attempt of a lookup can begin, with its client gone by then: none begins (docs/ending.md).
+
+// gone waits until the front has no connection of a client any more: whoever left has been seen to.
+func (r *rig) gone() {
+	r.t.Helper()
+	r.until("front without clients", func() bool { return r.front.Load() == 0 })
+}
+
+// held waits until the module has that many lookups without a send.
+func (r *rig) held(n int) {
+	r.t.Helper()
+	r.sent(0)
+	r.open(n)
+}
+
+// tick brings the module its timers, which nobody else does in these stories, until it has nothing held.
+func (r *rig) tick(n int) {
+	for range n {
+		r.router.Tick(nil, false, nil)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// A lookup that the module holds, here after its cache turned it away (a backoff of 30 ms): sent on while its client waits, never after.
+func TestAHeldLookupWhoseClientLeaves(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		t.Run(fmt.Sprint("leaves ", leaves), func(t *testing.T) {
+			r := stand(t, &held{}, true, 50)
+			c := r.ask("segment")
+			r.take().End("SHED", "-")
+			r.held(1)
+			if leaves {
+				c.Close()
+				r.open(0)
+				r.tick(8)
+				r.nothingCame()
+				return
+			}
+			go r.tick(8)
+			r.take().Hit(time.Now(), "hit", "ok")
+			r.status(c, 200)
+		})
+	}
+}
+
+// An attempt ends after its client left, in a way that would have another one follow at once. Where the settings allow no giving up
+// the cache goes on, with a fill too: its end is taken and nothing follows.
+func TestAnAttemptThatEndsAfterItsClientLeft(t *testing.T) {
+	for name, end := range map[string]func(d interface{ End(word, fields string) }, reset func()){
+		"a miss":            func(d interface{ End(word, fields string) }, _ func()) { d.End("NONE", "-") },
+		"an error":          func(d interface{ End(word, fields string) }, _ func()) { d.End("FAULT", "-") },
+		"a fill that broke": func(d interface{ End(word, fields string) }, _ func()) { d.End("FAULT", "note=src_broke") },
+		"a reset":           func(_ interface{ End(word, fields string) }, reset func()) { reset() },
+	} {
+		for _, leaves := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", leaves ", leaves), func(t *testing.T) {
+				r := stand(t, &held{}, false, 50)
+				c := r.ask("segment")
+				d := r.take()
+				if leaves {
+					c.Close()
+					r.gone()
+				}
+				end(d, d.Reset)
+				if leaves {
+					r.open(0)
+					r.tick(4)
+					r.nothingCame()
+					return
+				}
+				go r.tick(8)
+				r.take().Hit(time.Now(), "hit", "ok")
+				r.status(c, 200)
+			})
+		}
+	}
+}
+
+// Two clients want one object, which the cache fills once for both: the first leaves, the second has its answer.
+func TestALookupBehindAnothersWhoseClientLeaves(t *testing.T) {
+	for _, cancelling := range []bool{true, false} {
+		t.Run(fmt.Sprint("cancelling ", cancelling), func(t *testing.T) {
+			r := stand(t, &held{}, cancelling, 50)
+			first := r.ask("segment")
+			one := r.take()
+			second := r.ask("segment")
+			two := r.take()
+			first.Close()
+			r.until("one client", func() bool { return r.front.Load() == 1 })
+			if !cancelling {
+				one.Hit(time.Now(), "filled", "ok")
+			}
+			two.Hit(time.Now(), "joined", "ok")
+			if body := r.status(second, 200); body != "ok" {
+				t.Errorf("got %q", body)
+			}
+			if len(r.came) > 0 {
+				t.Error("sent again")
+			}
+		})
+	}
+}
+
+// A line of which the connection has taken no byte has not begun: its client leaves, and it does not go out when the peer reads on.
+// The one before it has nothing to do with that.
+func TestASendOfWhichThePeerHasTakenNothing(t *testing.T) {
+	for _, cancelling := range []bool{true, false} {
+		t.Run(fmt.Sprint("cancelling ", cancelling), func(t *testing.T) {
+			h := &held{deaf: make(chan bool)}
+			r := stand(t, h, cancelling, 50)
+			goes := r.ask("segment")
+			r.sent(1)
+			time.Sleep(20 * time.Millisecond) // for the connection to be up and its writers to have tried
+			stays := r.ask("segment")         // behind it
+			r.sent(2)
+			goes.Close()
+			r.open(1)
+			close(h.deaf)
+			d := r.take()
+			if d.ID != fmt.Sprintf("%016x", r.ids) {
+				t.Fatalf("%s was sent, its client has gone", d.ID)
+			}
+			d.Hit(time.Now(), "hit", "ok")
+			r.status(stays, 200)
+			r.nothingCame()
+		})
+	}
+}
+
+// A peer that goes on taking nothing has its connection ended, as one that stops within a line.
+func TestAPeerThatGoesOnTakingNothing(t *testing.T) {
+	h := &held{deaf: make(chan bool)}
+	r := stand(t, h, true, 50)
+	c := r.ask("segment")
+	r.sent(1)
+	ls, began := r.front.links, time.Now()
+	ls.mu.Lock()
+	var its *link
+	for _, of := range ls.by {
+		its = of[0]
+	}
+	ls.mu.Unlock()
+	r.until("end of the connection", func() bool {
+		its.mu.Lock()
+		defer its.mu.Unlock()
+		return its.dead
+	})
+	if took := time.Since(began); took < writeWithin/2 || took > 3*writeWithin {
+		t.Errorf("ended after %v", took)
+	}
+	close(h.deaf)
+	c.Close()
+}
--- a/wire/links.go
+++ b/wire/links.go
@@ -26,6 +26,7 @@
 	writeWithin  = time.Second
 	mostQueued   = 64<<10 + MostObject    // bytes of lines that wait for a cache to take those before them
 	stalledAfter = 250 * time.Millisecond // an answer that has begun brings nothing more
+	tryAgain     = 5 * time.Millisecond   // a line of which the connection took nothing
 )
 
 // Links are the connections to caches. Each carries many sends; their answers come in any order.
@@ -101,6 +102,7 @@
 	begun   int64
 	gone    int64
 	rest    []byte       // of the last line begun
+	last    *line        // the last one that next took from out; nil: it gave the rest
 	writing bool         // one goroutine at a time writes
 	now     clock.Direct // writes what the connection takes at once; nil: it cannot
 	undone  []undone     // given up, the undo not yet written
@@ -213,7 +215,7 @@
 
 // next takes what is to be written next, under the link's lock; nil where there is nothing.
 func (l *link) next() (text []byte) {
-	if l.rest != nil {
+	if l.last = nil; l.rest != nil {
 		text, l.rest = l.rest, nil
 		return text
 	}
@@ -232,6 +234,7 @@
 			one.text = nil
 		}
 		if l.begun = one.no; one.text != nil {
+			l.last = one
 			return one.text
 		}
 		l.gone = l.begun // all before it is out
@@ -239,6 +242,32 @@
 	return nil
 }
 
+// took notes how much of what next gave the connection took at once, under the link's lock; false: not all. A line of which it took
+// nothing has not begun and goes back, to be asked of again (next) before it does: a peer that takes nothing may do so for long after
+// a client left, a lookup ended or a cache was told draining, and the first byte would still go out then.
+func (l *link) took(text []byte, n int) bool {
+	one := l.last
+	if n > 0 || one == nil {
+		if l.rest = text[n:]; len(l.rest) == 0 {
+			l.rest, l.gone = nil, l.begun
+		}
+		return l.rest == nil
+	}
+	if f := one.f; f != nil && l.flights[f.open.req.ID] != f { // given up this moment: neither it nor its undo need go out
+		one.text = nil
+		for _, u := range l.undone {
+			if at := slices.IndexFunc(l.out, func(o *line) bool { return u.f == f && o.no == u.no }); at >= 0 {
+				l.waiting -= len(l.out[at].text)
+				l.out[at].text = nil
+			}
+		}
+	}
+	l.waiting += len(one.text)
+	l.out = slices.Insert(l.out, 0, one)
+	l.begun, l.last = one.no-1, nil
+	return false
+}
+
 // flush writes what is queued, as far as the connection takes it at once; where it does not, pour goes on. So the wake of
 // a goroutine is paid for lines to a cache that is slow to read, not for each send.
 func (l *link) flush() {
@@ -255,14 +284,13 @@
 		l.mu.Unlock()
 		n := l.now(text)
 		l.mu.Lock()
-		if l.rest = text[n:]; len(l.rest) > 0 {
+		if !l.took(text, n) {
 			break
 		}
-		l.rest, l.gone = nil, l.begun
 	}
 	l.writing = false
 	out := l.settled(false)
-	if l.rest != nil || l.dead {
+	if l.rest != nil || len(l.out) > 0 || l.dead {
 		l.turn.Ring()
 	}
 	l.mu.Unlock()
@@ -271,6 +299,8 @@
 
 // pour writes what flush left until the connection ends; what does not go out soon ends it.
 func (l *link) pour(conn net.Conn) {
+	var since time.Time // the connection has taken nothing, with so many lines begun
+	var begun int64
 	for {
 		l.mu.Lock()
 		var text []byte
@@ -278,16 +308,39 @@
 			text = l.next()
 		}
 		l.writing = l.writing || text != nil
-		dead, out := l.dead, l.settled(false)
+		dead, out, now, fresh := l.dead, l.settled(false), l.now, l.last != nil
 		l.mu.Unlock()
 		l.tell(out)
 		if dead {
 			return
 		}
 		if text == nil {
+			since = time.Time{}
 			l.turn.Wait(-1)
 			continue
 		}
+		if fresh && now != nil { // a Write that waits would begin whenever the peer reads on, whatever has been told by then
+			n := now(text)
+			l.mu.Lock()
+			l.took(text, n)
+			l.writing = false
+			if n > 0 || l.begun != begun {
+				since, begun = time.Time{}, l.begun
+			}
+			l.mu.Unlock()
+			if at := l.ls.g.Now(); since.IsZero() {
+				since = at
+			} else if at.Sub(since) > writeWithin {
+				l.stuck.Store(true)
+				conn.Close()
+				return
+			}
+			if n == 0 {
+				l.turn.Wait(tryAgain)
+			}
+			continue
+		}
+		since = time.Time{}
 		conn.SetWriteDeadline(l.ls.g.Now().Add(writeWithin))
 		_, err := conn.Write(text)
 		conn.SetWriteDeadline(time.Time{}) // one that has passed would stop flush too
