No lookup begins for a client that sent far ahead and left, or left before it was accepted

Cause: past 64 KB read ahead nobody saw a client go: its lookups went on and began one after the other. And a connection that waited to be accepted (at the bound, or without a descriptor) may hold a whole request of a client long gone: the lookup began before its end was read.

Past the bound the lookup under way is given up (Facade.GiveUp: nack, or failure where it may have run), and what is there is read to its end or refused with 503 until a look finds nothing more. For 1 s after accepting waited a connection's first lookup begins after the same look, twice 5 ms. Cost: a client more than 64 KB ahead of its answers, some 350 requests, is refused until it has caught up.

--- a/facade/facade.go
+++ b/facade/facade.go
@@ -255,12 +255,13 @@
 	}
 	f.mu.Unlock()
 	for _, l := range open {
-		f.giveUp(l)
+		f.GiveUp(l)
 		f.close(l, Failed) // only after a fault of the module
 	}
 }
 
-func (f *Facade) giveUp(l *Lookup) {
+// GiveUp has the router give a lookup up, if it has not ended: a nack, or a failure where it may have had its effect.
+func (f *Facade) GiveUp(l *Lookup) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !l.over {
--- a/wire/front.go
+++ b/wire/front.go
@@ -34,7 +34,8 @@
 	tellAgain   = time.Second
 	lastLook    = 5 * time.Millisecond   // for a request that came just before this side ends its connection
 	briefLook   = 200 * time.Microsecond // the same, while a new connection waits for its place
-	mostAhead   = 64 << 10               // bytes that a client may send before its answer; past it nobody sees it go meanwhile
+	mostAhead   = 64 << 10               // bytes that a client may send before its answer; past it nobody sees it go: no lookup begins
+	unseenFor   = time.Second            // after accepting waited, connections are looked at for their end before a lookup begins
 )
 
 // Front is the side of the clients.
@@ -58,6 +59,7 @@
 	accepted clock.Bell // rung when no more are accepted
 	leaving  int        // displaced connections that are looked at once more
 	left     clock.Bell // rung when one of them has ended
+	waited   time.Time  // when accepting last waited; Accept's own
 }
 
 // NewFront makes a front that takes so many connections at most.
@@ -82,6 +84,7 @@
 	begun  bool       // bytes of a request are there
 	bad    bool       // what came is no request; it ends
 	ahead  bool       // a next request is there while one is being answered
+	unseen bool       // its end may be behind what has not been read yet; its reader's own
 	going  string     // why this side ends it once nothing is there
 	reason string
 	since  time.Time // without a request on it
@@ -189,6 +192,7 @@
 			if again.Wait(acceptAgain) { // out of descriptors, most likely
 				return nil
 			}
+			f.waited = f.g.Now()
 			continue
 		}
 		c := &client{f: f, conn: conn, since: f.g.Now(), done: f.g.Bell()}
@@ -201,8 +205,11 @@
 		for n := 0; len(f.clients) >= f.most && f.leaving > 0 && n < 8; n++ {
 			f.mu.Unlock()
 			f.left.Wait(lastLook)
+			f.waited = f.g.Now()
 			f.mu.Lock()
 		}
+		// It may have waited to be accepted, with a request on it, for longer than its client did.
+		c.unseen = !f.waited.IsZero() && f.g.Now().Sub(f.waited) < unseenFor
 		full := len(f.clients) >= f.most
 		if !full {
 			f.clients[c] = true
@@ -473,6 +480,12 @@
 		}
 		err := buf.Fill(c.conn, mostAhead)
 		if errors.Is(err, memory.ErrFull) {
+			c.mu.Lock()
+			lk := c.lk
+			c.mu.Unlock()
+			if c.unseen = true; lk != nil {
+				c.f.router.GiveUp(lk.lk)
+			}
 			break
 		}
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -481,6 +494,35 @@
 		}
 	}
 	c.done.Wait(-1) // one at a time
+	if c.unseen && !c.see(buf) {
+		c.done.Ring()
+		return false
+	}
+	return true
+}
+
+// see reads what is there up to the bound, to see the client's end if it is behind that; false if it has gone. Guards gone clients:
+// without it, lookups of one that sent far ahead and left, or that left before it was accepted, would begin long after. Past the
+// bound nothing is known, and what comes is refused.
+func (c *client) see(buf *memory.Buffer) bool {
+	began := c.f.g.Now()
+	for empty := 0; empty < 2; { // a time-out alone does not say that nothing is there: the read may have come after it
+		c.conn.SetReadDeadline(c.f.g.Now().Add(lastLook))
+		err := buf.Fill(c.conn, mostAhead)
+		switch {
+		case err == nil:
+			empty = 0
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			empty++
+		case !errors.Is(err, memory.ErrFull):
+			c.left(err)
+			return false
+		}
+		if errors.Is(err, memory.ErrFull) || c.f.g.Now().Sub(began) > slowRequest {
+			return true
+		}
+	}
+	c.unseen = false
 	return true
 }
 
@@ -574,6 +616,8 @@
 		runs: known && f.terms.Router.Kinds[kind].PassThrough}, time.Duration(0)
 	switch {
 	case status != 0:
+	case c.unseen:
+		status, text = 503, "too much sent ahead of its answer"
 	case req.Allow <= 0:
 		status, text = 503, "no time left"
 	case !f.places.Enter():
--- a/wire/gone_test.go
+++ b/wire/gone_test.go
@@ -1,7 +1,12 @@
 package wire
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -159,3 +164,127 @@
 	close(h.deaf)
 	c.Close()
 }
+
+// A client sends more ahead than this side reads, and goes: its end is behind what nobody has read. None of its lookups begins.
+func TestAClientThatSendsFarAheadAndGoes(t *testing.T) {
+	h := &held{idle: make(chan bool)}
+	r := stand(t, h, true, 50)
+	c := r.connect()
+	io.WriteString(c, r.text("segment"))
+	d := r.take()
+	far := strings.Builder{}
+	for far.Len() < mostAhead*3/2 {
+		far.WriteString(r.text("segment"))
+	}
+	written := make(chan bool)
+	go func() {
+		io.WriteString(c, far.String())
+		c.(*net.TCPConn).CloseWrite() // an end behind all that; a close with answers unread is a reset, which is seen at once
+		close(written)
+	}()
+	select {
+	case <-written:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the socket does not take what is sent ahead")
+	}
+	// It has gone before any of that is read; after each read while a lookup is open that has time to begin.
+	over, ended := make(chan bool), make(chan bool)
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case h.idle <- true:
+				time.Sleep(5 * time.Millisecond)
+			case <-over:
+				return
+			}
+		}
+	}()
+	r.gone()
+	close(over)
+	<-ended
+	close(h.idle)
+	r.open(0)
+	if len(r.came) > 0 {
+		t.Errorf("%d were sent after %s", len(r.came), d.ID)
+	}
+	r.nothingCame()
+}
+
+// The same client stays: what is past the bound is refused, each request has its answer, and once it has caught up it is served again.
+func TestAClientThatSendsFarAheadAndStays(t *testing.T) {
+	r := stand(t, &held{}, true, 50)
+	c := r.connect()
+	io.WriteString(c, r.text("segment"))
+	r.take()
+	far, n := strings.Builder{}, 1
+	for ; far.Len() < 3*mostAhead; n++ {
+		far.WriteString(r.text("segment"))
+	}
+	go io.WriteString(c, far.String())
+	in := bufio.NewReader(c)
+	done := make(chan bool)
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case d := <-r.came:
+				d.Hit(time.Now(), "hit", "ok")
+			case <-done:
+				return
+			}
+		}
+	}()
+	status := func() int {
+		got, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.ReadAll(got.Body)
+		return got.StatusCode
+	}
+	by := map[int]int{}
+	for range n {
+		by[status()]++
+	}
+	if by[503] == 0 || by[503]+by[200] != n {
+		t.Errorf("%d requests, answers %v", n, by)
+	}
+	time.Sleep(20 * time.Millisecond)
+	io.WriteString(c, r.text("segment"))
+	if got := status(); got != 200 {
+		t.Errorf("once it has caught up: %d", got)
+	}
+}
+
+// Clients wait to be accepted while there is no descriptor for them, send their request and go: none of it begins.
+func TestClientsThatGoBeforeTheyAreAccepted(t *testing.T) {
+	h := &held{accept: make(chan bool), idle: make(chan bool)}
+	defer close(h.idle)
+	r := stand(t, h, true, 50)
+	warm := r.ask("segment") // its cache's connection is up, so that a send would go out at once
+	h.accept <- true
+	r.take().Hit(time.Now(), "hit", "ok")
+	r.status(warm, 200)
+	h.idle <- true
+	var asked []net.Conn
+	for range 20 {
+		asked = append(asked, r.ask("segment"))
+	}
+	for _, c := range asked {
+		c.Close()
+	}
+	h.failed.Store(1)
+	close(h.accept)
+	warm.Close()
+	r.until("clients accepted", func() bool {
+		r.front.mu.Lock()
+		defer r.front.mu.Unlock()
+		return r.front.count == 21
+	})
+	r.gone()
+	r.open(0)
+	if len(r.came) > 0 {
+		t.Errorf("%d were sent", len(r.came))
+	}
+}
