The door: nothing begins for a stream that has ended; a story for an answer older than a purge

Cause: a request read just before its stream's end and taken just after it opened a lookup that nobody heard of nor left: its send was decided, told to nobody and counted as the cache's time-out at the deadline.

Desk.Ask takes nothing from a stream that has ended. Stories: a caller that breaks off while the module has the word (backoff), or with a further send decided: asked again it hears the end, no cache. A side-effecting lookup whose answer is older than a purge fails, once.

--- a/door/extproc/extproc_test.go
+++ b/door/extproc/extproc_test.go
@@ -226,6 +226,34 @@
 			t.Error(odd)
 		}
 	})
+	t.Run("a caller that breaks off while the module has the word: nothing further is decided for it", func(t *testing.T) {
+		p := begin(t, false)
+		c := p.call()
+		c.ask("a1", "segment", "o")
+		c.stream.Send(&extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_ResponseHeaders{ResponseHeaders: headers(":status", "503",
+			"x-foldslip-end", "shed")}}) // a backoff of 30 ms follows
+		for p.door.Handed() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		c.stop()
+		p.settled()
+		if got := p.call().ask("a1", "segment", "o"); got.status != 502 || got.set["x-foldslip-cache"] != "" {
+			t.Errorf("%+v", got)
+		}
+	})
+	t.Run("a further send that waits to be asked for, by a caller that does not come again", func(t *testing.T) {
+		p := begin(t, false)
+		c := p.call()
+		c.ask("a1", "segment", "o")
+		if again := c.report(":status", "503", "x-foldslip-end", "shed"); again.set["x-foldslip-again"] != "1" {
+			t.Fatalf("%+v", again)
+		}
+		c.stop()
+		p.settled()
+		if got := p.call().ask("a1", "segment", "o"); got.status != 502 || got.set["x-foldslip-cache"] != "" {
+			t.Errorf("%+v", got)
+		}
+	})
 	t.Run("the same lookup on two streams, and after its answer", func(t *testing.T) {
 		p := begin(t, false)
 		c := p.call()
@@ -288,6 +316,21 @@
 			t.Errorf("%+v", got)
 		}
 	})
+	t.Run("an answer older than a purge has run: a side-effecting lookup is not sent again for it", func(t *testing.T) {
+		p := begin(t, false)
+		p.purges.Note("o", 0, time.Now())
+		time.Sleep(time.Millisecond)
+		c := p.call()
+		c.ask("a1", "order", "o")
+		got := c.report(":status", "200", "x-foldslip-end", "hit", "x-foldslip-born", fmt.Sprint(time.Now().Add(-time.Hour).UnixMilli()))
+		if got.status != 502 || got.set["x-foldslip-again"] != "" {
+			t.Errorf("%+v", got)
+		}
+		if again := p.call().ask("a1", "order", "o"); again.status != 502 {
+			t.Errorf("%+v", again)
+		}
+		p.settled()
+	})
 	t.Run("a table swapped amid a lookup", func(t *testing.T) {
 		p := begin(t, false)
 		c := p.call()
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -38,6 +38,7 @@
 	Caller string
 	Said   any     // the door's own: where what is said to it goes
 	its    *Lookup // whose answer it waits for, or whose send it makes
+	ended  bool
 }
 
 // Say is what a stream is told.
@@ -236,6 +237,9 @@
 // the router and sets Lk, or calls Refused.
 func (d *Desk) Ask(now time.Time, on *Stream, id string, until time.Time) (*Lookup, Do) {
 	var do Do
+	if on.ended { // guards what was read just before its end: nobody would ever hear of it, nor leave it
+		return nil, do
+	}
 	if on.its != nil {
 		d.Odd["ask_on_busy_stream"]++
 		do.say(on, Disorder)
@@ -360,6 +364,7 @@
 // End is the end of a stream, however it came.
 func (d *Desk) End(now time.Time, on *Stream) (do Do) {
 	lk := on.its
+	on.ended = true
 	if lk == nil {
 		return do
 	}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -60,6 +60,14 @@
 			t.Error(d.Open())
 		}
 	})
+	t.Run("an ask read just before its stream's end and taken just after it: nothing begins", func(t *testing.T) {
+		d, on := New(terms), &Stream{Caller: "edge"}
+		want(t, d.End(at(1), on), "")
+		lk, do := d.Ask(at(1), on, "a", at(1000))
+		if want(t, do, ""); lk != nil || d.Open() != 0 {
+			t.Error("it is open, and its client has gone")
+		}
+	})
 	t.Run("a send that missed: the next one is told to the next ask, on another stream", func(t *testing.T) {
 		d, on, lk := asked(t)
 		want(t, d.Report(at(10), on, logic.Missed, logic.Untold, 0), fmt.Sprintf("tell 0 %d;", logic.Missed))
