Descriptors by role: caches' connections bounded, idle ones give way, the watch keeps its own

Many caches and idle clients together could take every descriptor, and the discovery watch, a new cache's connection or an accept then waited for the next idle close (0.8 of 30 s).

Past their bound connections to caches displace the longest idle one; where none is idle a send ends as turned away (not as unconnected: nothing is proved of the cache). Where descriptors run out all the same, an accept or a dial has an idle client, then an idle connection to a cache, give way. A dial without a descriptor no longer counts against the cache.

--- a/clock/system.go
+++ b/clock/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -162,4 +163,9 @@
 	return own.Cur
 }
 
+// NoDescriptor tells whether a dial or an accept failed because the process, or the machine, has no descriptor left.
+func NoDescriptor(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
 func (s *System) Log() *slog.Logger { return s.log }
--- /dev/null
+++ b/service/descriptors_test.go
@@ -0,0 +1,180 @@
+package service
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"foldslip/clock"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"foldslip/config"
+	"foldslip/example/standin"
+)
+
+func TestPartsOfTheDescriptors(t *testing.T) {
+	all := &config.Settings{List: &config.List{}, Routing: &config.Routing{Socket: "s", Folder: "f"}, Fleet: &config.Fleet{Socket: "s"}}
+	for _, c := range []struct {
+		told  int
+		held  uint64
+		own   *config.Settings
+		doors bool
+		want  parts
+	}{
+		{1024, 1024, &config.Settings{}, false, parts{12, 0, 512, 500}}, // the platform's scored days
+		{4096, 1024, &config.Settings{}, false, parts{12, 0, 512, 500}},
+		{1024, 100, &config.Settings{}, false, parts{12, 0, 50, 38}},
+		{0, 1024, &config.Settings{}, true, parts{12, 128, 512, 372}},
+		{1024, 0, all, false, parts{78, 0, 512, 434}},
+		{20000, 20000, &config.Settings{}, false, parts{12, 0, 4096, 15892}},
+		{0, 1 << 63, &config.Settings{}, false, parts{12, 0, 4096, 16384}},
+		{0, 0, &config.Settings{}, false, parts{0, 0, 1, 16384}},
+		{2, 100, &config.Settings{}, false, parts{12, 0, 1, 4}}, // too few for all: what must be had all the same
+	} {
+		got := share(c.told, c.held, c.own, c.doors)
+		if got != c.want {
+			t.Errorf("%d told, %d held: %+v, expected %+v", c.told, c.held, got, c.want)
+		}
+		if n := got.Own + got.Doors + got.Clients + got.Caches; c.told >= 64 && n > c.told {
+			t.Errorf("%d told, %d given out", c.told, n)
+		}
+	}
+}
+
+// fds is how many descriptors the program holds.
+func (s *stage) fds() int {
+	s.t.Helper()
+	return len(must(os.ReadDir(fmt.Sprintf("/proc/%d/fd", s.cmd.Process.Pid))))
+}
+
+// Clients and connections to 24 caches fill the descriptors while discovery is down. It comes back and tells that all of them drain and
+// that a new one has started: within 2 s the watch has a descriptor, the new cache a connection and a client its answer from it. The
+// second story's program is started with 14 files open that it does not know of, so that its count of them is wrong.
+func TestDiscoveryComesBackToFullDescriptors(t *testing.T) {
+	for name, more := range map[string]int{"counted": 0, "inherited": 14} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var files []*os.File
+			for range more {
+				f := must(os.Open(os.DevNull))
+				t.Cleanup(func() { f.Close() })
+				files = append(files, f)
+			}
+			s := beginWith(t, 40, files, hit, settingsOf(func(map[string]any) {}))
+			soon(t, s.bulletin.After)
+			var old []standin.Member
+			for i := range 24 {
+				c := must(standin.NewCache("127.0.0.1:0", func(d standin.Do) { hit(0, d) }))
+				t.Cleanup(c.Close)
+				m := s.members[0]
+				m.ID, m.HostPort = fmt.Sprint("old", i), c.Addr
+				old = append(old, m)
+			}
+			s.bulletin.Tell(standin.Roster(false, old...))
+			at := s.bulletin.Addr
+			s.bulletin.Close()
+			ask := func(n int) (int, string) { // a client that never closes
+				conn, err := net.Dial("tcp", s.addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { conn.Close() })
+				conn.SetDeadline(time.Now().Add(4 * time.Second))
+				io.WriteString(conn, s.lookup("segment", fmt.Sprint("o", n)))
+				got, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					return 0, err.Error()
+				}
+				body, _ := io.ReadAll(got.Body)
+				return got.StatusCode, string(body)
+			}
+			refused := 0
+			for n := range 120 {
+				if status, _ := ask(n); status != 200 {
+					refused++
+				}
+			}
+			if refused > 0 {
+				t.Errorf("%d of 120 lookups not answered with 200 while discovery was down", refused)
+			}
+			t.Logf("%d descriptors of 40 as discovery comes back", s.fds())
+			fresh := must(standin.NewCache("127.0.0.1:0", func(d standin.Do) { d.Hit(time.Now(), "hit", "fresh") }))
+			t.Cleanup(fresh.Close)
+			again := must(standin.NewBulletin(at, 1))
+			t.Cleanup(again.Close)
+			back := time.Now()
+			for i := range old {
+				old[i].Phase = "draining"
+			}
+			two := s.members[:2]
+			two[0].Phase, two[1].Phase = "draining", "draining"
+			m := s.members[0]
+			m.ID, m.HostPort, m.Phase = "fresh", fresh.Addr, "up"
+			again.Tell(standin.Roster(false, old...)) // the event it holds, once more
+			again.Tell(standin.Roster(false, append(append(old, two...), m)...))
+			for n := 200; ; n++ {
+				status, body := ask(n)
+				if status == 200 && body == "fresh" {
+					t.Logf("%v after its return a client has the new cache's answer", time.Since(back).Round(time.Millisecond))
+					break
+				}
+				if time.Since(back) > 2*time.Second {
+					t.Fatalf("2 s after discovery came back a client has %d %q", status, body)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			if took := time.Since(back); took > 2*time.Second {
+				t.Errorf("after %v", took)
+			}
+		})
+	}
+}
+
+// dry is a ground that has no descriptor for a dial until so many are given up.
+type dry struct {
+	clock.Ground
+	wants int
+}
+
+func (d *dry) Dial(*clock.Life, string, time.Duration) (net.Conn, error) {
+	if d.wants > 0 {
+		return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+	}
+	c, far := net.Pipe()
+	far.Close()
+	return c, nil
+}
+
+// A dial without a descriptor has others give theirs up, four times at most, and says so once.
+func TestADialWithoutADescriptor(t *testing.T) {
+	for _, c := range []struct{ wants, idle, asked int }{{0, 9, 0}, {1, 9, 1}, {4, 9, 4}, {5, 9, 4}, {2, 1, 2}} {
+		var log bytes.Buffer
+		d := &dry{Ground: clock.NewSystem(&log, slog.LevelWarn), wants: c.wants}
+		idle, asked := c.idle, 0
+		f := &frugal{Ground: d, yield: func() bool {
+			if asked++; idle == 0 {
+				return false
+			}
+			idle--
+			d.wants--
+			return true
+		}}
+		conn, err := f.Dial(nil, "", 0)
+		if asked != c.asked || (err == nil) != (c.wants <= min(c.idle, yieldsADial)) {
+			t.Errorf("%+v: asked %d times, %v", c, asked, err)
+		}
+		if n := strings.Count(log.String(), "event=descriptors_short"); n != min(1, c.wants) {
+			t.Errorf("%+v: told %d times", c, n)
+		}
+		if err == nil {
+			conn.Close()
+		}
+	}
+}
--- a/service/gateway_test.go
+++ b/service/gateway_test.go
@@ -92,6 +92,12 @@
 
 // begin starts a stage; handle answers for both edges, change is laid over the configuration.
 func begin(t *testing.T, handle func(edge int, d standin.Do), change ...map[string]any) *stage {
+	t.Helper()
+	return beginWith(t, 100, nil, handle, change...)
+}
+
+// beginWith starts a stage whose program may hold so many descriptors; files are open in it from its start on.
+func beginWith(t *testing.T, fds int, files []*os.File, handle func(edge int, d standin.Do), change ...map[string]any) *stage {
 	t.Helper()
 	sources()
 	s := &stage{t: t, ended: make(chan error, 1)}
@@ -109,7 +115,8 @@
 		s.members = append(s.members, m)
 	}
 	s.addr = freeAddr()
-	s.cmd = exec.Command("sh", "-c", "ulimit -n 100; exec "+program)
+	s.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", fds, program))
+	s.cmd.ExtraFiles = files
 	s.path = s.config(change...)
 	s.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+s.path, "ROUTER_LISTEN="+s.addr)
 	s.cmd.Stdout, s.cmd.Stderr = &s.out, &s.out
--- a/service/service.go
+++ b/service/service.go
@@ -38,7 +38,8 @@
 	bodiesPart  = 0.4 // of the memory limit, for the answers' bytes
 	memoryPart  = 0.7 // of the limit, for the runtime's own
 	mostClients = 4096
-	clientsPart = 2 // the front takes one over this of the descriptors; clients hold up to a third
+	mostLinks   = 16384 // connections to caches
+	clientsPart = 2     // the front takes one over this of the descriptors; clients hold up to a third
 )
 
 // start is what the gateway is told.
@@ -214,7 +215,8 @@
 	caches := &memory.Caches{}
 	purges := &memory.Purges{Clock: g, Grace: time.Duration(terms.PurgeGrace) * time.Microsecond, Keep: time.Duration(terms.Router.PurgeDone)*time.Microsecond + purgeSlack}
 	router := facade.Start(g, seed, terms.Router, watch.Between)
-	bulletin := wire.NewBulletin(g, s.Bulletin, terms, router, caches, purges)
+	calling := &frugal{Ground: g}
+	bulletin := wire.NewBulletin(calling, s.Bulletin, terms, router, caches, purges)
 	routes, err := steering(g, own, terms, bulletin)
 	if err != nil {
 		return err
@@ -243,19 +245,16 @@
 	if err != nil {
 		return err
 	}
-	sockets := uint64(max(s.Limits.Sockets, 0))
-	if own := g.Descriptors(); own > 0 && (sockets == 0 || own < sockets) {
-		sockets = own // fewer than told: clients must not take what the caches need
-	}
-	most := int(min(max(1, sockets/clientsPart), mostClients))
+	held := share(s.Limits.Sockets, g.Descriptors(), own, watch.Doors != nil)
 	lookups, bytes := mostLookups, int64(mostLookups*wire.MostObject)
 	if s.Limits.MemoryMB > 0 {
 		lookups = min(lookups, max(1, int(s.Limits.MemoryMB*lookupsAMB)))
 		bytes = int64(s.Limits.MemoryMB * bodiesPart * (1 << 20))
 	}
-	links := wire.NewLinks(g, life, terms, router, caches, purges)
+	links := wire.NewLinks(calling, life, terms, router, caches, purges, held.Caches)
 	room := memory.NewRoom(g, lookups, bytes)
-	front := wire.NewFront(g, terms, router, links, room, most)
+	front := wire.NewFront(g, terms, router, links, room, held.Clients)
+	calling.yield = func() bool { return front.Yield() || links.Yield() } // who waits for nothing goes first
 	front.Routes = routes
 	var doors []Door
 	if watch.Doors != nil {
@@ -275,7 +274,8 @@
 		return err
 	}
 	doors = append(doors, calls...)
-	g.Log().Info("started", "name", s.Name, "listen", s.Listen, "bulletin", s.Bulletin, "last", bulletin.Last)
+	g.Log().Info("started", "name", s.Name, "listen", s.Listen, "bulletin", s.Bulletin, "last", bulletin.Last,
+		"descriptors_own", held.Own, "descriptors_doors", held.Doors, "descriptors_clients", held.Clients, "descriptors_caches", held.Caches)
 
 	group := g.Group()
 	start := func(name string, part func() error) {
--- a/wire/ending_test.go
+++ b/wire/ending_test.go
@@ -94,6 +94,7 @@
 	t        *testing.T
 	router   *facade.Facade
 	front    *Front
+	links    *Links
 	listener gated
 	caches   *memory.Caches
 	purges   *memory.Purges
@@ -116,8 +117,8 @@
 	r := &rig{t: t, caches: &memory.Caches{}, came: make(chan standin.Do, 99), purges: &memory.Purges{Clock: h, Keep: time.Minute}}
 	r.router = facade.Start(h, 1, terms.Router, nil)
 	life := clock.NewLife(nil)
-	links := NewLinks(h, life, terms, r.router, r.caches, r.purges)
-	r.front = NewFront(h, terms, r.router, links, memory.NewRoom(h, 100, 1<<20), most)
+	r.links = NewLinks(h, life, terms, r.router, r.caches, r.purges, 99)
+	r.front = NewFront(h, terms, r.router, r.links, memory.NewRoom(h, 100, 1<<20), most)
 	r.front.Ready()
 	var rows []logic.Row
 	for i := range 2 {
--- a/wire/front.go
+++ b/wire/front.go
@@ -186,7 +186,10 @@
 				told = f.g.Now()
 				f.g.Log().Warn("accept_failed", "text", err.Error())
 			}
-			if again.Wait(acceptAgain) { // out of descriptors, most likely
+			if clock.NoDescriptor(err) && f.Yield() {
+				continue
+			}
+			if again.Wait(acceptAgain) {
 				return nil
 			}
 			continue
@@ -265,6 +268,23 @@
 	return true
 }
 
+// Yield ends a connection that waits for nothing, in the order of displace, so that its descriptor is free for something else; false
+// where each has a lookup. It waits for the connection's last look, two of lastLook at most.
+func (f *Front) Yield() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	was := len(f.clients)
+	if !f.displace() {
+		return false
+	}
+	for n := 0; n < 2 && len(f.clients) >= was; n++ {
+		f.mu.Unlock()
+		f.left.Wait(lastLook)
+		f.mu.Lock()
+	}
+	return true
+}
+
 // inOrder is the connections in the order they came, so that one run is as the next; under the front's lock.
 func (f *Front) inOrder() []*client {
 	return slices.SortedFunc(maps.Keys(f.clients), func(a, b *client) int { return cmp.Compare(a.no, b.no) })
--- a/wire/links.go
+++ b/wire/links.go
@@ -37,17 +37,19 @@
 	purges *memory.Purges
 	mu     sync.Mutex
 	by     map[string][]*link // by cache id and address
+	most   int                // connections to all caches together, those being dialled included
+	conns  int                // of these, how many there are
 	boards atomic.Int64       // sends so far
 	flying atomic.Int64       // sends without an ending
 	group  clock.Group
 	life   *clock.Life
 }
 
-// NewLinks makes the links; they end with life.
+// NewLinks makes the links, so many connections at most; they end with life.
 func NewLinks(g clock.Ground, life *clock.Life, terms *charter.Terms, router *facade.Facade, caches *memory.Caches,
-	purges *memory.Purges) *Links {
+	purges *memory.Purges, most int) *Links {
 	return &Links{g: g, terms: terms, router: router, caches: caches, purges: purges, by: map[string][]*link{},
-		group: g.Group(), life: life}
+		most: most, group: g.Group(), life: life}
 }
 
 // Wait waits until all have ended, which they do soon after their life has.
@@ -106,6 +108,8 @@
 	undone  []undone     // given up, the undo not yet written
 	turn    clock.Bell   // rung when there are lines, and at the end
 	stuck   atomic.Bool  // lines did not go out in time
+	instead *link        // closed before this one is dialled, for its descriptor
+	evicted atomic.Bool  // for another's sake
 	served  int
 	strays  int // answers to no send: given up, given twice, another's
 	buf     memory.Buffer
@@ -123,11 +127,22 @@
 	f.at.f = f
 	o.flights = append(o.flights, f)
 	ls.flying.Add(1)
-	for !ls.pick(to, o.req.ID).board(f) {
+	for {
+		l := ls.pick(to, o.req.ID)
+		if l == nil {
+			// As if the cache had turned it away: it never ran, the cache is not held for dead, and after a pause the module looks for
+			// one that is connected. As never sent it would choose the same cache again at once.
+			ls.report(f, logic.TurnedAway, logic.Untold, 0)
+			return
+		}
+		if l.board(f) {
+			return
+		}
 	}
 }
 
-// pick finds a connection with room, or dials one.
+// pick finds a connection with room, or dials one, in the place of the one longest idle where there are as many as there may be; nil
+// where each of them has a send and none is to this cache.
 func (ls *Links) pick(to *memory.Cache, id string) *link {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
@@ -147,12 +162,71 @@
 	if count >= linksACache {
 		return least
 	}
-	l := &link{ls: ls, key: key, peer: to, turn: ls.g.Bell(), flights: map[string]*flight{}, late: map[string]time.Time{}}
+	var gone *link
+	if ls.conns >= ls.most { // guards the descriptors of the watch, the operators and the clients against many caches
+		if least != nil {
+			return least
+		}
+		if gone = ls.displace(); gone == nil {
+			return nil
+		}
+	}
+	ls.conns++
+	l := &link{ls: ls, key: key, peer: to, instead: gone, turn: ls.g.Bell(), flights: map[string]*flight{}, late: map[string]time.Time{}}
 	ls.by[key] = append(ls.by[key], l)
 	ls.group.Go("link", func() error { l.run(); return nil })
 	return l
 }
 
+// displace takes the idle connection that was heard last the longest ago out of the table, under the lock of all; nil where each has a
+// send or is not up. Whoever gets it closes it.
+func (ls *Links) displace() *link {
+	var last *link
+	var at time.Time
+	for _, of := range ls.by {
+		for _, l := range of {
+			l.mu.Lock()
+			if l.conn != nil && !l.dead && len(l.flights) == 0 && len(l.undone) == 0 &&
+				(last == nil || cmp.Or(l.heard.Compare(at), cmp.Compare(l.key, last.key)) < 0) {
+				last, at = l, l.heard
+			}
+			l.mu.Unlock()
+		}
+	}
+	if last == nil || !last.retire() {
+		return nil
+	}
+	ls.drop(last)
+	return last
+}
+
+// drop takes a connection out of the table, under the lock of all; a second time does nothing.
+func (ls *Links) drop(l *link) {
+	kept := slices.DeleteFunc(ls.by[l.key], func(o *link) bool { return o == l })
+	ls.conns -= len(ls.by[l.key]) - len(kept)
+	if ls.by[l.key] = kept; len(kept) == 0 {
+		delete(ls.by, l.key)
+	}
+}
+
+// close ends a displaced connection; its descriptor is free then.
+func (l *link) close() {
+	l.evicted.Store(true)
+	l.conn.Close()
+}
+
+// Yield ends the connection longest idle, so that its descriptor is free for something else; false where each has a send.
+func (ls *Links) Yield() bool {
+	ls.mu.Lock()
+	gone := ls.displace()
+	ls.mu.Unlock()
+	if gone == nil {
+		return false
+	}
+	gone.close()
+	return true
+}
+
 func (l *link) load(id string) (open int, late, dead bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -453,13 +527,21 @@
 // run dials, reads until the connection ends, and reports what was open on it.
 func (l *link) run() {
 	ls, began := l.ls, l.ls.g.Now()
+	if l.instead != nil {
+		l.instead.close()
+		l.instead = nil
+	}
 	conn, err := ls.g.Dial(ls.life, l.peer.Addr, time.Duration(ls.terms.ConnectWithin)*time.Microsecond)
 	if err != nil {
 		reason := "refused"
 		if !errors.Is(err, syscall.ECONNREFUSED) {
 			reason = "no_connection"
 		}
-		l.end(logic.Unconnected, reason, began)
+		how := logic.Unconnected
+		if clock.NoDescriptor(err) { // says nothing of the cache
+			how, reason = logic.TurnedAway, "no_descriptor"
+		}
+		l.end(how, reason, began)
 		return
 	}
 	defer ls.life.OnEnd(func() { conn.Close() })()
@@ -473,21 +555,14 @@
 	l.flush()
 	ls.group.Go("pour", func() error { l.pour(conn); return nil })
 	reason := l.read(conn)
+	conn.Close() // before it no longer counts
 	l.end(logic.Reset, reason, began)
 }
 
 func (l *link) end(how logic.Ending, reason string, began time.Time) {
 	ls := l.ls
 	ls.mu.Lock()
-	kept := ls.by[l.key][:0]
-	for _, o := range ls.by[l.key] {
-		if o != l {
-			kept = append(kept, o)
-		}
-	}
-	if ls.by[l.key] = kept; len(kept) == 0 {
-		delete(ls.by, l.key)
-	}
+	ls.drop(l)
 	ls.mu.Unlock()
 	l.mu.Lock()
 	l.dead = true
@@ -566,6 +641,8 @@
 	switch {
 	case l.ls.life.Over():
 		return "stopping"
+	case l.evicted.Load():
+		return "displaced"
 	case errors.Is(err, io.EOF):
 		return "closed_by_cache"
 	case errors.Is(err, os.ErrDeadlineExceeded):
