--- a/wire/bulletin.go
+++ b/wire/bulletin.go
@@ -329,6 +329,11 @@
 // where it is short the silence is noticed so soon that asking anew still fits into it, as far as lines that come every second allow
 // that. Sessions that brought no line at all wait longer each time, so that a bulletin that is late is not asked without end.
 func (b *Bulletin) silent() time.Duration {
+	if b.Caches.Len() == 0 {
+		// Guards a start without a list against a discovery that is late with its first byte: nothing can drain yet, and a session ended
+		// at silentAfter begins the same wait anew (2.5 s, 2.5 s, then 5 s).
+		return silentMost
+	}
 	heed := time.Duration(b.Terms.DrainGrace) * time.Microsecond
 	first := min(silentAfter, max(silentLeast, heed-askWithin))
 	for range min(max(0, b.quiet-1), 8) {
