--- a/fleet/broadcast/broadcast.go
+++ b/fleet/broadcast/broadcast.go
@@ -1,11 +1,29 @@
-// Package broadcast spreads purges among gateways. It is pure: what the own discovery watch told, frames of peers, the members of the view and
-// whole microseconds go in; frames to send and purges to heed come out.
+// Package broadcast spreads purges among gateways: what one of them is told by its own discovery watch all hear within seconds, and what
+// one missed, through a loss, a death or a cut, it gets later. It is pure: what the own watch told, frames of peers, the members of the
+// view and whole microseconds go in; frames to send and purges to heed come out. docs/fleet-broadcast.md tells why it is so.
+//
+//   - Identity is content (Purge). Merging is a join: a purge heard is heard for good, from whomever, in whatever order; no number of any
+//     watch is compared. A wrong or old word costs a refill.
+//   - Batches (inject.go): purges of the own watch that no peer told meanwhile. They go along a tree (tree.go) that all compute alike from
+//     the members, at most 3 children each, one copy an edge, sent on at once.
+//   - Repair (repair.go): gaps in an origin's batches are asked for, and haves tell of batches where no gap does.
+//   - Reconciliation (reconcile.go): sums of what is kept (keep.go) by issue time, then purges, newest first, within a rate.
+//
+// Bounds of a node: Settings.Most purges kept of 24 bytes each in slices that are half empty at worst, 16,384 of them with names that are
+// no 16 hex digits; 256 minutes of issue time; 4,096 purges that wait to be said; 64 origins followed; 512 batches of 1,100 bytes kept 30 s;
+// 256 batches wanted; one reconciliation under way, of 8,192 requests. The members are held, not copied, if they come sorted.
+// A peer that lies can add purges (each a refill), crowd out kept ones (oldest first) and slow repair; it cannot keep a purge from being
+// heeded that a frame or the own watch brings.
+//
+// Owner: its carrier, under its lock. Lifetime: the process.
 package broadcast
 
-import "math/rand/v2"
+import (
+	"encoding/binary"
+	"math/rand/v2"
 
-// Kind is the first byte of every frame, beside other things that gateways say.
-const Kind = 4
+	"github.com/cespare/xxhash/v2"
+)
 
 // Place is where a gateway stands.
 type Place struct{ Region, Zone, Site string }
@@ -20,10 +38,10 @@
 type Purge struct {
 	Object string // "": of a group
 	Group  int64
-	Issued int64 // Unix milliseconds
+	Issued int64 // Unix milliseconds, above 0 and below 1e14
 }
 
-// Letter is a frame to send to a member, as a datagram.
+// Letter is a frame to send to a member, as a datagram of at most 1,100 bytes. Letters may share a frame: it is not to be written.
 type Letter struct {
 	To    string
 	Frame []byte
@@ -31,28 +49,60 @@
 
 // Settings are times in whole microseconds, rates in bytes a second.
 type Settings struct {
-	Unix   int64 // Unix milliseconds when now was 0; 0: not known, and only what is heard tells the time
-	Keep   int64 // a purge is kept for so long from its issue
-	Most   int   // purges kept
-	Rate   int64 // bytes a second in and out together, UDP and IP included, that repair keeps within
-	Gather int64 // purges of the own watch wait for others so long, to go in one batch
+	// Unix is the Unix time in milliseconds when now was 0; 0: not known, and the newest issue heard tells the time. It may be wrong: a clock
+	// that is fast forgets nothing too early as long as purges come, a slow one keeps more (Most bounds it).
+	Unix      int64
+	Keep      int64 // a purge is kept for so long from its issue
+	Most      int   // purges kept; the oldest seconds go first
+	Rate      int64 // in and out together, UDP and IP included: repair keeps within it, and batches are sent on up to three seconds of debt
+	Gather    int64 // purges of the own watch wait so long for others, to go in one batch
+	Have      int64 // between haves
+	Reconcile int64 // between passes, give or take a half
+	Recent    int64 // a purge issued earlier is not said in a batch: reconciliation has it
 }
 
-// Usual are the settings for the whole fleet.
-var Usual = Settings{Keep: 3_900_000_000, Most: 400_000, Rate: 9_000, Gather: 200_000}
+// Usual are the settings for the whole fleet: 3,900 gateways and 100 purges a second.
+var Usual = Settings{Keep: 3_900_000_000, Most: 400_000, Rate: 9_000, Gather: 200_000, Have: 250_000, Reconcile: 3_000_000, Recent: 60_000_000}
 
 // Stats are counters since New, and what is at hand.
 type Stats struct {
 	Parent   string   // "": the root, or not in the list
 	Children []string // at most 3
+	Kept     int      // purges
+	Waiting  int      // purges of the own watch that may be said yet
 	Behind   Behind
+
+	Heeded     uint64 // purges that a peer told first
+	Batches    uint64 // said by this gateway
+	Said       uint64 // purges in them
+	Copies     uint64 // batches that came, again or not
+	Again      uint64 // of them those that had come before
+	Wants      uint64 // frames that asked for batches
+	Repairs    uint64 // batches sent again
+	GivenUp    uint64 // batches left to reconciliation
+	Passes     uint64 // of reconciliation begun
+	Unanswered uint64 // of them those that a peer did not answer to the end
+	ItemsIn    uint64 // purges that reconciliation brought
+	ItemsOut   uint64 // and gave
+	Unreadable uint64 // frames
+	Wrong      uint64 // purges of the own watch whose issue cannot be
+	Long       uint64 // purges with names of more than 255 bytes: not told, they wait for the own watch
+	Unsaid     uint64 // purges that found no room to wait or are not recent: left to reconciliation
+	Unkept     uint64 // purges that were too old or far ahead of the clock to keep
+	Dropped    uint64 // kept ones that went for want of room
+	Shed       uint64 // copies of batches not sent on: out of the rate
+	Refused    uint64 // questions of peers not answered: out of the rate
+	FramesIn   uint64
+	FramesOut  uint64
+	BytesIn    uint64 // UDP and IP included
+	BytesOut   uint64
 }
 
 // Behind tells what this gateway knows that it lacks; its own watch remains the authority, and nothing is refused for it.
 type Behind struct {
 	Batches int   // heard of and not had
-	Seconds int   // of issue time whose sums differ from the last peer's that was asked
-	Since   int64 // of now; 0: not behind
+	Seconds int   // of issue time that may lack something, by the peer asked last
+	Since   int64 // of now, of the oldest; 0: not behind. A batch given up counts until a pass of reconciliation ends
 }
 
 // Node is one gateway's. No lock: its owner is its carrier.
@@ -60,33 +110,262 @@
 	set    Settings
 	self   Member
 	chance *rand.Rand
+	me     uint64 // as an origin: of the name and the stamp, so another at each start
+	seq    uint64 // of the last batch
+	tree   tree
 	out    []Letter
 	stats  Stats
+
+	kept    kept
+	waiting map[Purge]int64 // own, not yet said: when to
+	lead    bool            // this gateway said the last ones, and nobody else did
+
+	origins map[uint64]*origin
+	log     map[batchID]*stored
+	logged  []batchID // by time
+	wants   []wanted
+
+	session *session
+	differ  int   // seconds that may lack something
+	doubt   int64 // since when a batch given up may be lacking; 0: none
+
+	rate     bucket
+	injects  bucket
+	turn     uint64
+	injectAt int64
+	haveAt   int64
+	sweepAt  int64
+
+	reconcileAt int64
 }
 
+const never = int64(1<<63 - 1)
+
 // New makes a node; stamp differs at each start of a process.
 func New(set Settings, self Member, stamp uint64, chance *rand.Rand, now int64) *Node {
-	return &Node{set: set, self: self, chance: chance}
+	b := binary.LittleEndian.AppendUint64([]byte(self.Name), stamp)
+	n := &Node{set: set, self: self, chance: chance, me: xxhash.Sum64(b), kept: newKept(set.Most), waiting: map[Purge]int64{},
+		origins: map[uint64]*origin{}, log: map[batchID]*stored{}, injectAt: never, sweepAt: now + sweepTurn,
+		rate: bucket{left: set.Rate * 1_000_000, at: now}, injects: bucket{left: injectBurst * 1_000_000, at: now}}
+	n.haveAt = now + chance.Int64N(max(1, set.Have))
+	n.reconcileAt = now + chance.Int64N(max(1, set.Reconcile))
+	n.tree.me = -1
+	return n
+}
+
+const sweepTurn = 1_000_000
+
+// bucket is a token bucket in millionths of bytes; it may go into debt.
+type bucket struct{ left, at int64 }
+
+func (b *bucket) fill(now, rate, most int64) {
+	if d := now - b.at; d > 0 {
+		b.left = min(most*1_000_000, b.left+min(d, 3600_000_000)*rate)
+		b.at = now
+	}
+}
+
+// credit is what of the rate is left, in bytes; below 0: debt.
+func (n *Node) credit(now int64) int64 {
+	n.rate.fill(now, n.set.Rate, 2*n.set.Rate)
+	return n.rate.left / 1_000_000
+}
+
+func (n *Node) spend(bytes int, now int64) {
+	n.credit(now)
+	n.rate.left = max(-10*n.set.Rate*1_000_000, n.rate.left-int64(bytes)*1_000_000)
+}
+
+func (n *Node) send(to string, frame []byte, now int64) {
+	n.out = append(n.out, Letter{to, frame})
+	n.stats.FramesOut++
+	n.stats.BytesOut += uint64(len(frame) + datagram)
+	n.spend(len(frame)+datagram, now)
 }
 
-// See takes the live members by the view, self included, in any order. The slice is the node's to read from then on: a sorted one
-// (SortMembers) is held and not copied.
-func (n *Node) See(members []Member, now int64) {}
+// See takes the live members by the view, self included, in any order. The slice is the node's to read from then on, until the next
+// call: a sorted one (SortMembers) is held and not copied.
+func (n *Node) See(members []Member, now int64) {
+	if same(members, n.tree.members) {
+		return
+	}
+	n.tree = plant(sorted(members), n.self)
+}
 
 // Own takes what the own discovery watch told.
-func (n *Node) Own(purges []Purge, now int64) {}
+func (n *Node) Own(purges []Purge, now int64) {
+	for _, p := range purges {
+		switch {
+		case !plausible(p):
+			n.stats.Wrong++
+		case len(p.Object) > mostName:
+			n.stats.Long++
+		case n.keep(p, now) != known:
+			n.wait(p, now)
+		}
+	}
+}
+
+type novelty int
+
+const (
+	known   novelty = iota // kept before
+	fresh                  // kept now
+	unknown                // not kept: it may have been heard before
+)
+
+// keep keeps a purge if it can.
+func (n *Node) keep(p Purge, now int64) novelty {
+	if p.Issued/1000 < n.horizon(now) || n.set.Unix != 0 && p.Issued > n.set.Unix+now/1000+ahead {
+		n.stats.Unkept++
+		return unknown
+	}
+	if n.kept.add(p) {
+		return fresh
+	}
+	return known
+}
+
+// Take takes a frame of a peer, which is the caller's again after it, and returns what was not known here; an error is an unreadable
+// frame, counted.
+func (n *Node) Take(from string, frame []byte, now int64) (heed []Purge, err error) {
+	n.stats.FramesIn++
+	n.stats.BytesIn += uint64(len(frame) + datagram)
+	n.spend(len(frame)+datagram, now)
+	if heed, err = n.take(from, frame, now); err != nil {
+		n.stats.Unreadable++
+	}
+	n.stats.Heeded += uint64(len(heed))
+	return heed, err
+}
 
-// Take takes a frame of a peer and returns what was not known here; an error is an unreadable frame, counted.
-func (n *Node) Take(from string, frame []byte, now int64) (heed []Purge, err error) { return nil, nil }
+func (n *Node) take(from string, frame []byte, now int64) ([]Purge, error) {
+	if len(frame) < 2 || len(frame) > mostFrame || frame[0] != Kind {
+		return nil, errFrame
+	}
+	r := reader{b: frame[2:]}
+	switch frame[1] {
+	case wordBatch:
+		id, purges := r.id(), r.purges()
+		if err := r.done(); err != nil {
+			return nil, err
+		}
+		return n.takeBatch(from, id, purges, frame, now), nil
+	case wordHave:
+		all := r.haves()
+		if err := r.done(); err != nil {
+			return nil, err
+		}
+		n.takeHaves(from, all, now)
+	case wordWant:
+		ids := r.wants()
+		if err := r.done(); err != nil {
+			return nil, err
+		}
+		n.takeWants(from, ids, now)
+	case wordSum:
+		s := span{int64(r.number(mostSeconds)), int64(r.number(mostSeconds))}
+		of := r.sum()
+		if err := r.done(); err != nil {
+			return nil, err
+		}
+		n.takeSum(from, s, of, now)
+	case wordSums:
+		s := r.sums()
+		if err := r.done(); err != nil {
+			return nil, err
+		}
+		n.takeSums(from, s, now)
+	case wordAsk:
+		first := int64(r.number(mostSeconds))
+		if err := r.done(); err != nil {
+			return nil, err
+		}
+		n.takeAsk(from, first/minute*minute, now)
+	case wordPull:
+		p := r.pull()
+		if err := r.done(); err != nil {
+			return nil, err
+		}
+		n.takePull(from, p, now)
+	case wordItems:
+		of, whole := r.pullHead(), r.number(1) == 1
+		purges := r.purges()
+		if err := r.done(); err != nil {
+			return nil, err
+		}
+		return n.takeItems(from, of, whole, purges, now), nil
+	default:
+		return nil, errFrame
+	}
+	return nil, nil
+}
 
 // Step does what is due.
-func (n *Node) Step(now int64) {}
+func (n *Node) Step(now int64) {
+	if now >= n.injectAt {
+		n.inject(now)
+	}
+	if now >= n.haveAt {
+		n.haveAt = now + n.set.Have*7/8 + n.chance.Int64N(max(1, n.set.Have/4))
+		n.stepHave(now)
+	}
+	n.stepWants(now)
+	n.stepReconcile(now)
+	if now >= n.sweepAt {
+		n.sweepAt = now + sweepTurn
+		n.sweep(now)
+	}
+}
 
 // Next is when Step is due.
-func (n *Node) Next() int64 { return 1<<63 - 1 }
+func (n *Node) Next() int64 {
+	next := min(n.injectAt, n.haveAt, n.sweepAt)
+	for _, w := range n.wants {
+		next = min(next, w.due)
+	}
+	if n.session == nil {
+		return min(next, n.reconcileAt)
+	}
+	for _, r := range n.session.open {
+		next = min(next, r.due)
+	}
+	return next // a session that waits for its rate goes on with the haves
+}
 
 // Out drains what is to be sent.
-func (n *Node) Out() []Letter { out := n.out; n.out = nil; return out }
+func (n *Node) Out() []Letter {
+	out := n.out
+	n.out = nil
+	return out
+}
 
 // Stats gives the counters.
-func (n *Node) Stats() Stats { return n.stats }
+func (n *Node) Stats() Stats {
+	s := n.stats
+	s.Parent, s.Children = n.tree.parent, n.tree.children
+	s.Kept, s.Waiting, s.Dropped = n.kept.count, len(n.waiting), n.kept.dropped
+	s.Behind = Behind{Batches: len(n.wants), Seconds: n.differ, Since: n.doubt}
+	for _, w := range n.wants {
+		if s.Behind.Since == 0 || w.since < s.Behind.Since {
+			s.Behind.Since = w.since
+		}
+	}
+	return s
+}
+
+// anyone is a random member but this one; of the own site if asked and there is another. "": there is none.
+func (n *Node) anyone(ofSite bool) string {
+	from, to := 0, len(n.tree.members)
+	if ofSite && n.tree.site[1]-n.tree.site[0] > 1 {
+		from, to = n.tree.site[0], n.tree.site[1]
+	}
+	if n.tree.me < 0 || to-from < 2 {
+		return ""
+	}
+	i := from + n.chance.IntN(to-from-1)
+	if i >= n.tree.me {
+		i++
+	}
+	return n.tree.members[i].Name
+}
--- /dev/null
+++ b/fleet/broadcast/inject.go
@@ -0,0 +1,128 @@
+package broadcast
+
+import "slices"
+
+// Injection. All gateways' watches tell the same purges, so who says them waits by its place in the tree, and drops what others said
+// meanwhile (suppression by timers, as in SRM): the root at once, the heads of regions after it one by one, then heads of zones, of sites,
+// and all others. Who had to speak, because none before it did, goes on without waiting until another says the same.
+const (
+	mostWaiting  = 4096
+	injectRate   = 2500 // bytes a second of own batches
+	injectBurst  = 8000
+	mostShedDebt = 3 // seconds of the rate
+)
+
+// say is how long a purge of the own watch waits; at random up to spread more. Microseconds.
+var say = [...]struct{ wait, spread int64 }{regionHead: {600_000, 50_000}, zoneHead: {1_400_000, 300_000}, siteHead: {1_700_000, 300_000},
+	other: {2_000_000, 500_000}}
+
+const (
+	regionTurn = 100_000 // between heads of regions
+	mostTurns  = 7
+)
+
+// wait puts a purge that the own watch told first among those to be said.
+func (n *Node) wait(p Purge, now int64) {
+	if len(n.waiting) >= mostWaiting || p.Issued < n.reference(now)-n.set.Recent/1000 {
+		n.stats.Unsaid++
+		return
+	}
+	due := now + n.set.Gather
+	if t := n.tree.tier; t != root && !n.lead {
+		due = now + max(n.set.Gather, say[t].wait) + n.chance.Int64N(say[t].spread)
+		if t == regionHead {
+			due += int64(min(n.tree.region-1, mostTurns)) * regionTurn
+		}
+	}
+	n.waiting[p] = due
+	n.injectAt = min(n.injectAt, due)
+}
+
+// inject says what is due, and what nearly is.
+func (n *Node) inject(now int64) {
+	n.injects.fill(now, injectRate, injectBurst)
+	var due []Purge
+	for p, at := range n.waiting {
+		if at <= now+n.set.Gather {
+			due = append(due, p)
+		}
+	}
+	byIssue(due)
+	n.injectAt = now + n.set.Gather
+	for len(due) > 0 && n.injects.left > 0 {
+		n.seq++
+		id := batchID{n.me, n.seq}
+		frame, took := writeBatch(id, due)
+		for _, p := range due[:took] {
+			delete(n.waiting, p)
+			n.kept.say(p)
+		}
+		due = due[took:]
+		n.injects.left -= int64(len(frame)+datagram) * 1_000_000
+		n.stats.Batches++
+		n.stats.Said += uint64(took)
+		n.lead = true
+		n.mark(id, "", now)
+		n.store(id, frame, "", now)
+		n.forward(frame, "", now)
+	}
+	if len(due) > 0 {
+		return
+	}
+	n.injectAt = never
+	for _, at := range n.waiting {
+		n.injectAt = min(n.injectAt, at)
+	}
+}
+
+// forward sends a batch along the edges of the tree but the one it came from.
+func (n *Node) forward(frame []byte, from string, now int64) {
+	for i := -1; i < len(n.tree.children); i++ {
+		to := n.tree.parent
+		if i >= 0 {
+			to = n.tree.children[i]
+		}
+		if to == "" || to == from {
+			continue
+		}
+		if n.credit(now) < -mostShedDebt*n.set.Rate {
+			n.stats.Shed++
+			continue
+		}
+		n.send(to, frame, now)
+	}
+}
+
+// beside tells whether a peer is across an edge of the tree.
+func (n *Node) beside(peer string) bool {
+	return peer == n.tree.parent || slices.Contains(n.tree.children, peer)
+}
+
+// takeBatch merges a batch and sends it on if it, or anything in it, is new here: a false batch under another's id keeps nothing back.
+func (n *Node) takeBatch(from string, id batchID, purges []Purge, frame []byte, now int64) (heed []Purge) {
+	n.stats.Copies++
+	news := id.origin != n.me && n.mark(id, from, now)
+	for _, p := range purges {
+		if _, waits := n.waiting[p]; waits {
+			delete(n.waiting, p)
+			n.lead = false
+		} else if _, said := n.kept.has(p); said && id.origin != n.me {
+			n.lead = false
+		}
+		switch n.keep(p, now) {
+		case fresh:
+			news = true
+			heed = append(heed, p)
+		case unknown:
+			heed = append(heed, p)
+		}
+	}
+	if !news {
+		n.stats.Again++
+		return heed
+	}
+	frame = slices.Clone(frame)
+	n.store(id, frame, from, now)
+	n.forward(frame, from, now)
+	return heed
+}
--- /dev/null
+++ b/fleet/broadcast/tree.go
@@ -0,0 +1,167 @@
+package broadcast
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The tree is computed alike by all who see the same list. The members are sorted by region, zone, site and a sum of the name; a list's head
+// is its node, and the rest is split into at most fanOut lists that stand together, cut where a region begins, or a zone where all are of one
+// region, or a site, or between any two. So whatever its place a gateway has at most fanOut children and one parent, and a region, zone or site
+// is entered from outside once: a cut region costs one edge.
+const fanOut = 3
+
+// rank orders the members of a site: no name is first everywhere.
+func rank(name string) uint64 { return xxhash.Sum64String(name) }
+
+func compareMembers(a, b Member) int {
+	if c := comparePlaces(a.Place, b.Place); c != 0 {
+		return c
+	}
+	return cmp.Or(cmp.Compare(rank(a.Name), rank(b.Name)), cmp.Compare(a.Name, b.Name))
+}
+
+func comparePlaces(a, b Place) int {
+	return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Site, b.Site))
+}
+
+// SortMembers sorts as See needs them, so that one list can be held by many nodes of a process.
+func SortMembers(members []Member) { slices.SortFunc(members, compareMembers) }
+
+// apart is how far two places are from each other: 0 one site, 1 one zone, 2 one region, 3 further.
+func apart(a, b Place) int {
+	switch {
+	case a.Region != b.Region:
+		return 3
+	case a.Zone != b.Zone:
+		return 2
+	case a.Site != b.Site:
+		return 1
+	}
+	return 0
+}
+
+// split gives the bounds of the lists below a head: rest[bounds[i]:bounds[i+1]].
+func split(rest []Member) []int {
+	n := len(rest)
+	if n <= fanOut {
+		bounds := make([]int, n+1)
+		for i := range bounds {
+			bounds[i] = i
+		}
+		return bounds
+	}
+	// First and last differ most in a sorted list.
+	level := apart(rest[0].Place, rest[n-1].Place)
+	if level == 0 {
+		return []int{0, (n + 2) / 3, (2*n + 2) / 3, n}
+	}
+	bounds := []int{0}
+	for part := 1; part < fanOut; part++ {
+		want := part * n / fanOut
+		if cut := nearestCut(rest, level, want); cut > bounds[len(bounds)-1] {
+			bounds = append(bounds, cut)
+		}
+	}
+	return append(bounds, n)
+}
+
+// nearestCut is the place next to want where one of the level ends and another begins; the earlier of two as near.
+func nearestCut(rest []Member, level, want int) int {
+	is := func(i int) bool {
+		return i > 0 && i < len(rest) && apart(rest[i-1].Place, rest[i].Place) >= level
+	}
+	for d := 0; d <= len(rest); d++ {
+		if is(want - d) {
+			return want - d
+		}
+		if is(want + d) {
+			return want + d
+		}
+	}
+	return 0
+}
+
+// tree is what one member has of it.
+type tree struct {
+	members  []Member // sorted; not written
+	me       int      // -1: not among them
+	site     [2]int   // of the own site, as part of members
+	parent   string
+	children []string
+	tier     tier
+	region   int // regions before the own one
+}
+
+type tier int
+
+const (
+	root tier = iota
+	regionHead
+	zoneHead
+	siteHead
+	other
+)
+
+// plant computes it. The members must be sorted.
+func plant(members []Member, self Member) tree {
+	t := tree{members: members, me: -1, tier: other}
+	me, found := slices.BinarySearchFunc(members, self, compareMembers)
+	if !found {
+		return t
+	}
+	t.me = me
+	t.site[0], t.site[1] = me, me+1
+	for t.site[0] > 0 && members[t.site[0]-1].Place == self.Place {
+		t.site[0]--
+	}
+	for t.site[1] < len(members) && members[t.site[1]].Place == self.Place {
+		t.site[1]++
+	}
+	for i := 1; i <= me; i++ {
+		if members[i].Place.Region != members[i-1].Place.Region {
+			t.region++
+		}
+	}
+	switch {
+	case me == 0:
+		t.tier = root
+	default:
+		t.tier = [...]tier{other, siteHead, zoneHead, regionHead}[apart(members[me-1].Place, self.Place)]
+	}
+	from, to := 0, len(members)
+	for from != me {
+		t.parent = members[from].Name
+		bounds := split(members[from+1 : to])
+		for i := range len(bounds) - 1 {
+			if low, high := from+1+bounds[i], from+1+bounds[i+1]; me >= low && me < high {
+				from, to = low, high
+				break
+			}
+		}
+	}
+	if bounds := split(members[me+1 : to]); len(bounds) > 1 {
+		for _, b := range bounds[:len(bounds)-1] {
+			t.children = append(t.children, members[me+1+b].Name)
+		}
+	}
+	return t
+}
+
+// sorted gives the members in order, a copy if they are not.
+func sorted(members []Member) []Member {
+	for i := 1; i < len(members); i++ {
+		if compareMembers(members[i-1], members[i]) >= 0 {
+			members = slices.Clone(members)
+			SortMembers(members)
+			return slices.Compact(members)
+		}
+	}
+	return members
+}
+
+func same(a, b []Member) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0] || slices.Equal(a, b))
+}
