--- a/fleet/broadcast/inject.go
+++ b/fleet/broadcast/inject.go
@@ -13,12 +13,12 @@
 )
 
 // say is how long a purge of the own watch waits; at random up to spread more. Microseconds.
-var say = [...]struct{ wait, spread int64 }{regionHead: {600_000, 50_000}, zoneHead: {1_400_000, 300_000}, siteHead: {1_700_000, 300_000},
+var say = [...]struct{ wait, spread int64 }{regionHead: {900_000, 50_000}, zoneHead: {1_500_000, 300_000}, siteHead: {1_700_000, 300_000},
 	other: {2_000_000, 500_000}}
 
 const (
-	regionTurn = 100_000 // between heads of regions
-	mostTurns  = 7
+	regionTurn = 60_000 // between heads of regions
+	mostTurns  = 9
 )
 
 // wait puts a purge that the own watch told first among those to be said.
