Broadcast: one of two that say the same yields; frame tests and fuzzing; a story that fails

Cause: the parts of the tree each have their sayer, the load passes the rate, batches are not sent on, so more gateways speak.

--- a/fleet/broadcast/broadcast.go
+++ b/fleet/broadcast/broadcast.go
@@ -113,8 +113,9 @@
 	set    Settings
 	self   Member
 	chance *rand.Rand
-	me     uint64 // as an origin: of the name and the stamp, so another at each start
+	me     uint64 // as an origin: of the name and the stamp, so another at each start; and another after a rest
 	seq    uint64 // of the last batch
+	saidAt int64  // its time
 	tree   tree
 	out    []Letter
 	stats  Stats
@@ -253,11 +254,11 @@
 	r := reader{b: frame[2:]}
 	switch frame[1] {
 	case wordBatch:
-		id, purges := r.id(), r.purges()
+		id, by, purges := r.id(), r.tier(), r.purges()
 		if err := r.done(); err != nil {
 			return nil, err
 		}
-		return n.takeBatch(from, id, purges, frame, now), nil
+		return n.takeBatch(from, id, by, purges, frame, now), nil
 	case wordHave:
 		all := r.haves()
 		if err := r.done(); err != nil {
--- a/fleet/broadcast/fleet_test.go
+++ b/fleet/broadcast/fleet_test.go
@@ -99,12 +99,14 @@
 	for _, c := range []struct {
 		name string
 		loss float64
+		all  bool // watches tell
 		kill func(members []Member) []int
 	}{
-		{"the root", 0, func([]Member) []int { return []int{0} }},
-		{"a head of a region", 0, func(all []Member) []int { return heads(all, 3)[:1] }},
-		{"all heads of regions but the root", 0, func(all []Member) []int { return heads(all, 3) }},
-		{"the root, 5% lost", 0.05, func([]Member) []int { return []int{0} }},
+		{"the root", 0, false, func([]Member) []int { return []int{0} }},
+		{"a head of a region", 0, false, func(all []Member) []int { return heads(all, 3)[:1] }},
+		{"all heads of regions but the root", 0, false, func(all []Member) []int { return heads(all, 3) }},
+		{"the root, 5% lost", 0.05, false, func([]Member) []int { return []int{0} }},
+		{"the root, 1% lost, all told", 0.01, true, func([]Member) []int { return []int{0} }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFleet(t, *seedFlag, sized(*gatewaysFlag), testSettings())
@@ -112,8 +114,11 @@
 			n := len(f.nodes)
 			f.run(2_000_000)
 			f.measure()
-			// The watches of the root and of a few others anywhere work.
-			f.stream(f.now, f.now+20_000_000, 100, only(f, 0, n/5, n/2, n-2))
+			told := only(f, 0, n/5, n/2, n-2)
+			if c.all {
+				told = everywhere(f)
+			}
+			f.stream(f.now, f.now+20_000_000, 100, told)
 			killed := c.kill(f.members)
 			f.at(6_000_000, func() {
 				for _, i := range killed {
--- a/fleet/broadcast/frame.go
+++ b/fleet/broadcast/frame.go
@@ -13,7 +13,7 @@
 
 // The second byte tells what a frame is. Numbers are varints of encoding/binary where not said otherwise; all of a frame must be readable.
 const (
-	wordBatch = iota // 8 bytes origin, sequence, purges
+	wordBatch = iota // 8 bytes origin, sequence, its tier (a byte), purges
 	wordHave         // number of origins, for each: 8 bytes origin, contiguous, 8 bytes bitmap of the sequences after
 	wordWant         // number of batches, for each: 8 bytes origin, sequence
 	wordSum          // from, up to (seconds), count, 8 bytes sum
@@ -65,6 +65,15 @@
 	return b
 }
 
+func (r *reader) tier() tier {
+	b := r.bytes(1)
+	if b == nil || tier(b[0]) > other {
+		r.bad = true
+		return other
+	}
+	return tier(b[0])
+}
+
 func (r *reader) uint64() uint64 {
 	if b := r.bytes(8); b != nil {
 		return binary.LittleEndian.Uint64(b)
@@ -232,8 +241,8 @@
 
 const mostSeq = 1 << 48
 
-func writeBatch(id batchID, purges []Purge) ([]byte, int) {
-	return appendPurges(number(fixed64([]byte{Kind, wordBatch}, id.origin), id.seq), purges)
+func writeBatch(id batchID, by tier, purges []Purge) ([]byte, int) {
+	return appendPurges(append(number(fixed64([]byte{Kind, wordBatch}, id.origin), id.seq), byte(by)), purges)
 }
 
 func (r *reader) id() (id batchID) {
--- /dev/null
+++ b/fleet/broadcast/frame_test.go
@@ -0,0 +1,181 @@
+package broadcast
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func drawPurge(t *rapid.T) Purge {
+	p := Purge{Issued: rapid.Int64Range(1, mostIssued-1).Draw(t, "issued")}
+	switch rapid.IntRange(0, 4).Draw(t, "shape") {
+	case 0:
+		p.Object = hexString(rapid.Uint64().Draw(t, "name"))
+	case 1:
+		p.Group = rapid.Int64().Draw(t, "group")
+	case 2:
+		p.Object = string(rapid.SliceOfN(rapid.Byte(), 1, mostName).Draw(t, "bytes"))
+	case 3:
+		p.Object, p.Group = hexString(rapid.Uint64().Draw(t, "name")), rapid.Int64().Draw(t, "group")
+	case 4:
+		p.Object = strings.ToUpper(hexString(rapid.Uint64().Draw(t, "name"))) // 16 bytes, and no name of the short form
+	}
+	return p
+}
+
+func TestBatchesReadAsWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := rapid.SliceOfN(rapid.Custom(drawPurge), 1, 300).Draw(t, "purges")
+		byIssue(all)
+		id := batchID{rapid.Uint64().Draw(t, "origin"), rapid.Uint64Range(1, mostSeq).Draw(t, "seq")}
+		by := tier(rapid.IntRange(0, int(other)).Draw(t, "tier"))
+		for rest := all; len(rest) > 0; {
+			frame, took := writeBatch(id, by, rest)
+			if took == 0 || len(frame) > mostFrame {
+				t.Fatalf("%d purges in %d bytes", took, len(frame))
+			}
+			r := reader{b: frame[2:]}
+			if got, tier, purges := r.id(), r.tier(), r.purges(); r.done() != nil || got != id || tier != by || !slices.Equal(purges, rest[:took]) {
+				t.Fatalf("wrote %v %v, read %v %v", id, rest[:took], got, purges)
+			}
+			if cut := rapid.IntRange(2, len(frame)-1).Draw(t, "cut"); readable(frame[:cut]) {
+				t.Fatalf("read %d bytes of %d", cut, len(frame))
+			}
+			if readable(append(slices.Clone(frame), 0)) {
+				t.Fatal("read a frame with a byte too many")
+			}
+			rest = rest[took:]
+		}
+	})
+}
+
+func TestSumsAndHavesReadAsWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		haves := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) have {
+			return have{rapid.Uint64().Draw(t, "origin"), rapid.Uint64Range(0, mostSeq).Draw(t, "top"), rapid.Uint64().Draw(t, "after")}
+		}), 0, mostHaves).Draw(t, "haves")
+		frame := writeHave(haves)
+		if r := (reader{b: frame[2:]}); !slices.Equal(r.haves(), haves) || r.done() != nil || len(frame) > mostFrame {
+			t.Fatalf("%v not read", haves)
+		}
+		s := sums{from: minute * rapid.Int64Range(0, 1e9).Draw(t, "from"), step: minute}
+		s.of = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) sum {
+			return sum{rapid.Uint64Range(0, 1<<32).Draw(t, "count"), rapid.Uint64().Draw(t, "ids")}
+		}), 0, mostSums).Draw(t, "sums")
+		frame = trimSums(s)
+		r := reader{b: frame[2:]}
+		got := r.sums()
+		if r.done() != nil || len(frame) > mostFrame || len(got.of) > len(s.of) || !slices.Equal(got.of, s.of[len(s.of)-len(got.of):]) {
+			t.Fatalf("%v read as %v", s, got)
+		}
+		ids := rapid.SliceOfN(rapid.Uint32(), 0, mostIDs).Draw(t, "ids")
+		p := pull{second: s.from, bits: 3, prefix: 5, ids: ids}
+		if frame = writePull(p); len(frame) > mostFrame {
+			t.Fatalf("a pull of %d bytes", len(frame))
+		}
+		r = reader{b: frame[2:]}
+		if back := r.pull(); r.done() != nil || back.second != p.second || back.bits != 3 || back.prefix != 5 || !slices.Equal(back.ids, ids) {
+			t.Fatalf("%v read as %v", p, back)
+		}
+	})
+}
+
+func readable(frame []byte) bool {
+	_, err := lonely().Take("gw-0001", frame, 0)
+	return err == nil
+}
+
+// lonely is a node of a site of two, where nothing runs.
+func lonely() *Node {
+	all := places(2, 1, 1, 1)
+	n := New(testSettings(), all[0], 1, rand.New(rand.NewPCG(1, 1)), 0)
+	n.See(all, 0)
+	return n
+}
+
+// TestLongestWants: a want of as many batches as may be fits a frame.
+func TestLongestWants(t *testing.T) {
+	all := make([]batchID, mostWants)
+	for i := range all {
+		all[i] = batchID{1 << 63, mostSeq - uint64(i)}
+	}
+	if frame := writeWant(all); len(frame) > mostFrame || !readable(frame) {
+		t.Errorf("%d bytes", len(frame))
+	}
+}
+
+// FuzzTake: no frame does harm: what is taken is plausible and what is sent fits, and bounds hold.
+func FuzzTake(f *testing.F) {
+	some := []Purge{{Object: "00112233445566ff", Issued: epoch}, {Group: 17, Issued: epoch + 5}, {Object: "a name", Group: -1, Issued: epoch + 9}}
+	batch, _ := writeBatch(batchID{7, 1}, root, some)
+	items, _ := writeItems(pull{second: epoch / 1000}, true, some)
+	for _, b := range [][]byte{batch, items, writeHave([]have{{7, 3, 5}}), writeWant([]batchID{{7, 1}}), writeSum(span{0, 100}, sum{1, 2}),
+		writeSums(sums{0, minute, []sum{{1, 2}}}), writeAsk(epoch / 60000 * 60), writePull(pull{second: epoch / 1000, ids: []uint32{1}})} {
+		f.Add(b, uint8(0))
+		f.Add(b, uint8(3))
+	}
+	f.Fuzz(func(t *testing.T, b []byte, flip uint8) {
+		n := lonely()
+		n.Own(some, 0)
+		for i, frame := range [][]byte{b, bytes.Repeat([]byte{flip}, len(b)%64), b} {
+			heed, err := n.Take("gw-0000", frame, int64(i)*1_000_000)
+			if err != nil && len(heed) > 0 {
+				t.Fatal("an unreadable frame told something")
+			}
+			for _, p := range heed {
+				if !plausible(p) || len(p.Object) > mostName {
+					t.Fatalf("told %v", p)
+				}
+			}
+			n.Step(int64(i) * 1_000_000)
+		}
+		for _, l := range n.Out() {
+			if len(l.Frame) > mostFrame || !readable(l.Frame) {
+				t.Fatalf("sends %x", l.Frame)
+			}
+		}
+		checkBounds(t, n)
+	})
+}
+
+func checkBounds(t interface{ Fatalf(string, ...any) }, n *Node) {
+	for _, b := range []struct {
+		what    string
+		is, max int
+	}{
+		{"kept", n.kept.count, n.set.Most}, {"minutes", len(n.kept.minutes), mostMinutes}, {"long names", len(n.kept.long), mostLong},
+		{"waiting", len(n.waiting), mostWaiting}, {"origins", len(n.origins), mostOrigins}, {"batches", len(n.log), mostBatches},
+		{"batches by time", len(n.logged), mostBatches}, {"wants", len(n.wants), mostWanted}, {"children", len(n.tree.children), fanOut},
+	} {
+		if b.is > b.max {
+			t.Fatalf("%d %s, at most %d", b.is, b.what, b.max)
+		}
+	}
+	if s := n.session; s != nil && (len(s.open) > mostOpen || len(s.todo) > mostTodo) {
+		t.Fatalf("a session of %d and %d requests", len(s.open), len(s.todo))
+	}
+	items, minutes := 0, map[int64]sum{}
+	for sec, s := range n.kept.seconds {
+		items += len(s.items)
+		m := minutes[sec/minute]
+		for i, it := range s.items {
+			m = sum{m.count + 1, m.ids + it.id}
+			if i > 0 && s.items[i-1].id > it.id {
+				t.Fatalf("a second out of order")
+			}
+		}
+		minutes[sec/minute] = m
+	}
+	if items != n.kept.count || len(minutes) != len(n.kept.minutes) {
+		t.Fatalf("%d items counted as %d, %d minutes as %d", items, n.kept.count, len(minutes), len(n.kept.minutes))
+	}
+	for m, of := range minutes {
+		if n.kept.minutes[m] != of {
+			t.Fatalf("a minute's sum is wrong")
+		}
+	}
+}
--- a/fleet/broadcast/inject.go
+++ b/fleet/broadcast/inject.go
@@ -1,10 +1,16 @@
 package broadcast
 
-import "slices"
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Injection. All gateways' watches tell the same purges, so who says them waits by its place in the tree, and drops what others said
 // meanwhile (suppression by timers, as in SRM): the root at once, the heads of regions after it one by one, then heads of zones, of sites,
-// and all others. Who had to speak, because none before it did, goes on without waiting until another says the same.
+// and all others. Who had to speak, because none before it did, goes on without waiting until another says the same before it does. Where
+// two have said the same, which happens while a dead head parts the tree, the one further up goes on and the other waits again.
 const (
 	mostWaiting  = 4096
 	injectRate   = 2500 // bytes a second of own batches
@@ -49,10 +55,14 @@
 	}
 	byIssue(due)
 	n.injectAt = now + n.set.Gather
+	if len(due) > 0 && n.seq > 0 && now-n.saidAt > originRest {
+		n.me, n.seq = xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, n.me)), 0
+	}
 	for len(due) > 0 && n.injects.left > 0 {
+		n.saidAt = now
 		n.seq++
 		id := batchID{n.me, n.seq}
-		frame, took := writeBatch(id, due)
+		frame, took := writeBatch(id, n.tree.tier, due)
 		for _, p := range due[:took] {
 			delete(n.waiting, p)
 			n.kept.say(p)
@@ -99,14 +109,14 @@
 }
 
 // takeBatch merges a batch and sends it on if it, or anything in it, is new here: a false batch under another's id keeps nothing back.
-func (n *Node) takeBatch(from string, id batchID, purges []Purge, frame []byte, now int64) (heed []Purge) {
+func (n *Node) takeBatch(from string, id batchID, by tier, purges []Purge, frame []byte, now int64) (heed []Purge) {
 	n.stats.Copies++
 	news := id.origin != n.me && n.mark(id, from, now)
 	for _, p := range purges {
 		if _, waits := n.waiting[p]; waits {
 			delete(n.waiting, p)
 			n.lead = false
-		} else if _, said := n.kept.has(p); said && id.origin != n.me {
+		} else if _, said := n.kept.has(p); said && (by < n.tree.tier || by == n.tree.tier && id.origin < n.me) {
 			n.lead = false
 		}
 		switch n.keep(p, now) {
--- a/fleet/broadcast/repair.go
+++ b/fleet/broadcast/repair.go
@@ -8,25 +8,31 @@
 // Repair of batches. A gap in an origin's sequence is asked of the one it was seen from; haves tell of batches to those that no gap tells
 // (the last before a rest, a subtree whose parent died). What was repaired goes along the tree as new.
 const (
-	window       = 64 // sequences after the contiguous ones; more are left to reconciliation
-	jump         = 1024
-	shortHistory = 8          // an origin heard of first at a later sequence is followed from there on
-	mostOrigins  = 64         // followed; the idlest goes
-	mostWanted   = 256        // batches asked for
-	mostBatches  = 512        // kept for repair, 1,100 bytes each at most
-	mostTries    = 6          // then reconciliation has it
-	mostPush     = 4          // batches pushed on one have
-	batchLife    = 30_000_000 // a batch is kept for repair
-	originLife   = 30_000_000 // an origin is followed after its last batch
-	originTold   = 10_000_000 // and told in haves
-	gapWait      = 60_000     // before a gap is asked: what was sent later may come earlier
-	gapSpread    = 40_000
-	crossing     = 200_000 // a want that comes so soon after the batch was sent crossed it
-	pushWait     = 400_000 // what a child lacks so long after it was sent it is sent again
-	againWait    = 500_000 // then doubled
-	mostAgain    = 4_000_000
+	window      = 64 // sequences after the contiguous ones; more are left to reconciliation
+	jump        = 1024
+	history     = 24         // batches before the first that is heard of are asked for: some 5 s
+	mostOrigins = 64         // followed; the idlest goes
+	mostWanted  = 256        // batches asked for
+	mostBatches = 512        // kept for repair, 1,100 bytes each at most
+	mostTries   = 6          // then reconciliation has it
+	mostPush    = 4          // batches pushed on one have
+	batchLife   = 30_000_000 // a batch is kept for repair
+	originLife  = 30_000_000 // an origin is followed after its last batch
+	originRest  = 15_000_000 // after it an origin begins anew: nobody is to ask for batches that nobody keeps
+	originTold  = 10_000_000 // and told in haves
+	gapWait     = 60_000     // before a gap is asked: what was sent later may come earlier
+	gapSpread   = 40_000
+	crossing    = 200_000 // a want that comes so soon after the batch was sent crossed it
+	pushWait    = 400_000 // what a child lacks so long after it was sent it is sent again
+	repairDebt  = 2       // seconds of the rate: after reconciliation has stopped, and before batches are sent on no more
 )
 
+// againWait is how long a want waits for its batch: at first twice the longest way there and back, then more. With 5% lost one try in ten
+// fails.
+var againWait = [mostTries]int64{400_000, 400_000, 600_000, 800_000, 1_200_000, 2_000_000}
+
+const againSpread = 100_000
+
 // newsWait is before what a have told is asked for: heads of a subtree first, so that the others get it along the tree.
 var newsWait = [...]struct{ wait, spread int64 }{root: {150_000, 50_000}, regionHead: {200_000, 100_000}, zoneHead: {250_000, 100_000},
 	siteHead: {350_000, 150_000}, other: {500_000, 300_000}}
@@ -87,10 +93,7 @@
 func (n *Node) follow(id uint64, seq uint64, now int64) *origin {
 	o := n.origins[id]
 	if o == nil {
-		o = &origin{}
-		if seq > shortHistory {
-			o.top = seq - 1
-		}
+		o = &origin{top: seq - min(seq, history)}
 		if len(n.origins) >= mostOrigins {
 			n.dropOrigin(n.idlest())
 		}
@@ -184,7 +187,7 @@
 			}
 			ask[w.peer] = append(ids, w.id)
 		}
-		w.due = now + min(mostAgain, int64(againWait)<<w.tries) + n.chance.Int64N(againWait/4)
+		w.due = now + againWait[w.tries] + n.chance.Int64N(againSpread)
 		w.tries++
 		w.peer = ""
 	}
@@ -205,9 +208,9 @@
 	}
 }
 
-// repair sends a batch again, within the rate: the debt may be one second of it.
+// repair sends a batch again, if the debt is not too deep.
 func (n *Node) repair(to string, s *stored, now int64) {
-	if n.credit(now) < -n.set.Rate {
+	if n.credit(now) < -repairDebt*n.set.Rate {
 		n.stats.Refused++
 		return
 	}
