Scale: hollow gateways on loopback beside real ones; foldslip-rig scale watch

A process for each of 3,900 gateways does not fit on a machine. Hollow gateways are the reader of the watch, the caches, the purges and the router, many to a process; up to 200 real processes are told the same beside them, and a run tells processor, memory, bytes and the time to everywhere of each purge. Lines on log axes come with their residuals and a lack-of-fit test (gonum). foldslip-rig's scenarios are played as before.

--- a/cli/rigs/rigs.go
+++ b/cli/rigs/rigs.go
@@ -22,6 +22,12 @@
 )
 
 type commands struct {
+	Run   scenarios `cmd:"" default:"withargs" help:"Play scenarios (what the bare program does with their names)."`
+	Scale scales    `cmd:"" help:"Measure what gateways' control costs against the number of gateways."`
+}
+
+// scenarios are played on fleets of real gateways.
+type scenarios struct {
 	Scenario []string `arg:"" help:"Scenarios: files, names of the hard cases that come with the rig, or all for all of these."`
 	Seeds    string   `default:"1" help:"Seeds of the runs, as 1-20."`
 	Program  string   `help:"The gateway's program; foldslip beside this one if not told."`
@@ -40,7 +46,7 @@
 func Main(args []string, out, errs io.Writer) (status int) {
 	var c commands
 	parser, err := kong.New(&c, kong.Name("foldslip-rig"), kong.Writers(out, errs), kong.UsageOnError(),
-		kong.Description("Plays scenarios on fleets of real gateways on loopback with faults between them. Hard cases: "+strings.Join(fleet.HardCases(), ", ")+"."),
+		kong.Description("Plays scenarios on fleets of real gateways on loopback with faults between them, and measures what control costs at size. Hard cases: "+strings.Join(fleet.HardCases(), ", ")+"."),
 		kong.Exit(func(code int) { panic(exit(code)) }))
 	if err != nil {
 		fmt.Fprintln(errs, "foldslip-rig:", err)
@@ -55,11 +61,12 @@
 			status = int(code)
 		}
 	}()
-	if _, err := parser.Parse(args); err != nil {
+	did, err := parser.Parse(args)
+	if err != nil {
 		fmt.Fprintln(errs, "foldslip-rig:", err)
 		return 2
 	}
-	err = c.run(out, errs)
+	err = did.Run(&streams{out, errs})
 	if err == nil {
 		return 0
 	}
@@ -72,9 +79,12 @@
 
 type exit int
 
+// streams are what a command writes to.
+type streams struct{ out, errs io.Writer }
+
 type misuse struct{ error }
 
-func (c *commands) seeds() (first, last uint64, err error) {
+func (c *scenarios) seeds() (first, last uint64, err error) {
 	a, b, span := strings.Cut(c.Seeds, "-")
 	if !span {
 		b = a
@@ -89,12 +99,29 @@
 	return first, last, nil
 }
 
+// beside is the path of the gateway's program; the one beside this program if none is told.
+func beside(program string) (string, error) {
+	if program == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return "", err
+		}
+		program = filepath.Join(filepath.Dir(own), "foldslip")
+	}
+	if _, err := os.Stat(program); err != nil {
+		return "", misuse{fmt.Errorf("--program: %w; go build -o bin/ ./cmd/... makes it", err)}
+	}
+	return filepath.Abs(program)
+}
+
 type job struct {
 	s    *fleet.Scenario
 	seed uint64
 }
 
-func (c *commands) run(out, errs io.Writer) error {
+// Run plays them.
+func (c *scenarios) Run(to *streams) error {
+	out, errs := to.out, to.errs
 	first, last, err := c.seeds()
 	if err != nil {
 		return err
@@ -105,17 +132,7 @@
 	if c.Net < 0 || c.Net > 100 {
 		return misuse{fmt.Errorf("--net %d: expected 0 to 100", c.Net)}
 	}
-	if c.Program == "" {
-		own, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		c.Program = filepath.Join(filepath.Dir(own), "foldslip")
-	}
-	if _, err := os.Stat(c.Program); err != nil {
-		return misuse{fmt.Errorf("--program: %w; go build -o bin/ ./cmd/... makes it", err)}
-	}
-	if c.Program, err = filepath.Abs(c.Program); err != nil {
+	if c.Program, err = beside(c.Program); err != nil {
 		return err
 	}
 	names := c.Scenario
@@ -152,7 +169,7 @@
 }
 
 // play plays jobs, some at once, and keeps their order.
-func (c *commands) play(jobs []job, errs io.Writer) ([]*fleet.Report, error) {
+func (c *scenarios) play(jobs []job, errs io.Writer) ([]*fleet.Report, error) {
 	base, own := c.Logs, false
 	if base == "" {
 		var err error
@@ -218,7 +235,7 @@
 	return reports, errors.Join(failures...)
 }
 
-func (c *commands) table(out io.Writer, reports []*fleet.Report) {
+func (c *scenarios) table(out io.Writer, reports []*fleet.Report) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "SCENARIO\tRUNS\tSTEP\tAGREED MEDIAN\tMAX\tTOLD MEDIAN\tMAX\tFALSE DEATHS\tREST B/S\tMSG/S\tCHURN B/S\tMSG/S")
 	for at := 0; at < len(reports); {
--- /dev/null
+++ b/lab/scale/crowd.go
@@ -0,0 +1,285 @@
+package scale
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/exec"
+	"runtime"
+	"runtime/pprof"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// A crowd is a process of its own with hollow gateways in it, so that what it spends is theirs alone. It is told by lines of JSON on its
+// standard input and answers each with one on its standard output, until the input ends.
+
+// order is a line to a crowd.
+type order struct {
+	Do       string          `json:"do"` // start, halt, restart, usage, arrivals, profile, stop
+	First    int             `json:"first,omitempty"`
+	Count    int             `json:"count,omitempty"`
+	Watch    []string        `json:"watch,omitempty"`
+	Base     int64           `json:"base,omitempty"`
+	Known    json.RawMessage `json:"known,omitempty"`
+	Gateways int             `json:"gateways,omitempty"`
+	Zones    int             `json:"zones,omitempty"`
+	Lookups  float64         `json:"lookups,omitempty"`
+	GC       bool            `json:"gc,omitempty"`
+	From     int64           `json:"from,omitempty"`
+	To       int64           `json:"to,omitempty"`
+	File     string          `json:"file,omitempty"`
+}
+
+// answer is a crowd's line.
+type answer struct {
+	Error    string    `json:"error,omitempty"`
+	Usage    *Usage    `json:"usage,omitempty"`
+	Arrivals []Arrival `json:"arrivals,omitempty"`
+}
+
+// Usage is what a crowd has spent since it began; see runtime.MemStats.
+type Usage struct {
+	Heap, Mallocs, AllocBytes          uint64
+	In, Out, Reads, Writes, Dials, Log int64
+	Closed                             map[string]int64 // ends of watches and faults by reason
+}
+
+const orderMost = 4 << 20 // bytes of a line: a whole list is some 300 KB
+
+// Crowd runs hollow gateways as told on in until it ends; foldslip-rig's hidden command.
+func Crowd(in io.Reader, out io.Writer) error {
+	c := &crowdServer{ground: NewGround(), ledger: &Ledger{}, by: map[int]*Hollow{}, held: map[int]*atomic.Int64{}}
+	defer c.stop()
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, orderMost)
+	to := json.NewEncoder(out)
+	for lines.Scan() {
+		var o order
+		a, err := &answer{}, json.Unmarshal(lines.Bytes(), &o)
+		if err == nil {
+			err = c.do(&o, a)
+		}
+		if err != nil {
+			a.Error = err.Error()
+		}
+		if err := to.Encode(a); err != nil {
+			return err
+		}
+	}
+	return lines.Err()
+}
+
+type crowdServer struct {
+	ground *Ground
+	ledger *Ledger
+	by     map[int]*Hollow
+	held   map[int]*atomic.Int64 // position of the last event that counts
+	last   order                 // start
+	places []Place
+	file   *os.File // of the profile under way
+}
+
+func (c *crowdServer) do(o *order, a *answer) error {
+	switch o.Do {
+	case "start":
+		c.last, c.places = *o, Sized(o.Gateways)
+		for i := range o.Count {
+			if err := c.start(o.First+i, o.Base, o.Known, o.Watch[i]); err != nil {
+				return err
+			}
+		}
+	case "halt":
+		was := c.by[o.First]
+		if was == nil {
+			return fmt.Errorf("gateway %d is not here", o.First)
+		}
+		return was.Stop()
+	case "restart":
+		if at := c.held[o.First]; at != nil { // what was told while it was down, the list that it starts with has taken in
+			for pos := at.Load() + 1; pos <= o.Base; pos++ {
+				c.ledger.Note(pos, time.Time{})
+			}
+		}
+		return c.start(o.First, o.Base, o.Known, c.last.Watch[o.First-c.last.First])
+	case "usage":
+		if o.GC {
+			runtime.GC()
+		}
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		g := c.ground
+		a.Usage = &Usage{Heap: m.HeapAlloc, Mallocs: m.Mallocs, AllocBytes: m.TotalAlloc, In: g.In.Load(), Out: g.Out.Load(), Reads: g.Reads.Load(),
+			Writes: g.Writes.Load(), Dials: g.Dials.Load(), Closed: g.Logged()}
+	case "arrivals":
+		var err error
+		a.Arrivals, err = c.ledger.Since(o.From, o.To)
+		return err
+	case "profile":
+		if c.file != nil {
+			pprof.StopCPUProfile()
+			err := c.file.Close()
+			c.file = nil
+			return err
+		}
+		var err error
+		if c.file, err = os.Create(o.File); err != nil {
+			return err
+		}
+		return pprof.StartCPUProfile(c.file)
+	case "stop":
+		return c.stop()
+	default:
+		return fmt.Errorf("%q is no order", o.Do)
+	}
+	return nil
+}
+
+func (c *crowdServer) start(i int, base int64, known json.RawMessage, watch string) (err error) {
+	at := &atomic.Int64{}
+	at.Store(base)
+	c.held[i] = at
+	c.by[i], err = StartHollow(c.ground, HollowSpec{Watch: watch, Known: known, Settings: Settings(c.places, i, c.last.Zones), Seed: uint64(i) + 1,
+		Lookups: c.last.Lookups, Event: func(no int64) {
+			at.Store(base + no - 1)
+			c.ledger.Note(base+no-1, time.Now())
+		}})
+	return err
+}
+
+func (c *crowdServer) stop() error {
+	var errs []error
+	for _, h := range c.by { // all at once
+		h.life.End()
+	}
+	for _, h := range c.by {
+		errs = append(errs, h.Stop())
+	}
+	clear(c.by)
+	return errors.Join(errs...)
+}
+
+// crowd is the other side: a process that this one started.
+type crowd struct {
+	cmd          *exec.Cmd
+	in           io.WriteCloser
+	out          *bufio.Reader
+	mu           sync.Mutex // one order at a time
+	first, count int
+}
+
+// newCrowd starts a process that runs Crowd.
+func newCrowd(cmd *exec.Cmd) (*crowd, error) {
+	cmd.Stderr = os.Stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	return &crowd{cmd: cmd, in: in, out: bufio.NewReader(out)}, nil
+}
+
+func (c *crowd) tell(o order) (*answer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := json.NewEncoder(c.in).Encode(o); err != nil {
+		return nil, fmt.Errorf("a process of hollow gateways: %w", err)
+	}
+	line, err := c.out.ReadBytes('\n')
+	if err != nil {
+		return nil, fmt.Errorf("a process of hollow gateways: %w", err)
+	}
+	var a answer
+	if err := json.Unmarshal(line, &a); err != nil {
+		return nil, err
+	}
+	if a.Error != "" {
+		return nil, errors.New(a.Error)
+	}
+	return &a, nil
+}
+
+// end ends the process: by the end of its input, and by its id where that does not do.
+func (c *crowd) end() error {
+	c.in.Close()
+	late := time.AfterFunc(20*time.Second, func() { c.cmd.Process.Kill() })
+	defer late.Stop()
+	return c.cmd.Wait()
+}
+
+// cpuOf is the processor time that a process has used, by all its threads: the kernel's clock of that process, in nanoseconds, of
+// which getrusage tells the same sum only for oneself.
+func cpuOf(pid int) (time.Duration, error) {
+	const ofProcess = 2 // CPUCLOCK_SCHED of the whole process
+	var t unix.Timespec
+	if err := unix.ClockGettime(int32(^pid)<<3|ofProcess, &t); err != nil {
+		return 0, fmt.Errorf("processor time of process %d: %w", pid, err)
+	}
+	return time.Duration(t.Nano()), nil
+}
+
+// residentOf is the anonymous memory of a process in bytes.
+func residentOf(pid int) (int64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+			kb, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return kb << 10, err
+		}
+	}
+	return 0, fmt.Errorf("process %d: no RssAnon in its status", pid)
+}
+
+// machineBusy is the processor time that the whole machine has spent on work since it began, on all cores.
+func machineBusy() (time.Duration, error) {
+	text, err := os.ReadFile("/proc/stat")
+	if err != nil {
+		return 0, err
+	}
+	line, _, _ := strings.Cut(string(text), "\n")
+	var sum int64
+	for i, word := range strings.Fields(line) {
+		if i == 0 || i == 4 || i == 5 || i > 8 { // its name, idle, iowait, and guests, who are in user
+			continue
+		}
+		n, err := strconv.ParseInt(word, 10, 64)
+		if err != nil {
+			return 0, err
+		}
+		sum += n
+	}
+	return time.Duration(sum) * 10 * time.Millisecond, nil // USER_HZ is 100
+}
+
+func cores() int { return runtime.NumCPU() }
+
+// since is how much of each reason came between two usages.
+func since(after, before map[string]int64) map[string]int64 {
+	out := maps.Clone(after)
+	for k, n := range before {
+		if out[k] -= n; out[k] == 0 {
+			delete(out, k)
+		}
+	}
+	return out
+}
--- a/lab/scale/discovery.go
+++ b/lab/scale/discovery.go
@@ -223,6 +223,13 @@
 	return d.tell(b)
 }
 
+// member is one of the list as it is, by any number.
+func (d *Discovery) member(i int) standin.Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.members[i%len(d.members)]
+}
+
 // tell adds an event, under the lock.
 func (d *Discovery) tell(event []byte) int64 {
 	d.events = append(d.events, event)
--- /dev/null
+++ b/lab/scale/fit.go
@@ -0,0 +1,87 @@
+package scale
+
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// Fit is a line through figures on log axes: figure = Factor * size^Slope. A slope near 0 is a cost that does not grow with the fleet, 1
+// one that grows with it. Whether the line is the right shape is told by how far the means at the sizes lie off it, against how far
+// runs of one size lie apart (the lack-of-fit test of regression): Curved where chance gives that less than once in a hundred.
+type Fit struct {
+	Figure string   `json:"figure"`
+	Factor float64  `json:"factor"`
+	Slope  float64  `json:"slope"`
+	R2     float64  `json:"r2"`
+	At     []FitAt  `json:"at"`
+	P      *float64 `json:"lack_of_fit_p,omitempty"` // nil: fewer than three sizes, or no two runs of a size
+	Curved bool     `json:"curved"`
+}
+
+// FitAt is one size: the geometric mean of its runs, their least and most, and by what factor the mean lies off the line.
+type FitAt struct {
+	Size  int     `json:"size"`
+	Runs  int     `json:"runs"`
+	Mean  float64 `json:"mean"`
+	Least float64 `json:"least"`
+	Most  float64 `json:"most"`
+	Off   float64 `json:"off"`
+}
+
+// curvedBelow is the chance below which a line is not taken for the shape of the figures.
+const curvedBelow = 0.01
+
+// Line fits figures by size; those of 0 or less cannot stand on a log axis, and are an error.
+func Line(figure string, by map[int][]float64) (*Fit, error) {
+	var sizes []int
+	var xs, ys []float64
+	for n := range by {
+		sizes = append(sizes, n)
+	}
+	slices.Sort(sizes)
+	for _, n := range sizes {
+		for _, v := range by[n] {
+			if n <= 0 || !(v > 0) || math.IsInf(v, 0) {
+				return nil, fmt.Errorf("%s of %g at %d gateways cannot stand on log axes", figure, v, n)
+			}
+			xs, ys = append(xs, math.Log10(float64(n))), append(ys, math.Log10(v))
+		}
+	}
+	if len(sizes) < 2 {
+		return nil, fmt.Errorf("%s: a line needs two sizes, there are %d", figure, len(sizes))
+	}
+	a, b := stat.LinearRegression(xs, ys, nil, false)
+	f := &Fit{Figure: figure, Factor: math.Pow(10, a), Slope: b, R2: stat.RSquared(xs, ys, nil, a, b)}
+	var pure, lack float64 // sums of squares
+	for _, n := range sizes {
+		logs := make([]float64, len(by[n]))
+		for i, v := range by[n] {
+			logs[i] = math.Log10(v)
+		}
+		mean := stat.Mean(logs, nil)
+		for _, v := range logs {
+			pure += (v - mean) * (v - mean)
+		}
+		off := mean - a - b*math.Log10(float64(n))
+		lack += float64(len(logs)) * off * off
+		f.At = append(f.At, FitAt{Size: n, Runs: len(logs), Mean: math.Pow(10, mean), Least: slices.Min(by[n]), Most: slices.Max(by[n]), Off: math.Pow(10, off)})
+	}
+	if k, all := len(sizes), len(xs); k > 2 && all > k {
+		p := 0.0
+		if pure > 0 {
+			df1, df2 := float64(k-2), float64(all-k)
+			p = distuv.F{D1: df1, D2: df2}.Survival(lack / df1 / (pure / df2))
+		} else if lack < 1e-18 {
+			p = 1
+		}
+		f.P, f.Curved = &p, p < curvedBelow
+	}
+	return f, nil
+}
+
+// Value is what the line says at a size.
+func (f *Fit) Value(size float64) float64 { return f.Factor * math.Pow(size, f.Slope) }
--- /dev/null
+++ b/lab/scale/hollow_test.go
@@ -0,0 +1,143 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+var program string
+
+// TestMain builds the gateway's program, and lets this binary be a process of hollow gateways.
+func TestMain(m *testing.M) {
+	if os.Getenv("SCALE_CROWD") != "" {
+		if err := Crowd(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	dir, err := os.MkdirTemp("", "foldslip-scale")
+	if err == nil {
+		program = filepath.Join(dir, "foldslip")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", program, "foldslip/cmd/foldslip").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Println("FAIL: the program cannot be built:", err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func anotherOfUs() *exec.Cmd {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "SCALE_CROWD=1")
+	return cmd
+}
+
+// brief is a run that a test can wait for.
+func brief(t *testing.T) WatchOptions {
+	return WatchOptions{Gateways: 8, Real: 2, PerCrowd: 4, Purges: 50, Changes: 300 * time.Millisecond, Caches: 100, ListTold: true, Warm: 500 * time.Millisecond,
+		For: 2 * time.Second, Bound: 30 * time.Second, Seed: 1, Dir: t.TempDir(), Program: program, Crowd: anotherOfUs}
+}
+
+func run(t *testing.T, o WatchOptions) *WatchReport {
+	t.Helper()
+	r, err := Watch(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Wrong) > 0 {
+		t.Errorf("wrong: %q", r.Wrong)
+	}
+	return r
+}
+
+func TestAHollowGatewayHeedsWhatTheWatchTells(t *testing.T) {
+	d := discovery(t, DiscoveryOptions{Gateways: 1, Members: Members(100, 25)})
+	known, _ := d.Join(0, true)
+	heard := make(chan int64, 10)
+	h, err := StartHollow(NewGround(), HollowSpec{Watch: d.Addr(0), Known: known, Settings: Settings(Sized(1), 0, 25), Seed: 1, Lookups: 200,
+		Event: func(no int64) { heard <- no }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := h.Caches.Len(); n != 100 {
+		t.Errorf("%d caches from the list told at the start", n)
+	}
+	at := time.Now()
+	d.Purge("00000000000000aa", 0, at)
+	gone := Members(100, 25)[5]
+	gone.Phase = "removed"
+	d.Change(gone)
+	for want := int64(2); want <= 3; want++ {
+		select {
+		case no := <-heard:
+			if no != want {
+				t.Errorf("heard number %d, want %d", no, want)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("not heard")
+		}
+	}
+	if n := h.Caches.Len(); n != 99 {
+		t.Errorf("%d caches after one has gone", n)
+	}
+	time.Sleep(h.Purges.Grace + 10*time.Millisecond)
+	if issued, _ := h.Purges.Heeded("00000000000000aa", 0); issued.UnixMilli() != at.UnixMilli() {
+		t.Errorf("heeds a purge of %v, was told one of %v", issued, at)
+	}
+	if err := h.Stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestHollowAndRealGatewaysAreToldTheSameAndNothingIsLost(t *testing.T) {
+	r := run(t, brief(t))
+	if r.Told < 100 || r.Told > 112 || r.Lost != 0 || r.Processes != 4 || r.Hollow.Gateways != 6 || r.Real.Gateways != 2 {
+		t.Errorf("%+v", r)
+	}
+	each := r.Hollow.In * r.Seconds / float64(r.Told) // 71 bytes for an object, 53 for a group, a few longer changes, a number a second
+	if each < 65 || each > 100 || r.Hollow.In/r.Real.In > 1.1 || r.Real.In/r.Hollow.In > 1.1 {
+		t.Errorf("%.0f bytes a second to a hollow one, %.0f to a real one", r.Hollow.In, r.Real.In)
+	}
+	if r.Hollow.Core <= 0 || r.Real.Core <= 0 || r.Hollow.Resident <= 0 || r.Real.Resident <= 0 || r.Hollow.Heap <= 0 || r.Most <= 0 {
+		t.Errorf("not counted: %+v", r)
+	}
+}
+
+func TestNothingIsLostWhileGatewaysStartAnew(t *testing.T) {
+	o := brief(t)
+	o.Real, o.Restarts, o.ListTold, o.Lookups = 0, 10, false, 20
+	o.Warm, o.Profile = 0, filepath.Join(t.TempDir(), "profile")
+	if r := run(t, o); r.Lost != 0 || r.Restarts < 5 {
+		t.Errorf("%d lost, %d restarts", r.Lost, r.Restarts)
+	}
+	if s, err := os.Stat(o.Profile); err != nil || s.Size() == 0 {
+		t.Errorf("the profile: %v", err)
+	}
+}
+
+func TestARunThatIsOverItsBudgetSaysSo(t *testing.T) {
+	o := brief(t)
+	o.Real, o.Allowance = 0, Budget{Core: 1e-9, Resident: 1, Bytes: 1}
+	r, err := Watch(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Wrong) != 3 {
+		t.Errorf("wrong: %q", r.Wrong)
+	}
+	o.Gateways, o.Real = 3, 4
+	if _, err := Watch(o); err == nil {
+		t.Error("more real gateways than gateways")
+	}
+}
--- /dev/null
+++ b/lab/scale/plots.go
@@ -0,0 +1,121 @@
+package scale
+
+import (
+	"fmt"
+	"image/color"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+)
+
+// Figure is one thing that runs measure, by size.
+type Figure struct {
+	Name   string // of the file, without its ending
+	Title  string
+	Budget float64 // a line across; 0: none
+	By     map[int][]float64
+	Beside map[int][]float64 // the same of real gateways; may be empty
+}
+
+// Figures are those of runs of Watch, each run a point.
+func Figures(runs []*WatchReport, budget Budget) []Figure {
+	all := []Figure{
+		{Name: "core", Title: "processor, part of a core", Budget: budget.Core},
+		{Name: "event", Title: "processor an event heard, microseconds"},
+		{Name: "wire", Title: "watch with TCP, bytes a second in and out", Budget: budget.Bytes},
+		{Name: "resident", Title: "anonymous memory, bytes", Budget: budget.Resident},
+		{Name: "everywhere-p50", Title: "until a purge is everywhere, median, ms"},
+		{Name: "everywhere-p99", Title: "until a purge is everywhere, 99th percentile, ms"},
+		{Name: "everywhere-max", Title: "until a purge is everywhere, the last, ms"},
+	}
+	of := func(c Cost) []float64 { return []float64{c.Core, c.Event, c.WireIn + c.WireOut, c.Resident} }
+	for i := range all {
+		all[i].By, all[i].Beside = map[int][]float64{}, map[int][]float64{}
+	}
+	for _, r := range runs {
+		if r.Hollow.Gateways > 0 {
+			for i, v := range append(of(r.Hollow), r.Median, r.P99, r.Most) {
+				if v > 0 {
+					all[i].By[r.Gateways] = append(all[i].By[r.Gateways], v)
+				}
+			}
+		}
+		if r.Real.Gateways > 0 {
+			for i, v := range of(r.Real) {
+				if v > 0 {
+					all[i].Beside[r.Gateways] = append(all[i].Beside[r.Gateways], v)
+				}
+			}
+		}
+	}
+	return all
+}
+
+// Plot draws a figure against size on log axes as an SVG file, with its line and its budget.
+func (g *Figure) Plot(dir string, fit *Fit) error {
+	if len(g.By) == 0 {
+		return nil
+	}
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = g.Title, "gateways", g.Title
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	p.Legend.Top, p.Legend.Left = true, true
+	blue, red, green, grey := color.RGBA{B: 200, A: 255}, color.RGBA{R: 200, A: 255}, color.RGBA{G: 140, A: 255}, color.Gray{100}
+	least, most := 0.0, 0.0
+	for _, s := range []struct {
+		name string
+		by   map[int][]float64
+		c    color.Color
+		mark draw.GlyphDrawer
+	}{{"hollow", g.By, blue, draw.CircleGlyph{}}, {"real, beside them", g.Beside, green, draw.CrossGlyph{}}} {
+		var pts plotter.XYs
+		for n, values := range s.by {
+			for _, v := range values {
+				pts = append(pts, plotter.XY{X: float64(n), Y: v})
+			}
+			if x := float64(n); most == 0 {
+				least, most = x, x
+			} else {
+				least, most = min(least, x), max(most, x)
+			}
+		}
+		if len(pts) == 0 {
+			continue
+		}
+		dots, err := plotter.NewScatter(pts)
+		if err != nil {
+			return err
+		}
+		dots.GlyphStyle.Color, dots.GlyphStyle.Shape = s.c, s.mark
+		p.Add(dots)
+		p.Legend.Add(s.name, dots)
+	}
+	line := func(name string, c color.Color, of func(float64) float64) {
+		f := plotter.NewFunction(of)
+		f.XMin, f.XMax, f.Color, f.Dashes = least, most, c, []vg.Length{vg.Points(4), vg.Points(3)}
+		p.Add(f)
+		p.Legend.Add(name, f)
+		p.Y.Min, p.Y.Max = min(p.Y.Min, of(least), of(most)), max(p.Y.Max, of(least), of(most))
+	}
+	if fit != nil {
+		shape := fmt.Sprintf("%.3g n^%.2f", fit.Factor, fit.Slope)
+		if fit.Curved {
+			shape += " (curved: not this line)"
+		}
+		line(shape, grey, fit.Value)
+	}
+	if g.Budget > 0 {
+		line("budget", red, func(float64) float64 { return g.Budget })
+	}
+	if p.X.Min == p.X.Max {
+		p.X.Min, p.X.Max = p.X.Min/2, p.X.Max*2
+	}
+	if p.Y.Min == p.Y.Max {
+		p.Y.Min, p.Y.Max = p.Y.Min/2, p.Y.Max*2
+	}
+	return p.Save(20*vg.Centimeter, 12*vg.Centimeter, filepath.Join(dir, g.Name+".svg"))
+}
--- /dev/null
+++ b/lab/scale/real.go
@@ -0,0 +1,70 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// realGateway is a process of the gateway's program beside the hollow ones, told the same by the same stand-in.
+type realGateway struct {
+	cmd   *exec.Cmd
+	log   *os.File
+	ended chan error
+}
+
+const (
+	realPort = 10080
+	realMB   = 192 // told as its limit, as in the fleet's rig
+)
+
+// startReal writes a gateway's configuration into a folder and starts it. Its listen address is one of its own, 127.66.x.y.
+func startReal(program, dir string, i int, watch string, known, settings json.RawMessage) (*realGateway, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	text, err := json.Marshal(map[string]any{"name": fmt.Sprintf("g%04d", i), "listen": fmt.Sprintf("127.66.%d.%d:%d", i>>8, i&255, realPort),
+		"seed": fmt.Sprintf("%x", i+1), "limits": map[string]any{"cores": 1, "memory_mb": realMB, "sockets": 1024}, "bulletin": watch, "known": known,
+		"settings": settings})
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return nil, err
+	}
+	r := &realGateway{ended: make(chan error, 1)}
+	if r.log, err = os.Create(filepath.Join(dir, "log")); err != nil {
+		return nil, err
+	}
+	r.cmd = exec.Command(program)
+	r.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path, "ROUTER_NAME=", "ROUTER_LISTEN=", "FOLDSLIP_SETTINGS=")
+	r.cmd.Stderr = r.log
+	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	if err := r.cmd.Start(); err != nil {
+		r.log.Close()
+		return nil, err
+	}
+	go func() { r.ended <- r.cmd.Wait() }()
+	return r, nil
+}
+
+// end asks the process to stop and waits; one that does not is killed, and that is an error.
+func (r *realGateway) end() error {
+	defer r.log.Close()
+	r.cmd.Process.Signal(syscall.SIGTERM)
+	late := time.NewTimer(15 * time.Second)
+	defer late.Stop()
+	select {
+	case err := <-r.ended:
+		return err
+	case <-late.C:
+		r.cmd.Process.Kill()
+		<-r.ended
+		return fmt.Errorf("%s did not end within 15s of SIGTERM", r.cmd.Path)
+	}
+}
