Scale: a slow clock for more hollow gateways than the machine bears, and how starved a run was

On a clock k times slower they need a k-th of the processor at a time; what each spends is counted against the slow seconds. Each run also tells for how long its threads stood ready without a core: runs on a full machine told purges late that no gateway was late for.

--- a/cli/rigs/scale.go
+++ b/cli/rigs/scale.go
@@ -41,6 +41,7 @@
 	Caches   int           `default:"1800" help:"Caches in the list."`
 	Real     int           `default:"12" help:"Real gateways among them, 0 to 200, at most all."`
 	List     string        `default:"told" enum:"told,watch" help:"Where the whole list of a start stands: told in the configuration, or on the watch."`
+	Stretch  float64       `default:"1" help:"Run the clock of stand-in and hollow gateways so many times slower, so that more of them fit on the machine; without real ones then."`
 	Each     int           `default:"500" help:"Hollow gateways in one process."`
 	Bound    time.Duration `default:"4.5s" help:"A purge is to be everywhere by then."`
 	Budget   bool          `help:"Hold each gateway to 2.1% of a core, 128 MB and 15 KB/s: exit status 1 if one kind is over."`
@@ -63,6 +64,7 @@
   foldslip-rig scale watch --sizes 12,50,200 --runs 3 --seconds 20 --purges 100 --json watch.jsonl --plot plots
   foldslip-rig scale watch --sizes 200 --runs 1 --profile watch.pprof # what the time goes to
   foldslip-rig scale watch --sizes 12 --budget                        # exit status 1 if a gateway is over its budget
+  foldslip-rig scale watch --sizes 1000,2000 --stretch 20             # more than the machine bears at its own pace
   foldslip-rig scale watch --sizes 500 --restarts 5 --list watch      # a release, each start hearing the whole list
 
 Only figures of runs beside little other work compare: each run tells how many cores were busy and how many of them
@@ -91,6 +93,9 @@
 	if err := c.check(); err != nil {
 		return err
 	}
+	if c.Stretch > 1 {
+		c.Real = 0
+	}
 	program, err := "", error(nil)
 	if c.Real > 0 {
 		if program, err = beside(c.Program); err != nil {
@@ -131,7 +136,7 @@
 	bad := 0
 	for i, n := range c.Sizes {
 		for run := range c.Runs {
-			o := scale.WatchOptions{Gateways: n, Real: min(c.Real, n), PerCrowd: c.Each, Purges: c.Purges, Changes: c.Changes, Restarts: c.Restarts, Lookups: c.Lookups,
+			o := scale.WatchOptions{Gateways: n, Real: min(c.Real, n), PerCrowd: c.Each, Purges: c.Purges, Changes: c.Changes, Restarts: c.Restarts, Lookups: c.Lookups, Stretch: c.Stretch,
 				Caches: c.Caches, ListTold: c.List == "told", Warm: secondsOf(c.Warm), For: secondsOf(c.Seconds), Bound: c.Bound,
 				Seed: c.Seed + uint64(i*c.Runs+run), Dir: filepath.Join(base, fmt.Sprintf("%d-%d", n, run+1)), Program: program, Allowance: budget,
 				Crowd: func() *exec.Cmd { return exec.Command(own, "scale", "crowd") },
@@ -139,7 +144,7 @@
 					bar.Clear()
 					fmt.Fprintf(to.errs, "%d gateways, run %d: "+format+"\n", append([]any{n, run + 1}, a...)...)
 				}}
-			if n == min(c.Real, n) && n > 1 { // half of a small fleet is real, so that both kinds are there
+			if o.Real > 0 && n == min(c.Real, n) && n > 1 { // half of a small fleet is real, so that both kinds are there
 				o.Real = n / 2
 			}
 			if i == len(c.Sizes)-1 && run == c.Runs-1 {
@@ -184,7 +189,7 @@
 
 func (c *scaleWatch) table(out io.Writer, all []*scale.WatchReport) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "GATEWAYS\tRUN\tKIND\tN\tCORE\tUS/EVENT\tIN B/S\tTCP IN\tTCP OUT\tANON MB\tHEAP MB\tALLOC KB/S\tLOST\tEVERYWHERE P50\tP99\tMAX\tREADY\tBUSY CORES\tOURS\tPACE LATE P99")
+	fmt.Fprintln(w, "GATEWAYS\tRUN\tKIND\tN\tCORE\tUS/EVENT\tIN B/S\tTCP IN\tTCP OUT\tANON MB\tHEAP MB\tALLOC KB/S\tLOST\tEVERYWHERE P50\tP99\tMAX\tREADY\tBUSY CORES\tOURS\tSTARVED\tPACE LATE P99")
 	for _, r := range all {
 		for i, k := range []scale.Cost{r.Hollow, r.Real} {
 			if k.Gateways == 0 {
@@ -193,11 +198,11 @@
 			fmt.Fprintf(w, "%d\t%d\t%s\t%d\t%.2f%%\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.0f", r.Gateways, r.Run, [2]string{"hollow", "real"}[i], k.Gateways, 100*k.Core,
 				k.Event, k.In, k.WireIn, k.WireOut, k.Resident/(1<<20), k.Heap/(1<<20), k.Alloc/1024)
 			if i == 1 && r.Hollow.Gateways > 0 {
-				fmt.Fprintln(w, "\t\t\t\t\t\t\t\t")
+				fmt.Fprintln(w, "\t\t\t\t\t\t\t\t\t")
 				continue
 			}
-			fmt.Fprintf(w, "\t%d\t%.0fms\t%.0fms\t%.0fms\t%.1fs\t%.1f of %d\t%.1f\t%.0fms\n", r.Lost, r.Median, r.P99, r.Most, r.Ready, r.Machine.Busy, r.Machine.Cores,
-				r.Machine.Ours, r.Machine.Late)
+			fmt.Fprintf(w, "\t%d\t%.0fms\t%.0fms\t%.0fms\t%.1fs\t%.1f of %d\t%.1f\t%.0f%%\t%.0fms\n", r.Lost, r.Median, r.P99, r.Most, r.Ready, r.Machine.Busy, r.Machine.Cores,
+				r.Machine.Ours, 100*r.Machine.Starved, r.Machine.Late)
 		}
 	}
 	w.Flush()
--- a/lab/scale/crowd.go
+++ b/lab/scale/crowd.go
@@ -35,6 +35,8 @@
 	Gateways int             `json:"gateways,omitempty"`
 	Zones    int             `json:"zones,omitempty"`
 	Lookups  float64         `json:"lookups,omitempty"`
+	Since    int64           `json:"since,omitempty"` // of the pace
+	Stretch  float64         `json:"stretch,omitempty"`
 	GC       bool            `json:"gc,omitempty"`
 	From     int64           `json:"from,omitempty"`
 	To       int64           `json:"to,omitempty"`
@@ -59,7 +61,7 @@
 
 // Crowd runs hollow gateways as told on in until it ends; foldslip-rig's hidden command.
 func Crowd(in io.Reader, out io.Writer) error {
-	c := &crowdServer{ground: NewGround(), ledger: &Ledger{}, by: map[int]*Hollow{}, held: map[int]*atomic.Int64{}}
+	c := &crowdServer{ground: NewGround(NewPace(0, 1)), ledger: &Ledger{}, by: map[int]*Hollow{}, held: map[int]*atomic.Int64{}}
 	defer c.stop()
 	lines := bufio.NewScanner(in)
 	lines.Buffer(nil, orderMost)
@@ -93,7 +95,7 @@
 func (c *crowdServer) do(o *order, a *answer) error {
 	switch o.Do {
 	case "start":
-		c.last, c.places = *o, Sized(o.Gateways)
+		c.last, c.places, c.ground = *o, Sized(o.Gateways), NewGround(NewPace(o.Since, o.Stretch))
 		for i := range o.Count {
 			if err := c.start(o.First+i, o.Base, o.Known, o.Watch[i]); err != nil {
 				return err
@@ -152,7 +154,7 @@
 	c.by[i], err = StartHollow(c.ground, HollowSpec{Watch: watch, Known: known, Settings: Settings(c.places, i, c.last.Zones), Seed: uint64(i) + 1,
 		Lookups: c.last.Lookups, Event: func(no int64) {
 			at.Store(base + no - 1)
-			c.ledger.Note(base+no-1, time.Now())
+			c.ledger.Note(base+no-1, c.ground.Now())
 		}})
 	return err
 }
@@ -235,6 +237,29 @@
 	return time.Duration(t.Nano()), nil
 }
 
+// waitedOf is how long a process's threads that there are now have stood ready to run without a core, since they began.
+func waitedOf(pid int) (sum time.Duration, err error) {
+	tasks, err := os.ReadDir(fmt.Sprintf("/proc/%d/task", pid))
+	if err != nil {
+		return 0, err
+	}
+	for _, t := range tasks {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/task/%s/schedstat", pid, t.Name()))
+		if errors.Is(err, os.ErrNotExist) {
+			continue // it ended meanwhile
+		}
+		if err != nil {
+			return 0, err
+		}
+		var ran, waited int64
+		if _, err := fmt.Sscan(string(text), &ran, &waited); err != nil {
+			return 0, err
+		}
+		sum += time.Duration(waited)
+	}
+	return sum, nil
+}
+
 // residentOf is the anonymous memory of a process in bytes.
 func residentOf(pid int) (int64, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
--- a/lab/scale/discovery.go
+++ b/lab/scale/discovery.go
@@ -23,7 +23,7 @@
 	askMost    = 64              // bytes of it
 	takeWithin = 5 * time.Second // for a watcher to take what is written; a slower one is dropped
 	writeMost  = 64 << 10        // bytes of one write, and of the buffer of each watch
-	pulseEvery = time.Second     // a line with the last number alone
+	pulseUsual = time.Second     // a line with the last number alone
 	mostWatch  = 8192            // gateways
 )
 
@@ -37,6 +37,7 @@
 	listen net.Listener
 	port   uint16
 	wait   sync.WaitGroup
+	pulse  time.Duration
 	asking chan struct{} // a place each for connections that have not asked yet
 
 	mu      sync.Mutex
@@ -73,6 +74,7 @@
 	Gateways int // 1 to 8192
 	Keep     int // events kept for watchers that come back; 65,536 if 0 (ten minutes of 100 a second)
 	Members  []standin.Member
+	Pulse    time.Duration // between lines with the last number alone; a second if 0
 }
 
 // NewDiscovery serves on a port of its own.
@@ -83,6 +85,9 @@
 	if o.Keep <= 0 {
 		o.Keep = 65536
 	}
+	if o.Pulse <= 0 {
+		o.Pulse = pulseUsual
+	}
 	onLoopback := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
 		if e := c.Control(func(fd uintptr) {
 			err = syscall.SetsockoptString(int(fd), syscall.SOL_SOCKET, syscall.SO_BINDTODEVICE, "lo")
@@ -95,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Discovery{listen: l, port: l.Addr().(*net.TCPAddr).AddrPort().Port(), keep: o.Keep, members: slices.Clone(o.Members), at: map[string]int{},
+	d := &Discovery{listen: l, port: l.Addr().(*net.TCPAddr).AddrPort().Port(), keep: o.Keep, pulse: o.Pulse, members: slices.Clone(o.Members), at: map[string]int{},
 		first: 1, by: make([]*watcher, o.Gateways), asking: make(chan struct{}, 256)}
 	for i, m := range d.members {
 		d.at[m.ID] = i
@@ -361,7 +366,7 @@
 
 // watch tells one watcher what it does not hold yet, for as long as it is the gateway's watch.
 func (d *Discovery) watch(w *watcher, conn net.Conn, base, after int64) {
-	pulse := time.NewTicker(pulseEvery)
+	pulse := time.NewTicker(d.pulse)
 	defer pulse.Stop()
 	var buf []byte
 	var held [64][]byte // events of one turn
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -105,18 +105,19 @@
 	return h.group.Wait()
 }
 
-// Ground is the system's ground with its connections counted and its log kept as counts of events.
+// Ground is the system's ground with its connections counted, its log kept as counts of events, and its time at a pace.
 type Ground struct {
 	*clock.System
-	log *slog.Logger
+	pace Pace
+	log  *slog.Logger
 	// In and Out are payload bytes, Reads and Writes calls that moved any, Dials connections that came up.
 	In, Out, Reads, Writes, Dials atomic.Int64
 	tally                         *tally
 }
 
 // NewGround makes one; many hollow gateways may share it.
-func NewGround() *Ground {
-	g := &Ground{System: &clock.System{}, tally: &tally{by: map[string]int64{}}}
+func NewGround(pace Pace) *Ground {
+	g := &Ground{System: &clock.System{}, pace: pace, tally: &tally{by: map[string]int64{}}}
 	g.log = slog.New(g.tally)
 	return g
 }
@@ -135,13 +136,32 @@
 	return out
 }
 
+// Now is the time at the ground's pace.
+func (g *Ground) Now() time.Time { return g.pace.Now() }
+
+// AfterFunc waits at the ground's pace.
+func (g *Ground) AfterFunc(d time.Duration, f func()) clock.Timer {
+	return g.System.AfterFunc(g.pace.span(d), f)
+}
+
+// Bell waits at the ground's pace.
+func (g *Ground) Bell() clock.Bell {
+	if g.pace.k == 1 {
+		return g.System.Bell()
+	}
+	return slowBell{g.System.Bell(), g.pace}
+}
+
 // Dial connects as the system does.
 func (g *Ground) Dial(life *clock.Life, addr string, within time.Duration) (net.Conn, error) {
-	conn, err := g.System.Dial(life, addr, within)
+	conn, err := g.System.Dial(life, addr, g.pace.span(within))
 	if err != nil {
 		return nil, err
 	}
 	g.Dials.Add(1)
+	if g.pace.k > 1 {
+		conn = &slowConn{conn, g.pace}
+	}
 	return &counted{conn, g}, nil
 }
 
--- a/lab/scale/hollow_test.go
+++ b/lab/scale/hollow_test.go
@@ -65,7 +65,7 @@
 	d := discovery(t, DiscoveryOptions{Gateways: 1, Members: Members(100, 25)})
 	known, _ := d.Join(0, true)
 	heard := make(chan int64, 10)
-	h, err := StartHollow(NewGround(), HollowSpec{Watch: d.Addr(0), Known: known, Settings: Settings(Sized(1), 0, 25), Seed: 1, Lookups: 200,
+	h, err := StartHollow(NewGround(NewPace(0, 1)), HollowSpec{Watch: d.Addr(0), Known: known, Settings: Settings(Sized(1), 0, 25), Seed: 1, Lookups: 200,
 		Event: func(no int64) { heard <- no }})
 	if err != nil {
 		t.Fatal(err)
@@ -141,3 +141,17 @@
 		t.Error("more real gateways than gateways")
 	}
 }
+
+func TestGatewaysOnASlowClockHearAndSpendTheSameOfItsSeconds(t *testing.T) {
+	o := brief(t)
+	o.Gateways, o.Real, o.Stretch, o.Purges, o.Warm, o.For = 4, 0, 4, 50, 100*time.Millisecond, time.Second
+	began := time.Now()
+	r := run(t, o)
+	if took := time.Since(began); took < 4400*time.Millisecond {
+		t.Errorf("a second and a tenth took %v", took)
+	}
+	each := r.Hollow.In * r.Seconds / float64(r.Told)
+	if r.Told < 50 || r.Told > 56 || each < 65 || each > 110 || r.Lost != 0 {
+		t.Errorf("%d events of %.0f bytes, %d lost", r.Told, each, r.Lost)
+	}
+}
--- a/lab/scale/watch.go
+++ b/lab/scale/watch.go
@@ -31,6 +31,7 @@
 	Warm      time.Duration // before the figures count: purges are kept for 11 s
 	For       time.Duration // in which they count
 	Bound     time.Duration // a purge is to be everywhere by then
+	Stretch   float64       // time runs so many times slower for stand-in and gateways; 1 if 0, and 1 where Real is not 0. See Pace
 	Seed      uint64
 	Dir       string // for configurations and logs of real gateways
 	Program   string // the gateway's, where Real is not 0
@@ -65,11 +66,12 @@
 	Alloc    float64 `json:"alloc_bytes_s,omitempty"`
 }
 
-// Machine is what else the machine did meanwhile: figures beside other work are marked by it.
+// Machine is what else the machine did meanwhile, in its own time: figures beside other work are marked by it.
 type Machine struct {
 	Cores    int     `json:"cores"`
 	Busy     float64 `json:"busy_cores"`      // of the whole machine
 	Ours     float64 `json:"our_cores"`       // of the stand-in and all gateways
+	Starved  float64 `json:"starved"`         // part of the time that threads of hollow gateways were ready to run in which they had no core
 	Late     float64 `json:"pace_late_p99ms"` // by how much the stand-in told purges late
 	LateMost float64 `json:"pace_late_max_ms"`
 }
@@ -80,6 +82,7 @@
 	When       time.Time        `json:"when"`
 	Gateways   int              `json:"gateways"`
 	Run        int              `json:"run"`
+	Stretch    float64          `json:"stretch"` // all times and rates here are those of a clock so many times slower than the machine's; see Pace
 	Seconds    float64          `json:"seconds"` // that figures count, as it came out
 	Purges     float64          `json:"purges_s"`
 	Caches     int              `json:"caches"`
@@ -105,6 +108,8 @@
 	o      WatchOptions
 	places []Place
 	zones  int
+	since  int64
+	pace   Pace
 	d      *Discovery
 	crowds []*crowd
 	reals  []*realGateway
@@ -138,6 +143,9 @@
 	case o.Caches < 1 || o.Caches > 16384:
 		return fmt.Errorf("%d caches, expected 1 to 16384", o.Caches)
 	}
+	if o.Stretch = max(1, o.Stretch); o.Stretch > 1000 || o.Stretch > 1 && o.Real > 0 {
+		return fmt.Errorf("time stretched %g times, expected 1 to 1000, and 1 beside real gateways, whose clock is the machine's", o.Stretch)
+	}
 	if o.PerCrowd <= 0 {
 		o.PerCrowd = 500
 	}
@@ -152,7 +160,8 @@
 	if err := o.check(); err != nil {
 		return nil, err
 	}
-	w := &watchRun{o: o, places: Sized(o.Gateways), late: hdrhistogram.New(1, 60e6, 3), chance: rand.New(rand.NewPCG(o.Seed, 0x7761746368)),
+	since := time.Now().UnixMicro()
+	w := &watchRun{o: o, since: since, pace: NewPace(since, o.Stretch), places: Sized(o.Gateways), late: hdrhistogram.New(1, 60e6, 3), chance: rand.New(rand.NewPCG(o.Seed, 0x7761746368)),
 		whom: rand.New(rand.NewPCG(o.Seed, 0x77686f6d))}
 	for _, p := range w.places {
 		w.zones = max(w.zones, p.Zone+1)
@@ -162,7 +171,7 @@
 			r.Wrong = append(r.Wrong, e.Error())
 		}
 	}()
-	r = &WatchReport{What: "watch", When: time.Now().UTC().Truncate(time.Second), Gateways: o.Gateways, Purges: o.Purges, Caches: o.Caches,
+	r = &WatchReport{What: "watch", When: time.Now().UTC().Truncate(time.Second), Gateways: o.Gateways, Stretch: o.Stretch, Purges: o.Purges, Caches: o.Caches,
 		Machine: Machine{Cores: cores()}}
 	began := time.Now()
 	if err := w.open(); err != nil {
@@ -208,7 +217,7 @@
 	o := &w.o
 	var err error
 	zones := FullZones
-	if w.d, err = NewDiscovery(DiscoveryOptions{Gateways: o.Gateways, Members: Members(o.Caches, min(zones, o.Caches))}); err != nil {
+	if w.d, err = NewDiscovery(DiscoveryOptions{Gateways: o.Gateways, Pulse: w.pace.span(pulseUsual), Members: Members(o.Caches, min(zones, o.Caches))}); err != nil {
 		return err
 	}
 	w.zones = max(w.zones, min(zones, o.Caches))
@@ -230,7 +239,7 @@
 		}
 		w.crowds = append(w.crowds, c)
 		c.first, c.count = first, min(o.PerCrowd, o.Gateways-o.Real-first)
-		start := order{Do: "start", First: first, Count: c.count, Base: w.base, Known: w.known, Gateways: o.Gateways, Zones: w.zones, Lookups: o.Lookups}
+		start := order{Do: "start", First: first, Count: c.count, Base: w.base, Known: w.known, Gateways: o.Gateways, Zones: w.zones, Lookups: o.Lookups, Since: w.since, Stretch: o.Stretch}
 		for i := range c.count {
 			start.Watch = append(start.Watch, w.d.Addr(first+i))
 		}
@@ -258,7 +267,7 @@
 // play tells events of the size for a time. What falls due while this process does not run is told at once after.
 func (w *watchRun) play(span time.Duration) {
 	o := &w.o
-	began := time.Now()
+	began := w.pace.Now()
 	gap := func(rate float64) time.Duration {
 		if rate <= 0 {
 			return math.MaxInt64
@@ -274,15 +283,15 @@
 	defer restarts.Wait()
 	defer close(stop)
 	if o.Restarts > 0 && o.Gateways > o.Real {
-		restarts.Go(func() { w.restarts(gap(o.Restarts), stop) })
+		restarts.Go(func() { w.restarts(w.pace.span(gap(o.Restarts)), stop) })
 	}
 	nextPurge, nextChange, said := purge, change, time.Duration(0)
 	for {
 		due := min(nextPurge, nextChange, span)
-		if wait := due - time.Since(began); wait > 0 {
-			time.Sleep(wait)
+		if wait := due - w.pace.Now().Sub(began); wait > 0 {
+			time.Sleep(w.pace.span(wait))
 		}
-		now := time.Now()
+		now := w.pace.Now()
 		if due == span {
 			return
 		}
@@ -306,7 +315,7 @@
 			w.took = append(w.took, moment{at: now})
 			w.d.Change(m)
 		}
-		if at := now.Sub(began); at-said >= 10*time.Second {
+		if at := now.Sub(began); w.pace.span(at-said) >= 10*time.Second {
 			said = at
 			o.Tell("%d gateways, %.0f of %.0f s", o.Gateways, at.Seconds(), span.Seconds())
 		}
@@ -355,6 +364,7 @@
 	at       time.Time
 	cpu      time.Duration // of this process
 	hollow   time.Duration
+	waited   time.Duration // of hollow gateways, for a core
 	real     time.Duration
 	busy     time.Duration
 	usage    Usage
@@ -378,6 +388,10 @@
 			return s, err
 		}
 		s.hollow += t
+		if t, err = waitedOf(c.cmd.Process.Pid); err != nil {
+			return s, err
+		}
+		s.waited += t
 	}
 	for _, p := range w.reals {
 		t, err := cpuOf(p.cmd.Process.Pid)
@@ -480,7 +494,8 @@
 }
 
 func (w *watchRun) costs(r *WatchReport, a, b sight) error {
-	span := b.at.Sub(a.at).Seconds()
+	took := b.at.Sub(a.at).Seconds()
+	span := took / w.o.Stretch
 	r.Seconds = span
 	cost := func(n int, cpu time.Duration, before, after [2]int64, events int64, resident float64) Cost {
 		if n == 0 {
@@ -525,8 +540,11 @@
 	}
 	r.Closed = since(b.usage.Closed, a.usage.Closed)
 	r.Reconnects = b.connects - a.connects - int64(w.starts)
-	r.Machine.Busy = (b.busy - a.busy).Seconds() / span
-	r.Machine.Ours = (b.cpu - a.cpu + b.hollow - a.hollow + b.real - a.real).Seconds() / span
+	r.Machine.Busy = (b.busy - a.busy).Seconds() / took
+	r.Machine.Ours = (b.cpu - a.cpu + b.hollow - a.hollow + b.real - a.real).Seconds() / took
+	if ran, waited := (b.hollow - a.hollow).Seconds(), (b.waited - a.waited).Seconds(); ran+waited > 0 {
+		r.Machine.Starved = max(0, waited/(ran+waited))
+	}
 	r.Machine.Late, r.Machine.LateMost = float64(w.late.ValueAtQuantile(99))/1000, float64(w.late.Max())/1000
 	return nil
 }
@@ -538,7 +556,8 @@
 		wrong("%d of %d events did not come to all gateways", r.Lost, r.Told)
 	}
 	if r.Late > 0 {
-		wrong("%d purges were everywhere only after more than %v, the last after %.0f ms", r.Late, w.o.Bound, r.Most)
+		wrong("%d purges were everywhere only after more than %v, the last after %.0f ms; hollow gateways were without a core for %.0f%% of the time that they could run", r.Late,
+			w.o.Bound, r.Most, 100*r.Machine.Starved)
 	}
 	for _, k := range []struct {
 		name string
