--- a/lab/scale/net.go
+++ b/lab/scale/net.go
@@ -47,6 +47,8 @@
 	Out, In           int64 // datagrams
 	BytesOut, BytesIn int64
 	MostOut, MostIn   int64 // bytes in the worst second of the virtual clock, of whole seconds
+	StreamOut         int64 // of BytesOut and BytesIn: watches of control machines, with TCP's heads
+	StreamIn          int64
 	Lost              int64 // sent by this node and not delivered: loss, a cut, who was down, a full inbox
 	Refused           int64 // longer than MostDatagram, or past what can be under way: a fault of the program or the scenario
 }
@@ -75,6 +77,7 @@
 type vertex struct {
 	its    Node // nil: down
 	paused bool
+	starts int
 	due    time.Duration // asked for by WakeAt; never: not
 	armed  time.Duration // of the event in the queue that counts; never: none
 	inbox  []datagram
@@ -150,6 +153,7 @@
 func (n *Net) Start(i int) {
 	if v := &n.nodes[i]; v.its == nil {
 		v.its, v.paused = n.make(i), false
+		v.starts++
 		n.WakeAt(i, n.now)
 	}
 }
@@ -340,6 +344,19 @@
 	}
 }
 
+// stream counts bytes that go over a connection.
+func (n *Net) stream(from, to int, out, in int64) {
+	a, b := &n.nodes[from], &n.nodes[to]
+	a.count.BytesOut += out
+	a.count.StreamOut += out
+	a.turn(n.now)
+	a.nowOut += out
+	b.count.BytesIn += in
+	b.count.StreamIn += in
+	b.turn(n.now)
+	b.nowIn += in
+}
+
 // Run plays all that happens up to a time, which it then is.
 func (n *Net) Run(until time.Duration) {
 	for len(n.queue) > 0 && n.queue[0].at <= until {
