--- a/lab/scale/real.go
+++ b/lab/scale/real.go
@@ -6,8 +6,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
+
+	"github.com/go-logfmt/logfmt"
 )
 
 // realGateway is a process of the gateway's program beside the hollow ones, told the same by the same stand-in.
@@ -53,6 +56,33 @@
 	return r, nil
 }
 
+// heard is what the log of a gateway that has ended says of its watch: the number of the last event that it held, and how often the
+// watch ended before the stop.
+func (r *realGateway) heard() (last int64, ends int, err error) {
+	file, err := os.Open(r.log.Name())
+	if err != nil {
+		return 0, 0, err
+	}
+	defer file.Close()
+	d := logfmt.NewDecoder(file)
+	for d.ScanRecord() {
+		f := map[string]string{}
+		for d.ScanKeyval() {
+			f[string(d.Key())] = string(d.Value())
+		}
+		if f["event"] != "bulletin_closed" {
+			continue
+		}
+		if last, err = strconv.ParseInt(f["last"], 10, 64); err != nil {
+			return 0, 0, err
+		}
+		if f["reason"] != "stopping" {
+			ends++
+		}
+	}
+	return last, ends, d.Err()
+}
+
 // end asks the process to stop and waits; one that does not is killed, and that is an error.
 func (r *realGateway) end() error {
 	defer r.log.Close()
--- a/lab/scale/watch.go
+++ b/lab/scale/watch.go
@@ -123,6 +123,8 @@
 	mu     sync.Mutex // guards what follows; both are read once play has returned
 	starts int
 	failed error
+
+	settled bool // all that was told is at all hollow gateways
 }
 
 type moment struct {
@@ -210,6 +212,7 @@
 		return nil, err
 	}
 	w.judge(r)
+	w.settled = r.Lost == 0
 	return r, nil
 }
 
@@ -597,9 +600,18 @@
 			errs = append(errs, err)
 		})
 	}
+	var told int64 // as a gateway counts that has the list as number 1
+	if w.d != nil {
+		told = w.d.Last() - w.base + 1
+	}
 	for _, p := range w.reals {
 		wait.Go(func() {
 			err := p.end()
+			if last, ends, e := p.heard(); err == nil && e != nil {
+				err = e
+			} else if err == nil && w.settled && (last != told || ends > 0) {
+				err = fmt.Errorf("a real gateway held event %d of %d at its end, its watch ended %d times; its log is %s", last, told, ends, p.log.Name())
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			errs = append(errs, err)
