--- a/lab/scale/controls_test.go
+++ b/lab/scale/controls_test.go
@@ -1,11 +1,14 @@
 package scale
 
 import (
+	"flag"
 	"slices"
 	"testing"
 	"time"
 )
 
+var cutFor = flag.Duration("scale.cut", 20*time.Second, "how long a region of the whole fleet is cut off; an hour is the plan's")
+
 // hearer is a gateway that only hears its watch.
 type hearer struct {
 	t    *testing.T
@@ -183,3 +186,26 @@
 		t.Errorf("an event took %v", most)
 	}
 }
+
+// A region cut off from the others and healed, at the users' size and rates, with the backlog paced at the budget of a gateway.
+func TestTheWholeFleetHearsAllAfterARegionWasCutOff(t *testing.T) {
+	const pace = 15 << 10
+	w := fleetOf(t, Layout(FullGateways, FullSites, FullZones, FullRegions), FullControls, 100, ControlOptions{Batch: 100 * time.Millisecond, CatchUp: pace, List: 1000})
+	w.RegionCut(10*time.Second, *cutFor, 4)
+	region := w.Gateway(func(p Place) bool { return p.Region == 4 })
+	w.Run(10*time.Second + *cutFor)
+	missed := w.Last() - w.Held(region[0])
+	if missed < int64(cutFor.Seconds()*95) {
+		t.Fatalf("%d events behind after %v", missed, *cutFor)
+	}
+	at := w.Now()
+	for len(w.behind(w.Last()-200)) > 0 && w.Now() < at+2**cutFor+time.Minute { // 2 s of events
+		w.Run(w.Now() + time.Second)
+	}
+	took := w.Now() - at
+	c := w.Count(region[0])
+	t.Logf("%d events missed, caught up after %v, %d bytes in the worst second of a gateway, %d moves, %d steps", missed, took, c.MostIn, w.Moves, w.Steps())
+	if most := time.Duration(float64(*cutFor)*0.95) + 15*time.Second; took > most { // 7.2 KB/s are missed and 7.2 KB/s come beside 15 KB/s
+		t.Errorf("caught up only after %v", took)
+	}
+}
