Broadcast: nobody begins to speak where batches tell what others told

Cause: with the root dead and all watches telling, each part of the tree had its sayer; the load passed the rate, batches were not sent on, more gateways spoke. A batch of which more than half was told already now holds back for 1.5 s who does not speak yet.

--- a/fleet/broadcast/broadcast.go
+++ b/fleet/broadcast/broadcast.go
@@ -90,6 +90,7 @@
 	Unreadable uint64 // frames
 	Wrong      uint64 // purges of the own watch whose issue cannot be
 	Long       uint64 // purges with names of more than 255 bytes: not told, they wait for the own watch
+	Held       uint64 // times that batches waited for the rate
 	Unsaid     uint64 // purges that found no room to wait or are not recent: left to reconciliation
 	Unkept     uint64 // purges that were too old or far ahead of the clock to keep
 	Dropped    uint64 // kept ones that went for want of room
@@ -120,9 +121,10 @@
 	out    []Letter
 	stats  Stats
 
-	kept    kept
-	waiting map[Purge]int64 // own, not yet said: when to
-	lead    bool            // this gateway said the last ones, and nobody else did
+	kept      kept
+	waiting   map[Purge]int64 // own, not yet said: when to
+	lead      bool            // this gateway said the last ones, and nobody else did
+	meekUntil int64           // until then nobody begins to speak here: there are sayers enough
 
 	origins map[uint64]*origin
 	log     map[batchID]*stored
--- a/fleet/broadcast/fleet_test.go
+++ b/fleet/broadcast/fleet_test.go
@@ -106,6 +106,15 @@
 		{"a head of a region", 0, false, func(all []Member) []int { return heads(all, 3)[:1] }},
 		{"all heads of regions but the root", 0, false, func(all []Member) []int { return heads(all, 3) }},
 		{"the root, 5% lost", 0.05, false, func([]Member) []int { return []int{0} }},
+		{"a zone, 1% lost, all told", 0.01, true, func(all []Member) (zone []int) {
+			for i, m := range all {
+				if m.Place.Zone == all[len(all)/2].Place.Zone {
+					zone = append(zone, i)
+				}
+			}
+			return zone
+		}},
+		{"the root, 5% lost, all told", 0.05, true, func([]Member) []int { return []int{0} }},
 		{"the root, 1% lost, all told", 0.01, true, func([]Member) []int { return []int{0} }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/fleet/broadcast/inject.go
+++ b/fleet/broadcast/inject.go
@@ -23,7 +23,8 @@
 	other: {1_800_000, 400_000}}
 
 const (
-	regionTurn = 60_000 // between heads of regions
+	meekTime   = 1_500_000 // after a batch that others had said already nobody begins to speak
+	regionTurn = 60_000    // between heads of regions
 	mostTurns  = 9
 )
 
@@ -55,6 +56,12 @@
 	}
 	byIssue(due)
 	n.injectAt = now + n.set.Gather
+	if now < n.meekUntil && !n.lead && n.tree.tier != root || n.credit(now) < -n.set.Rate {
+		// So much is said twice that there are sayers enough. Without this, gateways that miss some of it would speak as well, and more would
+		// miss some.
+		n.stats.Held++
+		return
+	}
 	if len(due) > 0 && n.seq > 0 && now-n.saidAt > originRest {
 		n.me, n.seq = xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, n.me)), 0
 	}
@@ -65,7 +72,7 @@
 		frame, took := writeBatch(id, n.tree.tier, due)
 		for _, p := range due[:took] {
 			delete(n.waiting, p)
-			n.kept.say(p)
+			n.kept.tell(p, bySelf)
 		}
 		due = due[took:]
 		n.injects.left -= int64(len(frame)+datagram) * 1_000_000
@@ -111,23 +118,30 @@
 // takeBatch merges a batch and sends it on if it, or anything in it, is new here: a false batch under another's id keeps nothing back.
 func (n *Node) takeBatch(from string, id batchID, by tier, purges []Purge, frame []byte, now int64) (heed []Purge) {
 	n.stats.Copies++
+	twice, also := 0, false
 	news := id.origin != n.me && n.mark(id, from, now)
 	for _, p := range purges {
 		if _, waits := n.waiting[p]; waits {
 			delete(n.waiting, p)
 			n.lead = false
-		} else if _, said := n.kept.has(p); said && (by < n.tree.tier || by == n.tree.tier && id.origin < n.me) {
-			n.lead = false
 		}
 		switch n.keep(p, now) {
 		case fresh:
-			news = true
-			heed = append(heed, p)
+			heed, also = append(heed, p), true
 		case unknown:
 			heed = append(heed, p)
 		}
+		if before := n.kept.tell(p, byBatch); before != byWatch && news {
+			twice++
+			if before == bySelf && (by < n.tree.tier || by == n.tree.tier && id.origin < n.me) {
+				n.lead = false
+			}
+		}
+	}
+	if twice > len(purges)/2 {
+		n.meekUntil = now + meekTime
 	}
-	if !news {
+	if news = news || also; !news {
 		n.stats.Again++
 		return heed
 	}
--- a/fleet/broadcast/keep.go
+++ b/fleet/broadcast/keep.go
@@ -21,7 +21,7 @@
 	name  uint64 // by shape: the name, the group, or the key in long
 	ms    uint16 // of the second
 	shape uint8
-	said  bool // went out in a batch of this gateway
+	told  told
 }
 
 type second struct {
@@ -29,6 +29,15 @@
 	ids   uint64 // their sum
 }
 
+// told is how a purge got among gateways, as far as this one knows.
+type told uint8
+
+const (
+	byWatch told = iota // or by reconciliation
+	byBatch             // of another
+	bySelf              // in a batch of this gateway
+)
+
 // kept is the set of purges, by second of issue. It is a join: what is in it stays until it is too old, or the oldest of too many.
 type kept struct {
 	seconds map[int64]*second
@@ -80,16 +89,13 @@
 	return s, at, false
 }
 
-// has tells whether it is kept, and whether this gateway said it.
-func (k *kept) has(p Purge) (known, said bool) {
-	s, at, found := k.find(p, k.idOf(p))
-	return found, found && s.items[at].said
-}
-
-func (k *kept) say(p Purge) {
+// tell notes how one is told now, and gives how it was before. One that is not kept gives byWatch.
+func (k *kept) tell(p Purge, now told) (before told) {
 	if s, at, found := k.find(p, k.idOf(p)); found {
-		s.items[at].said = true
+		before = s.items[at].told
+		s.items[at].told = max(before, now)
 	}
+	return before
 }
 
 // add keeps one; false if it was kept.
