--- a/fleet/broadcast/broadcast.go
+++ b/fleet/broadcast/broadcast.go
@@ -76,6 +76,7 @@
 	Behind   Behind
 
 	Heeded     uint64 // purges that a peer told first
+	Grafts     int    // edges that stand for those of silent neighbours
 	Batches    uint64 // said by this gateway
 	Said       uint64 // purges in them
 	Copies     uint64 // batches that came, again or not
@@ -118,6 +119,8 @@
 	seq    uint64 // of the last batch
 	saidAt int64  // its time
 	tree   tree
+	heard  map[string]int64 // when, of those near in the tree
+	grafts []string
 	out    []Letter
 	stats  Stats
 
@@ -151,7 +154,7 @@
 func New(set Settings, self Member, stamp uint64, chance *rand.Rand, now int64) *Node {
 	b := binary.LittleEndian.AppendUint64([]byte(self.Name), stamp)
 	n := &Node{set: set, self: self, chance: chance, me: xxhash.Sum64(b), kept: newKept(set.Most), waiting: map[Purge]int64{},
-		origins: map[uint64]*origin{}, log: map[batchID]*stored{}, injectAt: never, sweepAt: now + sweepTurn,
+		origins: map[uint64]*origin{}, heard: map[string]int64{}, log: map[batchID]*stored{}, injectAt: never, sweepAt: now + sweepTurn,
 		rate: bucket{left: set.Rate * 1_000_000, at: now}, injects: bucket{left: injectBurst * 1_000_000, at: now}}
 	n.haveAt = now + chance.Int64N(max(1, set.Have))
 	n.reconcileAt = now + chance.Int64N(max(1, set.Reconcile))
@@ -196,6 +199,8 @@
 		return
 	}
 	n.tree = plant(sorted(members), n.self)
+	n.grafts = n.grafts[:0]
+	n.forgetOthers()
 }
 
 // Own takes what the own discovery watch told.
@@ -242,6 +247,9 @@
 	n.stats.FramesIn++
 	n.stats.BytesIn += uint64(len(frame) + datagram)
 	n.spend(len(frame)+datagram, now)
+	if _, near := n.heard[from]; near {
+		n.heard[from] = now
+	}
 	if heed, err = n.take(from, frame, now); err != nil {
 		n.stats.Unreadable++
 	}
@@ -354,6 +362,7 @@
 func (n *Node) Stats() Stats {
 	s := n.stats
 	s.Parent, s.Children = n.tree.parent, n.tree.children
+	s.Grafts = len(n.grafts)
 	s.Kept, s.Waiting, s.Dropped = n.kept.count, len(n.waiting), n.kept.dropped
 	s.Behind = Behind{Batches: len(n.wants), Seconds: n.differ, Since: n.doubt}
 	for _, w := range n.wants {
--- a/fleet/broadcast/inject.go
+++ b/fleet/broadcast/inject.go
@@ -92,14 +92,10 @@
 	}
 }
 
-// forward sends a batch along the edges of the tree but the one it came from.
+// forward sends a batch along the edges but the one it came from.
 func (n *Node) forward(frame []byte, from string, now int64) {
-	for i := -1; i < len(n.tree.children); i++ {
-		to := n.tree.parent
-		if i >= 0 {
-			to = n.tree.children[i]
-		}
-		if to == "" || to == from {
+	for _, to := range n.neighbours() {
+		if to == from {
 			continue
 		}
 		if n.credit(now) < -mostShedDebt*n.set.Rate {
@@ -110,11 +106,6 @@
 	}
 }
 
-// beside tells whether a peer is across an edge of the tree.
-func (n *Node) beside(peer string) bool {
-	return peer == n.tree.parent || slices.Contains(n.tree.children, peer)
-}
-
 // takeBatch merges a batch and sends it on if it, or anything in it, is new here: a false batch under another's id keeps nothing back.
 func (n *Node) takeBatch(from string, id batchID, by tier, purges []Purge, frame []byte, now int64) (heed []Purge) {
 	n.stats.Copies++
--- a/fleet/broadcast/repair.go
+++ b/fleet/broadcast/repair.go
@@ -75,6 +75,9 @@
 	return gone + o.slide(0)
 }
 
+// newsBeside is for news of a neighbour in the tree: longer than a batch that is on its way may take.
+var newsBeside = struct{ wait, spread int64 }{150_000, 100_000}
+
 type stored struct {
 	frame []byte
 	from  string // "": of this gateway
@@ -218,7 +221,7 @@
 	n.send(to, s.frame, now)
 }
 
-// stepHave tells the parent, and in turn one of the site and any one, what is had.
+// stepHave tells the neighbours in the tree, and in turn one of the site and any one, what is had.
 func (n *Node) stepHave(now int64) {
 	all := make([]have, 0, mostHaves)
 	for _, id := range sortedKeys(n.origins) {
@@ -227,21 +230,22 @@
 		}
 	}
 	n.turn++
-	if len(all) == 0 {
-		return
-	}
 	frame := writeHave(all)
-	if n.tree.parent != "" {
-		n.send(n.tree.parent, frame, now)
+	n.graft(now)
+	for _, to := range n.neighbours() { // also with nothing to tell: it is a sign of life
+		n.send(to, frame, now)
 	}
-	if other := n.anyone(n.turn%2 == 0); other != "" && other != n.tree.parent {
+	if other := n.anyone(n.turn%2 == 0); other != "" && !n.beside(other) && len(all) > 0 {
 		n.send(other, frame, now)
 	}
 }
 
 func (n *Node) takeHaves(from string, all []have, now int64) {
-	child := slices.Contains(n.tree.children, from)
+	beside := n.beside(from)
 	wait := newsWait[n.tree.tier]
+	if beside {
+		wait = newsBeside
+	}
 	for _, h := range all {
 		its := origin{top: h.top, after: h.after}
 		top := h.top
@@ -270,7 +274,7 @@
 				}
 			}
 		}
-		if !child {
+		if !beside {
 			continue
 		}
 		pushed := 0
--- a/fleet/broadcast/tree.go
+++ b/fleet/broadcast/tree.go
@@ -91,8 +91,14 @@
 	site     [2]int   // of the own site, as part of members
 	parent   string
 	children []string
-	tier     tier
-	region   int // regions before the own one
+
+	// For those that are silent (graft.go): the parent's parent and children, and the children's children.
+	grandparent   string
+	siblings      []string // self among them
+	grandchildren [][]string
+
+	tier   tier
+	region int // regions before the own one
 }
 
 type tier int
@@ -133,8 +139,9 @@
 	}
 	from, to := 0, len(members)
 	for from != me {
-		t.parent = members[from].Name
+		t.grandparent, t.parent = t.parent, members[from].Name
 		bounds := split(members[from+1 : to])
+		t.siblings = firsts(members, from+1, bounds)
 		for i := range len(bounds) - 1 {
 			if low, high := from+1+bounds[i], from+1+bounds[i+1]; me >= low && me < high {
 				from, to = low, high
@@ -142,14 +149,23 @@
 			}
 		}
 	}
-	if bounds := split(members[me+1 : to]); len(bounds) > 1 {
-		for _, b := range bounds[:len(bounds)-1] {
-			t.children = append(t.children, members[me+1+b].Name)
-		}
+	bounds := split(members[me+1 : to])
+	t.children = firsts(members, me+1, bounds)
+	for i := range t.children {
+		low, high := me+1+bounds[i], me+1+bounds[i+1]
+		t.grandchildren = append(t.grandchildren, firsts(members, low+1, split(members[low+1:high])))
 	}
 	return t
 }
 
+// firsts are the heads of lists that begin at an offset.
+func firsts(members []Member, offset int, bounds []int) (all []string) {
+	for _, b := range bounds[:len(bounds)-1] {
+		all = append(all, members[offset+b].Name)
+	}
+	return all
+}
+
 // sorted gives the members in order, a copy if they are not.
 func sorted(members []Member) []Member {
 	for i := 1; i < len(members); i++ {
