--- a/fleet/broadcast/broadcast.go
+++ b/fleet/broadcast/broadcast.go
@@ -65,7 +65,7 @@
 
 // Usual are the settings for the whole fleet: 3,900 gateways and 100 purges a second. Keep is an hour's cut and half an hour to make up
 // for it: what is older than that when its turn comes cannot be had of a peer any more.
-var Usual = Settings{Keep: 5_400_000_000, Most: 600_000, Rate: 9_000, Gather: 200_000, Have: 250_000, Reconcile: 3_000_000, Recent: 5_000_000}
+var Usual = Settings{Keep: 5_400_000_000, Most: 600_000, Rate: 9_000, Gather: 200_000, Have: 300_000, Reconcile: 3_000_000, Recent: 5_000_000}
 
 // Stats are counters since New, and what is at hand.
 type Stats struct {
--- a/fleet/broadcast/graft.go
+++ b/fleet/broadcast/graft.go
@@ -6,7 +6,7 @@
 // those of the dead one know within silence, and stand in a line for it: its parent, then its children in order. Each takes for an edge of the
 // tree the next of the line on either side, and beyond it if that one is silent too. So each gets two edges more at most for a dead
 // neighbour. Plumtree grafts by what is missing; here the order is known to all, so nobody has to ask.
-const silence = 1_200_000 // some five haves
+const silence = 1_500_000 // some five haves
 
 func (n *Node) silent(peer string, now int64) bool {
 	at, known := n.heard[peer]
--- a/fleet/broadcast/inject.go
+++ b/fleet/broadcast/inject.go
@@ -34,17 +34,29 @@
 		n.stats.Unsaid++
 		return
 	}
-	due := now + n.set.Gather
-	if t := n.tree.tier; t != root && !n.lead {
-		due = now + max(n.set.Gather, say[t].wait) + n.chance.Int64N(say[t].spread)
-		if t == regionHead {
-			due += int64(min(n.tree.region-1, mostTurns)) * regionTurn
-		}
-	}
+	due := now + n.turnToSpeak()
 	n.waiting[p] = due
 	n.injectAt = min(n.injectAt, due)
 }
 
+// turnToSpeak is how long a purge waits here.
+func (n *Node) turnToSpeak() int64 {
+	t := n.tree.tier
+	if t == root || n.lead {
+		return n.set.Gather
+	}
+	wait := max(n.set.Gather, say[t].wait) + n.chance.Int64N(say[t].spread)
+	if t == regionHead {
+		wait += int64(min(n.tree.region-1, mostTurns)) * regionTurn
+	}
+	return wait
+}
+
+// yields tells whether another sayer is further up.
+func (n *Node) yields(origin uint64, by tier) bool {
+	return by < n.tree.tier || by == n.tree.tier && origin < n.me
+}
+
 // inject says what is due, and what nearly is.
 func (n *Node) inject(now int64) {
 	n.injects.fill(now, injectRate, injectBurst)
@@ -56,9 +68,13 @@
 	}
 	byIssue(due)
 	n.injectAt = now + n.set.Gather
-	if now < n.meekUntil && !n.lead && n.tree.tier != root || n.credit(now) < -n.set.Rate {
+	if !n.lead && n.tree.tier != root && (now < n.meekUntil || n.credit(now) < -n.set.Rate) {
 		// So much is said twice that there are sayers enough. Without this, gateways that miss some of it would speak as well, and more would
-		// miss some.
+		// miss some. They wait for their turn anew, or all would speak when it ends.
+		n.injectAt = max(now, n.meekUntil) + n.turnToSpeak()
+		for _, p := range due {
+			n.waiting[p] = n.injectAt
+		}
 		n.stats.Held++
 		return
 	}
@@ -114,7 +130,9 @@
 	for _, p := range purges {
 		if _, waits := n.waiting[p]; waits {
 			delete(n.waiting, p)
-			n.lead = false
+			if n.yields(id.origin, by) {
+				n.lead = false
+			}
 		}
 		switch n.keep(p, now) {
 		case fresh:
@@ -124,7 +142,7 @@
 		}
 		if before := n.kept.tell(p, byBatch); before != byWatch && news {
 			twice++
-			if before == bySelf && (by < n.tree.tier || by == n.tree.tier && id.origin < n.me) {
+			if before == bySelf && n.yields(id.origin, by) {
 				n.lead = false
 			}
 		}
