--- a/fleet/broadcast/tree.go
+++ b/fleet/broadcast/tree.go
@@ -43,22 +43,24 @@
 	return 0
 }
 
-// split gives the bounds of the lists below a head: rest[bounds[i]:bounds[i+1]].
-func split(rest []Member) []int {
+// split gives the bounds of the lists below the head of one: rest[bounds[i]:bounds[i+1]], where rest is all but the head.
+func split(list []Member) []int {
+	rest := list[1:]
 	n := len(rest)
-	if n <= fanOut {
-		bounds := make([]int, n+1)
-		for i := range bounds {
-			bounds[i] = i
-		}
+	bounds := []int{0}
+	if n == 0 {
 		return bounds
 	}
-	// First and last differ most in a sorted list.
-	level := apart(rest[0].Place, rest[n-1].Place)
+	// First and last differ most in a sorted list. Where all of rest is elsewhere than the head it is entered as one.
+	level := max(apart(rest[0].Place, rest[n-1].Place), apart(list[0].Place, rest[0].Place))
 	if level == 0 {
-		return []int{0, (n + 2) / 3, (2*n + 2) / 3, n}
+		for part := 1; part < fanOut; part++ {
+			if cut := part * n / fanOut; cut > bounds[len(bounds)-1] {
+				bounds = append(bounds, cut)
+			}
+		}
+		return append(bounds, n)
 	}
-	bounds := []int{0}
 	for part := 1; part < fanOut; part++ {
 		want := part * n / fanOut
 		if cut := nearestCut(rest, level, want); cut > bounds[len(bounds)-1] {
@@ -140,7 +142,7 @@
 	from, to := 0, len(members)
 	for from != me {
 		t.grandparent, t.parent = t.parent, members[from].Name
-		bounds := split(members[from+1 : to])
+		bounds := split(members[from:to])
 		t.siblings = firsts(members, from+1, bounds)
 		for i := range len(bounds) - 1 {
 			if low, high := from+1+bounds[i], from+1+bounds[i+1]; me >= low && me < high {
@@ -149,11 +151,11 @@
 			}
 		}
 	}
-	bounds := split(members[me+1 : to])
+	bounds := split(members[me:to])
 	t.children = firsts(members, me+1, bounds)
 	for i := range t.children {
 		low, high := me+1+bounds[i], me+1+bounds[i+1]
-		t.grandchildren = append(t.grandchildren, firsts(members, low+1, split(members[low+1:high])))
+		t.grandchildren = append(t.grandchildren, firsts(members, low+1, split(members[low:high])))
 	}
 	return t
 }
