--- a/fleet/broadcast/inject.go
+++ b/fleet/broadcast/inject.go
@@ -111,7 +111,7 @@
 // forward sends a batch along the edges but the one it came from.
 func (n *Node) forward(frame []byte, from string, now int64) {
 	for _, to := range n.neighbours() {
-		if to == from {
+		if to == from || n.silent(to, now) { // haves go to a silent one still, and tell it and this one when it is back
 			continue
 		}
 		if n.credit(now) < -mostShedDebt*n.set.Rate {
