--- a/fleet/broadcast/fleet_test.go
+++ b/fleet/broadcast/fleet_test.go
@@ -279,3 +279,34 @@
 		}
 	}
 }
+
+// TestViewsDiffer: each gateway's view lacks three others, so no two trees are alike; 1% is lost.
+func TestViewsDiffer(t *testing.T) {
+	f := newFleet(t, *seedFlag, sized(*gatewaysFlag), testSettings())
+	f.loss = 0.01
+	for i, n := range f.nodes {
+		lacks := map[int]bool{}
+		for range 3 {
+			if j := f.chance.IntN(len(f.nodes)); j != i {
+				lacks[j] = true
+			}
+		}
+		n.See(without(f.members, func(m Member) bool { return lacks[f.index[m.Name]] }), 0)
+		f.arm(i)
+	}
+	f.run(2_000_000)
+	f.measure()
+	f.stream(f.now, f.now+10_000_000, 100, only(f, 0, len(f.nodes)/2))
+	f.run(f.now + 10_000_000)
+	busy := f.traffic()
+	f.run(f.now + 8_000_000)
+	r := f.result()
+	r.busiest, r.typical = busy.busiest, busy.typical
+	t.Log(r)
+	if r.missing > 0 || r.worst > inTime {
+		t.Error("not all purges everywhere in time")
+	}
+	if r.busiest > 9_000 {
+		t.Error("more than 9 KB a second")
+	}
+}
