--- a/fleet/broadcast/broadcast.go
+++ b/fleet/broadcast/broadcast.go
@@ -9,9 +9,9 @@
 //   - Repair (repair.go): gaps in an origin's batches are asked for, and haves tell of batches where no gap does.
 //   - Reconciliation (reconcile.go): sums of what is kept (keep.go) by issue time, then purges, newest first, within a rate.
 //
-// Bounds of a node: Settings.Most purges kept of 24 bytes each in slices that are half empty at worst, 16,384 of them with names that are
+// Bounds of a node: Settings.Most purges kept, some 31 bytes each, 16,384 of them with names that are
 // no 16 hex digits; 256 minutes of issue time; 4,096 purges that wait to be said; 64 origins followed; 512 batches of 1,100 bytes kept 30 s;
-// 256 batches wanted; one reconciliation under way, of 8,192 requests. The members are held, not copied, if they come sorted.
+// 256 batches wanted; one reconciliation under way, of 8,192 requests that wait; 8 edges for silent neighbours. The members are held, not copied, if they come sorted.
 // A peer that lies can add purges (each a refill), crowd out kept ones (oldest first) and slow repair; it cannot keep a purge from being
 // heeded that a frame or the own watch brings.
 //
@@ -19,6 +19,7 @@
 package broadcast
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math/rand/v2"
 
@@ -47,7 +48,7 @@
 	Frame []byte
 }
 
-// Settings are times in whole microseconds, rates in bytes a second.
+// Settings are times in whole microseconds, rates in bytes a second. What is 0 is as in Usual, but Unix.
 type Settings struct {
 	// Unix is the Unix time in milliseconds when now was 0; 0: not known, and the newest issue heard tells the time. It may be wrong: a clock
 	// that is fast forgets nothing too early as long as purges come, a slow one keeps more (Most bounds it).
@@ -65,7 +66,7 @@
 
 // Usual are the settings for the whole fleet: 3,900 gateways and 100 purges a second. Keep is an hour's cut and half an hour to make up
 // for it: what is older than that when its turn comes cannot be had of a peer any more.
-var Usual = Settings{Keep: 5_400_000_000, Most: 600_000, Rate: 9_000, Gather: 200_000, Have: 250_000, Reconcile: 3_000_000, Recent: 5_000_000}
+var Usual = Settings{Keep: 5_400_000_000, Most: 600_000, Rate: 9_000, Gather: 200_000, Have: 300_000, Reconcile: 3_000_000, Recent: 5_000_000}
 
 // Stats are counters since New, and what is at hand.
 type Stats struct {
@@ -76,6 +77,7 @@
 	Behind   Behind
 
 	Heeded     uint64 // purges that a peer told first
+	Grafts     int    // edges that stand for those of silent neighbours
 	Batches    uint64 // said by this gateway
 	Said       uint64 // purges in them
 	Copies     uint64 // batches that came, again or not
@@ -90,6 +92,7 @@
 	Unreadable uint64 // frames
 	Wrong      uint64 // purges of the own watch whose issue cannot be
 	Long       uint64 // purges with names of more than 255 bytes: not told, they wait for the own watch
+	Held       uint64 // times that batches waited for the rate
 	Unsaid     uint64 // purges that found no room to wait or are not recent: left to reconciliation
 	Unkept     uint64 // purges that were too old or far ahead of the clock to keep
 	Dropped    uint64 // kept ones that went for want of room
@@ -117,12 +120,15 @@
 	seq    uint64 // of the last batch
 	saidAt int64  // its time
 	tree   tree
+	heard  map[string]int64 // when, of those near in the tree
+	grafts []string
 	out    []Letter
 	stats  Stats
 
-	kept    kept
-	waiting map[Purge]int64 // own, not yet said: when to
-	lead    bool            // this gateway said the last ones, and nobody else did
+	kept      kept
+	waiting   map[Purge]int64 // own, not yet said: when to
+	lead      bool            // this gateway said the last ones, and nobody else did
+	meekUntil int64           // until then nobody begins to speak here: there are sayers enough
 
 	origins map[uint64]*origin
 	log     map[batchID]*stored
@@ -147,9 +153,12 @@
 
 // New makes a node; stamp differs at each start of a process.
 func New(set Settings, self Member, stamp uint64, chance *rand.Rand, now int64) *Node {
+	set.Keep, set.Most, set.Rate = cmp.Or(set.Keep, Usual.Keep), cmp.Or(set.Most, Usual.Most), cmp.Or(set.Rate, Usual.Rate)
+	set.Gather, set.Have = cmp.Or(set.Gather, Usual.Gather), cmp.Or(set.Have, Usual.Have)
+	set.Reconcile, set.Recent = cmp.Or(set.Reconcile, Usual.Reconcile), cmp.Or(set.Recent, Usual.Recent)
 	b := binary.LittleEndian.AppendUint64([]byte(self.Name), stamp)
 	n := &Node{set: set, self: self, chance: chance, me: xxhash.Sum64(b), kept: newKept(set.Most), waiting: map[Purge]int64{},
-		origins: map[uint64]*origin{}, log: map[batchID]*stored{}, injectAt: never, sweepAt: now + sweepTurn,
+		origins: map[uint64]*origin{}, heard: map[string]int64{}, log: map[batchID]*stored{}, injectAt: never, sweepAt: now + sweepTurn,
 		rate: bucket{left: set.Rate * 1_000_000, at: now}, injects: bucket{left: injectBurst * 1_000_000, at: now}}
 	n.haveAt = now + chance.Int64N(max(1, set.Have))
 	n.reconcileAt = now + chance.Int64N(max(1, set.Reconcile))
@@ -194,6 +203,8 @@
 		return
 	}
 	n.tree = plant(sorted(members), n.self)
+	n.grafts = n.grafts[:0]
+	n.forgetOthers()
 }
 
 // Own takes what the own discovery watch told.
@@ -240,6 +251,9 @@
 	n.stats.FramesIn++
 	n.stats.BytesIn += uint64(len(frame) + datagram)
 	n.spend(len(frame)+datagram, now)
+	if _, near := n.heard[from]; near {
+		n.heard[from] = now
+	}
 	if heed, err = n.take(from, frame, now); err != nil {
 		n.stats.Unreadable++
 	}
@@ -352,6 +366,7 @@
 func (n *Node) Stats() Stats {
 	s := n.stats
 	s.Parent, s.Children = n.tree.parent, n.tree.children
+	s.Grafts = len(n.grafts)
 	s.Kept, s.Waiting, s.Dropped = n.kept.count, len(n.waiting), n.kept.dropped
 	s.Behind = Behind{Batches: len(n.wants), Seconds: n.differ, Since: n.doubt}
 	for _, w := range n.wants {
--- a/fleet/broadcast/inject.go
+++ b/fleet/broadcast/inject.go
@@ -23,7 +23,8 @@
 	other: {1_800_000, 400_000}}
 
 const (
-	regionTurn = 60_000 // between heads of regions
+	meekTime   = 1_500_000 // after a batch that others had said already nobody begins to speak
+	regionTurn = 60_000    // between heads of regions
 	mostTurns  = 9
 )
 
@@ -33,17 +34,29 @@
 		n.stats.Unsaid++
 		return
 	}
-	due := now + n.set.Gather
-	if t := n.tree.tier; t != root && !n.lead {
-		due = now + max(n.set.Gather, say[t].wait) + n.chance.Int64N(say[t].spread)
-		if t == regionHead {
-			due += int64(min(n.tree.region-1, mostTurns)) * regionTurn
-		}
-	}
+	due := now + n.turnToSpeak()
 	n.waiting[p] = due
 	n.injectAt = min(n.injectAt, due)
 }
 
+// turnToSpeak is how long a purge waits here.
+func (n *Node) turnToSpeak() int64 {
+	t := n.tree.tier
+	if t == root || n.lead {
+		return n.set.Gather
+	}
+	wait := max(n.set.Gather, say[t].wait) + n.chance.Int64N(say[t].spread)
+	if t == regionHead {
+		wait += int64(min(n.tree.region-1, mostTurns)) * regionTurn
+	}
+	return wait
+}
+
+// yields tells whether another sayer is further up.
+func (n *Node) yields(origin uint64, by tier) bool {
+	return by < n.tree.tier || by == n.tree.tier && origin < n.me
+}
+
 // inject says what is due, and what nearly is.
 func (n *Node) inject(now int64) {
 	n.injects.fill(now, injectRate, injectBurst)
@@ -55,6 +68,16 @@
 	}
 	byIssue(due)
 	n.injectAt = now + n.set.Gather
+	if !n.lead && n.tree.tier != root && (now < n.meekUntil || n.credit(now) < -n.set.Rate) {
+		// So much is said twice that there are sayers enough. Without this, gateways that miss some of it would speak as well, and more would
+		// miss some. They wait for their turn anew, or all would speak when it ends.
+		n.injectAt = max(now, n.meekUntil) + n.turnToSpeak()
+		for _, p := range due {
+			n.waiting[p] = n.injectAt
+		}
+		n.stats.Held++
+		return
+	}
 	if len(due) > 0 && n.seq > 0 && now-n.saidAt > originRest {
 		n.me, n.seq = xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, n.me)), 0
 	}
@@ -65,7 +88,7 @@
 		frame, took := writeBatch(id, n.tree.tier, due)
 		for _, p := range due[:took] {
 			delete(n.waiting, p)
-			n.kept.say(p)
+			n.kept.tell(p, bySelf)
 		}
 		due = due[took:]
 		n.injects.left -= int64(len(frame)+datagram) * 1_000_000
@@ -85,14 +108,10 @@
 	}
 }
 
-// forward sends a batch along the edges of the tree but the one it came from.
+// forward sends a batch along the edges but the one it came from.
 func (n *Node) forward(frame []byte, from string, now int64) {
-	for i := -1; i < len(n.tree.children); i++ {
-		to := n.tree.parent
-		if i >= 0 {
-			to = n.tree.children[i]
-		}
-		if to == "" || to == from {
+	for _, to := range n.neighbours() {
+		if to == from || n.silent(to, now) { // haves go to a silent one still, and tell it and this one when it is back
 			continue
 		}
 		if n.credit(now) < -mostShedDebt*n.set.Rate {
@@ -103,31 +122,35 @@
 	}
 }
 
-// beside tells whether a peer is across an edge of the tree.
-func (n *Node) beside(peer string) bool {
-	return peer == n.tree.parent || slices.Contains(n.tree.children, peer)
-}
-
 // takeBatch merges a batch and sends it on if it, or anything in it, is new here: a false batch under another's id keeps nothing back.
 func (n *Node) takeBatch(from string, id batchID, by tier, purges []Purge, frame []byte, now int64) (heed []Purge) {
 	n.stats.Copies++
+	twice, also := 0, false
 	news := id.origin != n.me && n.mark(id, from, now)
 	for _, p := range purges {
 		if _, waits := n.waiting[p]; waits {
 			delete(n.waiting, p)
-			n.lead = false
-		} else if _, said := n.kept.has(p); said && (by < n.tree.tier || by == n.tree.tier && id.origin < n.me) {
-			n.lead = false
+			if n.yields(id.origin, by) {
+				n.lead = false
+			}
 		}
 		switch n.keep(p, now) {
 		case fresh:
-			news = true
-			heed = append(heed, p)
+			heed, also = append(heed, p), true
 		case unknown:
 			heed = append(heed, p)
 		}
+		if before := n.kept.tell(p, byBatch); before != byWatch && news {
+			twice++
+			if before == bySelf && n.yields(id.origin, by) {
+				n.lead = false
+			}
+		}
+	}
+	if twice > len(purges)/2 {
+		n.meekUntil = now + meekTime
 	}
-	if !news {
+	if news = news || also; !news {
 		n.stats.Again++
 		return heed
 	}
--- a/fleet/broadcast/repair.go
+++ b/fleet/broadcast/repair.go
@@ -19,7 +19,7 @@
 	batchLife   = 30_000_000 // a batch is kept for repair
 	originLife  = 30_000_000 // an origin is followed after its last batch
 	originRest  = 15_000_000 // after it an origin begins anew: nobody is to ask for batches that nobody keeps
-	originTold  = 10_000_000 // and told in haves
+	originTold  = 5_000_000  // and told in haves
 	gapWait     = 60_000     // before a gap is asked: what was sent later may come earlier
 	gapSpread   = 40_000
 	crossing    = 200_000 // a want that comes so soon after the batch was sent crossed it
@@ -75,6 +75,9 @@
 	return gone + o.slide(0)
 }
 
+// newsBeside is for news of a neighbour in the tree: longer than a batch that is on its way may take.
+var newsBeside = struct{ wait, spread int64 }{150_000, 100_000}
+
 type stored struct {
 	frame []byte
 	from  string // "": of this gateway
@@ -218,7 +221,7 @@
 	n.send(to, s.frame, now)
 }
 
-// stepHave tells the parent, and in turn one of the site and any one, what is had.
+// stepHave tells the neighbours in the tree, and in turn one of the site and any one, what is had.
 func (n *Node) stepHave(now int64) {
 	all := make([]have, 0, mostHaves)
 	for _, id := range sortedKeys(n.origins) {
@@ -227,21 +230,24 @@
 		}
 	}
 	n.turn++
-	if len(all) == 0 {
-		return
-	}
 	frame := writeHave(all)
-	if n.tree.parent != "" {
-		n.send(n.tree.parent, frame, now)
+	n.graft(now)
+	for _, to := range n.neighbours() { // also with nothing to tell: it is a sign of life
+		if to == n.tree.parent || n.turn%2 == 0 { // the others have more of them, and batches are signs too
+			n.send(to, frame, now)
+		}
 	}
-	if other := n.anyone(n.turn%2 == 0); other != "" && other != n.tree.parent {
+	if other := n.anyone(n.turn%4 < 2); other != "" && !n.beside(other) && len(all) > 0 {
 		n.send(other, frame, now)
 	}
 }
 
 func (n *Node) takeHaves(from string, all []have, now int64) {
-	child := slices.Contains(n.tree.children, from)
+	beside := n.beside(from)
 	wait := newsWait[n.tree.tier]
+	if beside {
+		wait = newsBeside
+	}
 	for _, h := range all {
 		its := origin{top: h.top, after: h.after}
 		top := h.top
@@ -270,7 +276,7 @@
 				}
 			}
 		}
-		if !child {
+		if !beside {
 			continue
 		}
 		pushed := 0
