Purges kept are forgotten in the order told, not by a look at all for each one

Change: a queue in the order of telling; what is kept and heeded is the same at every instant (rapid, against the look at all). Measured (go test ./memory -run SizeNote -memory.sizes 600,1100,6000,60000,360000 -memory.runs 3, beside other work): 0 to 3.3 us a purge at every size; the thread's clock steps by milliseconds, so 0 means under a microsecond. One kept takes 140 to 230 bytes.

--- a/memory/memory.go
+++ b/memory/memory.go
@@ -123,10 +123,17 @@
 	mu      sync.Mutex
 	objects map[string][]purge
 	groups  map[int][]purge
+	queue   []queued // purges of objects as they were told, for forgetting them; from head on
+	head    int
 }
 
 type purge struct{ issued, told time.Time }
 
+type queued struct {
+	object string
+	told   time.Time
+}
+
 // mostPending bounds the purges of one object or group that are told apart; past it the last two become one that is as
 // strict as either.
 const mostPending = 16
@@ -139,15 +146,32 @@
 		p.objects, p.groups = map[string][]purge{}, map[int][]purge{}
 	}
 	now := p.Clock.Now()
-	for k, o := range p.objects {
-		if now.Sub(o[len(o)-1].told) > p.Keep {
-			delete(p.objects, k)
-		}
-	}
+	p.forget(now)
 	if object == "" {
 		p.groups[group] = p.add(p.groups[group], issued, now)
-	} else {
-		p.objects[object] = p.add(p.objects[object], issued, now)
+		return
+	}
+	was := p.objects[object]
+	list := p.add(was, issued, now)
+	p.objects[object] = list
+	if len(was) == 0 || !list[len(list)-1].told.Equal(was[len(was)-1].told) {
+		p.queue = append(p.queue, queued{object, now})
+	}
+}
+
+// forget drops the objects whose last purge was told longer than Keep ago. Guards the core against many purges: a look at all that are
+// kept, for each one, cost 7 ms at 60,000 kept. The queue holds one entry for each that is kept, in the order in which they were told.
+func (p *Purges) forget(now time.Time) {
+	for p.head < len(p.queue) && now.Sub(p.queue[p.head].told) > p.Keep {
+		q := p.queue[p.head]
+		p.queue[p.head] = queued{}
+		p.head++
+		if list := p.objects[q.object]; len(list) > 0 && list[len(list)-1].told.Equal(q.told) {
+			delete(p.objects, q.object)
+		}
+	}
+	if p.head > len(p.queue)/2 {
+		p.queue, p.head = append([]queued(nil), p.queue[p.head:]...), 0
 	}
 }
 
--- a/memory/size_test.go
+++ b/memory/size_test.go
@@ -48,8 +48,9 @@
 	p := &Purges{Keep: time.Duration(kept) * 10 * time.Millisecond, Grace: time.Second, Clock: s}
 	p.objects, p.groups = map[string][]purge{}, map[int][]purge{}
 	name := func(i int) string { return fmt.Sprintf("%016x", uint64(i)*0x9e3779b97f4a7c15) }
-	for i := range kept { // as Note would, without its look at all that are kept
+	for i := range kept { // as Note would
 		p.objects[name(i)] = []purge{{s.now, s.now}}
+		p.queue = append(p.queue, queued{name(i), s.now})
 		s.now = s.now.Add(10 * time.Millisecond)
 	}
 	size = (heap() - before) / float64(kept)
