--- a/lab/scale/plots.go
+++ b/lab/scale/plots.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"image/color"
+	"math"
 	"path/filepath"
+	"strconv"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -54,6 +56,18 @@
 	return all
 }
 
+// ticks are 1, 2 and 5 of each decade, so that a range within one has labels too.
+func ticks(least, most float64) (all []plot.Tick) {
+	for e := math.Floor(math.Log10(least)); e <= math.Log10(most); e++ {
+		for _, m := range []float64{1, 2, 5} {
+			if v := m * math.Pow(10, e); v >= least && v <= most {
+				all = append(all, plot.Tick{Value: v, Label: strconv.FormatFloat(v, 'g', 3, 64)})
+			}
+		}
+	}
+	return all
+}
+
 // Plot draws a figure against size on log axes as an SVG file, with its line and its budget.
 func (g *Figure) Plot(dir string, fit *Fit) error {
 	if len(g.By) == 0 {
@@ -62,7 +76,7 @@
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = g.Title, "gateways", g.Title
 	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
-	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.TickerFunc(ticks), plot.TickerFunc(ticks)
 	p.Legend.Top, p.Legend.Left = true, true
 	blue, red, green, grey := color.RGBA{B: 200, A: 255}, color.RGBA{R: 200, A: 255}, color.RGBA{G: 140, A: 255}, color.Gray{100}
 	least, most := 0.0, 0.0
@@ -111,11 +125,6 @@
 	if g.Budget > 0 {
 		line("budget", red, func(float64) float64 { return g.Budget })
 	}
-	if p.X.Min == p.X.Max {
-		p.X.Min, p.X.Max = p.X.Min/2, p.X.Max*2
-	}
-	if p.Y.Min == p.Y.Max {
-		p.Y.Min, p.Y.Max = p.Y.Min/2, p.Y.Max*2
-	}
+	p.X.Min, p.X.Max, p.Y.Min, p.Y.Max = p.X.Min/1.5, p.X.Max*1.5, p.Y.Min/2, p.Y.Max*4 // room for two labels at least, and for the legend
 	return p.Save(20*vg.Centimeter, 12*vg.Centimeter, filepath.Join(dir, g.Name+".svg"))
 }
