Rule 2's window and circle are asked of again at a further send's first byte

Cause: mayRepeat checked the window (first send + its length - 50 ms) and the circle when a further send was decided. Where its connection is late to come up the send was written after that, at any time up to the lookup's deadline; Facade.May, which is asked at the first byte, knew of drains and endings but of neither.

Change: Router.MayBegin asks mayRepeat again at that byte (the send itself counted as the one out), and Facade.May withdraws what may not begin, as never sent.

Tests: TestAFurtherSendWaitsPastItsWindow (front on loopback, the connection held past the window) and the facade's story failed before the change, and fail again without the call in Facade.may: the send reaches the cache 2 s after the first, in a window of 2 s. The module's story goes through circles and times.

--- a/facade/facade.go
+++ b/facade/facade.go
@@ -87,6 +87,7 @@
 		closed bool)
 	Departed(now logic.Micros, lk *logic.Lookup)
 	GiveUp(now logic.Micros, lk *logic.Lookup)
+	MayBegin(now logic.Micros, lk *logic.Lookup, n int) bool
 	Purged(now logic.Micros, name string, group int, ago logic.Micros)
 	Woken(now logic.Micros, token int64)
 	Within(s *logic.Scope)
@@ -197,9 +198,12 @@
 
 // may guards the time between a decision and its first byte, in which a send waits for its lookup's goroutine, for its connection to
 // come up or behind what a cache does not take. Meanwhile the lookup may have ended or its client left, its time may be over, and
-// the list may have told that the cache or its source drains or is gone (rule 3 counts a send from its first byte).
-func (f *Facade) may(l *Lookup, s Step) bool {
-	return !l.over && f.g.Now().Before(l.Deadline) && s.To.State == logic.Ready && s.Source.State == logic.Ready
+// the list may have told that the cache or its source drains or is gone (rule 3 counts a send from its first byte). Rule 2's window and
+// circle are the module's; a fault of it there withdraws the send.
+func (f *Facade) may(l *Lookup, s Step) (may bool) {
+	defer f.guard()
+	return !l.over && f.g.Now().Before(l.Deadline) && s.To.State == logic.Ready && s.Source.State == logic.Ready &&
+		f.router.MayBegin(f.now(), l.its, s.N)
 }
 
 // LateBy is past a lookup's deadline: one that nothing has ended by then is to be failed, as Pick does by itself.
--- a/facade/facade_test.go
+++ b/facade/facade_test.go
@@ -107,6 +107,25 @@
 			t.Errorf("%+v", s)
 		}
 	})
+	t.Run("nor one of a lookup that may have had its effect, past its window: the lookup fails", func(t *testing.T) {
+		f := Start(clock.NewSystem(io.Discard, slog.LevelInfo), 1, &logic.Charter{Gateways: 1, ParentKind: -1, OriginKind: 1, SendLimit: 6,
+			Kinds: []logic.ObjectKind{{Budget: 2000000, GiveUp: 5000000, Utility: 1, Effect: logic.Deduplicated, Memory: 150000}}}, nil)
+		f.Tick([]logic.Row{{Cache: logic.NewCache("edge")}, {Cache: logic.NewCache("origin"), Kind: 1}}, true, nil)
+		l := take(f, "0a")
+		f.Pick(l)
+		f.Report(l, 0, logic.Reset, logic.Untold, 0)
+		if len(l.steps) != 1 || l.steps[0].What != Send || !f.May(l, l.steps[0]) {
+			t.Fatalf("%+v: not sent again inside its window", l.steps)
+		}
+		second := l.steps[0]
+		time.Sleep(150 * time.Millisecond)
+		if f.May(l, second) {
+			t.Error("its first byte may go out past its window")
+		}
+		if s := f.Pick(l); s.What != Failed || f.Open() != 0 {
+			t.Errorf("%+v, %d open", s, f.Open())
+		}
+	})
 	t.Run("Stop fails what may have had its effect", func(t *testing.T) {
 		f := Start(clock.NewSystem(io.Discard, slog.LevelInfo), 1, &logic.Charter{Gateways: 1, ParentKind: -1, OriginKind: 1, SendLimit: 6,
 			Kinds: []logic.ObjectKind{{Budget: 400000, GiveUp: 5000000, Utility: 1, Effect: logic.SideEffecting}}}, nil)
--- a/logic/host.go
+++ b/logic/host.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// MayBegin tells whether a send that was decided some time ago may begin to go out now, as far as rule 2 goes: its window may have
+// passed, or the list told of another circle. If not, it is to be told of as NeverSent, and the router says what follows.
+func (r *Router) MayBegin(now Micros, lk *Lookup, n int) bool {
+	r.now = now
+	return n < len(lk.sends) && r.mayRepeat(lk, lk.sends[n].to, 1)
+}
+
 // InFlight counts the sends whose ending has not been told.
 func (r *Router) InFlight() int { return len(r.open) }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -302,7 +302,8 @@
 	lk, wait, part := s.lk, false, 1.0
 	for _, c := range r.order(lk.part, r.edges) {
 		switch {
-		case c.State != Ready || c == lk.failedAt || !r.mayRepeat(lk, c) || !r.trialDue(c, lk) || !lk.scope.edge(c):
+		case c.State != Ready || c == lk.failedAt || !r.mayRepeat(lk, c, 0) || !lk.scope.edge(c):
+		case !r.trialDue(c, lk):
 		case !r.warmEnough(c, lk.part) || !r.afford(c, lk.kind.mean(r.now)):
 			wait = true
 		case float64(c.open)-r.fillsOpen(c.sends) >= part*c.limit || r.now < c.pauseTill:
@@ -717,14 +718,13 @@
 	r.held = slices.DeleteFunc(r.held, func(o *Lookup) bool { return o == lk })
 }
 
-// mayRepeat guards rule 2: where may a further send of this lookup go. There are never two out at once.
-func (r *Router) mayRepeat(lk *Lookup, to *Cache) bool {
+// mayRepeat guards rule 2: where may a further send of this lookup go, asked at the decision and at its first
+// byte, which may wait for a connection; out counts it then. There are never two out at once.
+func (r *Router) mayRepeat(lk *Lookup, to *Cache, out int) bool {
 	k, at := lk.kind, lk.ranTo
-	if lk.open > 0 || at == nil || k.Effect == Idempotent {
-		return lk.open == 0
-	}
-	return k.Effect == Deduplicated && r.now <= lk.ranAt+k.Memory-50*ms && (k.Circle == Everywhere ||
-		to.Zone == at.Zone && (k.Circle == SameZone || to.Cell == at.Cell))
+	return lk.open <= out && (at == nil || k.Effect == Idempotent || k.Effect == Deduplicated &&
+		r.now <= lk.ranAt+k.Memory-50*ms && (k.Circle == Everywhere ||
+		to.Zone == at.Zone && (k.Circle == SameZone || to.Cell == at.Cell)))
 }
 
 // strike weighs one account: so many failures in a row put the cache out, a failed trial puts the next off.
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -224,6 +224,52 @@
 			t.Fatalf("%d sends past the window, %v", len(g.sends), g.said)
 		}
 	})
+	t.Run("a further send asked of again at its first byte: not past its window, nor where its circle has changed", func(t *testing.T) {
+		for _, x := range []struct {
+			circle Circle
+			late   Micros
+			row    Row // of the second send's cache, told while it waits
+			may    bool
+			then   string // where it may not
+		}{
+			{Everywhere, 900 * ms, Row{Zone: 7, Cell: 7}, true, ""},
+			{Everywhere, 1000 * ms, Row{}, false, "failed"},
+			{SameZone, 900 * ms, Row{Cell: 7}, true, ""},
+			{SameZone, 900 * ms, Row{Zone: 7}, false, "sent to the third"},
+			{SameZone, 1000 * ms, Row{}, false, "failed"},
+			{SameCell, 900 * ms, Row{Cell: 7}, false, "sent to the third"},
+		} {
+			f, all := play(t, func(c *Charter) { keyed(c); c.Kinds[0].Memory, c.Kinds[0].Circle = second, x.circle })
+			for _, c := range all[:3] { // in one cell
+				c.Cell = 0
+			}
+			first := f.now
+			lk := f.ask(0, "a")
+			if !f.r.MayBegin(f.now, lk, 0) {
+				t.Fatal("the first send may not begin")
+			}
+			f.relist(f.sends[0].to, Draining, 0)
+			f.end(f.sends[0], Reset, Untold, ms)
+			if len(f.sends) != 2 || f.sends[1].to == f.sends[0].to {
+				t.Fatalf("%+v: %d sends", x, len(f.sends))
+			}
+			x.row.Cache = f.sends[1].to
+			f.r.Listed(f.now, Changes, []Row{x.row})
+			f.now = first + x.late
+			if may := f.r.MayBegin(f.now, lk, 1); may != x.may {
+				t.Fatalf("%+v: may begin %v", x, may)
+			}
+			if !x.may {
+				f.end(f.sends[1], NeverSent, Untold, 0)
+				f.pass(100 * ms)
+				third := len(f.sends) == 3 && f.last().to != f.sends[0].to && f.last().to != f.sends[1].to && len(f.said) == 0
+				failed := len(f.sends) == 2 && len(f.said) == 1 && f.said[0][:4] == "fail"
+				if x.then == "failed" && !failed || x.then != "failed" && !third {
+					t.Fatalf("%+v: %d sends, %v", x, len(f.sends), f.said)
+				}
+			}
+		}
+	})
 	t.Run("a parent told draining is named as no fill's source", func(t *testing.T) {
 		f, all := play(t, nil)
 		f.relist(all[3], Draining, 0)
--- a/wire/ending_test.go
+++ b/wire/ending_test.go
@@ -161,8 +161,9 @@
 
 const rigSettings = `{"areas":["town"],"machine_types":["edge","parent","origin"],"ceilings":{"cancelling":CANCEL,"try_limit":6,
 "retry_after":true,"max_retry_after":2000000,"connect_timeout":8000000},"classes":[{"name":"segment","aim":4000000,"deadline":9000000,"points":1,"effect":"idempotent"},
-{"name":"order","aim":4000000,"deadline":9000000,"points":1,"effect":"at_most_once"}],
-"specifics":{"parent_kind":1,"source_kind":2,"flow_kb_per_s":100000,"max_age":[0,0],"grace_for":[0,0],"pass_on":[false,true],"seats_by_zone":[1],"cleared_within":6000000}}`
+{"name":"order","aim":4000000,"deadline":9000000,"points":1,"effect":"at_most_once"},
+{"name":"berth","aim":4000000,"deadline":9000000,"points":1,"effect":"deduplicated","group":"all","window":2000000}],
+"specifics":{"parent_kind":1,"source_kind":2,"flow_kb_per_s":100000,"max_age":[0,0,0],"grace_for":[0,0,0],"pass_on":[false,true,true],"seats_by_zone":[1],"cleared_within":6000000}}`
 
 func stand(t *testing.T, h *held, cancelling bool, most int) *rig {
 	terms, err := charter.Read([]byte(strings.Replace(rigSettings, "CANCEL", fmt.Sprint(cancelling), 1)))
@@ -345,6 +346,53 @@
 	})
 }
 
+// A deduplicated lookup that may have run is sent again inside its window of 2 s, and the connection for that is late to come up. Past
+// the window its repeat would have its effect a second time: it does not go out, and as repeats of the client would not be known
+// either, the lookup fails. Inside the window it goes out.
+func TestAFurtherSendWaitsPastItsWindow(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		t.Run(fmt.Sprint("late ", late), func(t *testing.T) {
+			h := &held{dial: make(chan bool)}
+			r := stand(t, h, true, 50)
+			c := r.ask("berth")
+			h.dial <- true
+			first := r.take()
+			began := time.Now() // the first send was decided before
+			first.Reset()
+			r.until("a second send", func() bool {
+				out, queued := r.router.InFlight()
+				return out == 1 && queued == 0 && r.waiting() == 1
+			})
+			if late {
+				time.Sleep(2*time.Second - time.Since(began))
+				close(h.dial)
+				r.status(c, 502)
+				r.nothingCame()
+				return
+			}
+			close(h.dial)
+			r.take().Hit(time.Now(), "hit", "ok")
+			r.status(c, 200)
+		})
+	}
+}
+
+// waiting counts the sends whose connection is not up.
+func (r *rig) waiting() (n int) {
+	r.links.mu.Lock()
+	defer r.links.mu.Unlock()
+	for _, of := range r.links.by {
+		for _, l := range of {
+			l.mu.Lock()
+			if l.conn == nil {
+				n += len(l.flights)
+			}
+			l.mu.Unlock()
+		}
+	}
+	return n
+}
+
 // A send waits behind one that its cache does not take, and the cache is told draining: what has begun goes on, what has not goes elsewhere.
 func TestASendBehindAPeerThatTakesNothing(t *testing.T) {
 	h := &held{write: make(chan bool), stuck: make(chan bool, 99)}
--- a/wire/links.go
+++ b/wire/links.go
@@ -298,8 +298,8 @@
 		l.out = l.out[1:]
 		l.waiting -= len(one.text)
 		if f := one.f; f != nil && one.text != nil && !l.ls.router.May(f.open.lk, f.step) {
-			// Guards rule 3, lookups that are over and clients that left: the send was decided some time ago. Nothing of it has
-			// gone out, so it is as never sent, and the router says what next.
+			// Guards rules 2 (a window that has passed) and 3, lookups that are over and clients that left: the send was decided
+			// some time ago. Nothing of it has gone out, so it is as never sent, and the router says what next.
 			delete(l.flights, f.open.req.ID)
 			f.stop()
 			at := slices.IndexFunc(l.undone, func(u undone) bool { return u.no > one.no })
