--- a/logic/logic.go
+++ b/logic/logic.go
@@ -387,6 +387,7 @@
 
 // parent names the source: the object's home among all listed parents, or the next that is up. While fills
 // are pressed (slow, or without places) lookups look first, so that hits go on; misses fill a few at a time.
+// What runs at the origin names it: parents hold no copy of it, and their way and places would cost it time.
 func (r *Router) parent(s *Send) verdict {
 	lk := s.lk
 	pressed := r.pressedTill > r.now
@@ -401,11 +402,11 @@
 			return keep
 		}
 	}
+	straight := lk.write && r.origin != nil && r.origin.State == Ready && lk.scope.parent(r.origin)
 	for _, p := range r.order(lk.hash, r.parents) {
 		switch {
-		case p.State != Ready || p == lk.failedBy || !r.trialDue(p, lk) || !lk.scope.parent(p):
-		case !r.afford(p, float64(lk.work)):
-		default:
+		case straight || p.State != Ready || p == lk.failedBy || !r.trialDue(p, lk) || !lk.scope.parent(p):
+		case r.afford(p, float64(lk.work)):
 			s.source = p
 			return pass
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -54,6 +54,49 @@
 	})
 }
 
+// What runs at the origin gains nothing from a parent, whose way and places cost it time: it names the origin, while
+// copies of other kinds go on meeting at their home parent.
+func TestPassThroughNamesOrigin(t *testing.T) {
+	start := func(t *testing.T) (*fake, []*Cache) {
+		return play(t, func(c *Charter) { c.Kinds[1].PassThrough = true })
+	}
+	t.Run("it names the origin, a kind that is kept names a parent", func(t *testing.T) {
+		f, all := start(t)
+		f.ask(1, "a")
+		write := f.last()
+		f.ask(0, "a")
+		if fill := f.last(); write.source != all[5] || fill.source.Kind != 1 {
+			t.Fatalf("write by %s, fill by %s", write.source.Name, fill.source.Name)
+		}
+	})
+	t.Run("also while a parent warms, and while fills are pressed", func(t *testing.T) {
+		f, all := start(t)
+		f.relist(all[3], Ready, f.now)
+		f.relist(all[4], Ready, f.now)
+		f.r.press()
+		f.ask(1, "a")
+		if len(f.sends) != 1 || f.last().source != all[5] {
+			t.Fatalf("%d sends", len(f.sends))
+		}
+	})
+	t.Run("by a parent while no origin is ready", func(t *testing.T) {
+		f, all := start(t)
+		f.relist(all[5], Draining, 0)
+		f.ask(1, "a")
+		if got := f.last().source; got.Kind != 1 {
+			t.Fatalf("by %s", got.Name)
+		}
+	})
+	t.Run("by a parent where its scope names sources and the origin is none of them", func(t *testing.T) {
+		f, all := start(t)
+		f.r.Within(&Scope{Sources: map[string]bool{all[3].Name: true}})
+		f.ask(1, "a")
+		if got := f.last().source; got != all[3] {
+			t.Fatalf("by %s", got.Name)
+		}
+	})
+}
+
 func TestRules(t *testing.T) {
 	t.Run("a drain is heeded at once, for sends and for sources", func(t *testing.T) {
 		f, _ := play(t, nil)
