--- a/logic/logic.go
+++ b/logic/logic.go
@@ -385,9 +385,9 @@
 	}
 }
 
-// parent names the source: the object's home among all listed parents, or the next that is up. While fills
-// are pressed (slow, or without places) lookups look first, so that hits go on; misses fill a few at a time.
-// What runs at the origin names it: parents hold no copy of it, and their way and places would cost it time.
+// parent names the source: the object's home among all listed parents, or the next that is up; the origin for what
+// runs there, as parents hold nothing of it and would cost it time. While fills are pressed (slow, or without
+// places) lookups look first, so that hits go on; misses fill a few at a time.
 func (r *Router) parent(s *Send) verdict {
 	lk := s.lk
 	pressed := r.pressedTill > r.now
