--- a/logic/logic.go
+++ b/logic/logic.go
@@ -385,12 +385,11 @@
 	}
 }
 
-// parent names the source: the object's home among all listed parents, or the next that is up; the origin for what
-// runs there, as parents hold nothing of it and would cost it time. While fills are pressed (slow, or without
-// places) lookups look first, so that hits go on; misses fill a few at a time.
+// parent names the source: the object's home among all listed parents, or the next that is up; the origin for
+// what runs there, as parents hold nothing of it and would cost it time. While fills are pressed (slow, or
+// without places) lookups look first, so that hits go on; misses fill a few at a time.
 func (r *Router) parent(s *Send) verdict {
-	lk := s.lk
-	pressed := r.pressedTill > r.now
+	lk, pressed := s.lk, r.pressedTill > r.now
 	if (pressed || s.to.mute > 0 || lk.aged) && !lk.write {
 		if lk.missed == nil || lk.aged {
 			if s.source = s.to; !pressed {
