--- a/logic/host.go
+++ b/logic/host.go
@@ -56,10 +56,11 @@
 }
 
 // MayBegin tells whether a send that was decided some time ago may begin to go out now, as far as rule 2 goes: its window may have
-// passed, or the list told of another circle. If not, it is to be told of as NeverSent, and the router says what follows.
+// passed, or the list told of another circle. If not, it is to be told of as NeverSent, and the router says what follows. A send that
+// is none of the router's it leaves alone: the faults that are planted to prove the referee send such.
 func (r *Router) MayBegin(now Micros, lk *Lookup, n int) bool {
 	r.now = now
-	return n < len(lk.sends) && r.mayRepeat(lk, lk.sends[n].to, 1)
+	return n >= len(lk.sends) || r.mayRepeat(lk, lk.sends[n].to, 1)
 }
 
 // InFlight counts the sends whose ending has not been told.
