The tail of an answer behind a close: its reader lingers before the connection is closed

Cause: after an answer with Connection: close, asked for by the client or written amid a drain, client.shut closed at once. Where the client has not taken all of the answer and sends something more, a close over unread bytes, or a byte after it, has the system reset the connection and drop the rest.

Change: client.part marks that the last answer is out, and whoever reads on the connection ends this side's half and lingers as for bad requests, for 1 s and 256 KB at most, or until the client closes. A new client still gets the place at once (displace), Front.Drain does not cut it short, and Front.Cut ends it before the kill. What is read then is dropped, never answered.

Tests: TestTheTailOfAnAnswerBehindAClose (240,000 bytes, a receive buffer set to 4 KB, bytes sent ahead and behind, with and without a drain) fails in its four stories without the change ("unexpected EOF"). TestAClientThatStaysBehindAClose: its place and its bound. Open: a connection that a drain ends just after an answer without Connection: close is still closed at once (docs/ending.md).

--- a/wire/ending_test.go
+++ b/wire/ending_test.go
@@ -654,3 +654,84 @@
 		}
 	})
 }
+
+// An answer with Connection: close to a client that reads it late and sends something more meanwhile: the answer comes whole. A close
+// over what the client sends on would have the system reset the connection and drop what the client has not taken.
+func TestTheTailOfAnAnswerBehindAClose(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 15000)
+	for _, drain := range []bool{false, true} {
+		for _, ahead := range []bool{false, true} {
+			t.Run(fmt.Sprint("a drain ", drain, ", bytes sent ahead ", ahead), func(t *testing.T) {
+				r := stand(t, &held{}, true, 50)
+				d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+					raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+					return err
+				}}
+				c, err := d.Dial("tcp", r.listener.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				c.SetDeadline(time.Now().Add(20 * time.Second))
+				asks := "Connection: close\r\n"
+				if drain {
+					asks = ""
+				}
+				io.WriteString(c, r.text("segment", asks))
+				do := r.take()
+				if drain {
+					r.front.Drain()
+				}
+				if ahead {
+					io.WriteString(c, r.text("segment")+"GET /call/")
+					time.Sleep(20 * time.Millisecond)
+				}
+				do.Hit(time.Now(), "hit", body)
+				r.open(0)
+				r.until("an answer that is out", func() bool {
+					r.front.mu.Lock()
+					defer r.front.mu.Unlock()
+					for c := range r.front.clients {
+						c.mu.Lock()
+						out := !c.busy
+						c.mu.Unlock()
+						return out
+					}
+					return true
+				})
+				for range 3 { // the first byte after a close is answered by a reset
+					io.WriteString(c, "more\r\n")
+					time.Sleep(20 * time.Millisecond)
+				}
+				if got := r.status(c, 200); got != body {
+					t.Errorf("%d bytes of %d", len(got), len(body))
+				}
+				c.Close()
+				r.until("an end of its lingering", func() bool { return r.front.Load() == 0 })
+			})
+		}
+	}
+}
+
+// A client that has its last answer and stays: it lingers for a second at most, and a new client gets its place at once.
+func TestAClientThatStaysBehindAClose(t *testing.T) {
+	r := stand(t, &held{}, true, 1)
+	c := r.ask("segment", "Connection: close\r\n")
+	r.take().Hit(time.Now(), "hit", "ok")
+	r.status(c, 200)
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("not ended on this side: %v", err)
+	}
+	began := time.Now()
+	next := r.ask("segment")
+	r.take().Hit(time.Now(), "hit", "ok")
+	r.status(next, 200)
+	if took := time.Since(began); took > slowAnswer/2 {
+		t.Errorf("the next client waited %v", took)
+	}
+	next.Close()
+	last := r.ask("segment", "Connection: close\r\n")
+	r.take().Hit(time.Now(), "hit", "ok")
+	r.status(last, 200)
+	r.until("an end of its lingering", func() bool { return r.front.Load() == 0 })
+}
--- a/wire/front.go
+++ b/wire/front.go
@@ -82,7 +82,7 @@
 	done   clock.Bell // rung when the next request may be taken
 	no     int64      // in the order of accepting
 	begun  bool       // bytes of a request are there
-	bad    bool       // what came is no request; it ends
+	bad    bool       // nothing it sends is taken any more: what came is no request, or it has its last answer; it ends
 	ahead  bool       // a next request is there while one is being answered
 	unseen bool       // its end may be behind what has not been read yet; its reader's own
 	going  string     // why this side ends it once nothing is there
@@ -243,7 +243,7 @@
 	var rank int
 	for c := range f.clients {
 		c.mu.Lock()
-		if !c.busy && c.going == "" && c.reason == "" {
+		if !c.busy && (c.going == "" || c.bad) && c.reason == "" {
 			its := 0
 			if c.begun {
 				its++
@@ -346,7 +346,7 @@
 // it looks once more. Closing it here would drop a request that has come whole and that its goroutine has not read yet.
 func (c *client) retire(reason string) {
 	if c.reason == "" && c.going == "" {
-		if c.going = reason; !c.busy {
+		if c.going = reason; !c.busy && !c.bad { // one that lingers ends by itself
 			c.conn.SetReadDeadline(c.f.g.Now())
 		}
 	}
@@ -405,7 +405,7 @@
 				c.hurry()
 			}
 			err := buf.Fill(c.conn, mostHead)
-			if looked = errors.Is(err, os.ErrDeadlineExceeded) && !looked; looked {
+			if looked = errors.Is(err, os.ErrDeadlineExceeded) && !looked && !c.parted(); looked {
 				// Guards a request that came at the same moment as the time ran out or as this side wants to end: a time-out does
 				// not say that nothing is there, a read that has waited does.
 				c.mu.Lock()
@@ -433,7 +433,7 @@
 			}
 			c.mu.Unlock()
 			c.plain(fault.Status, fault.Text, 0, true)
-			c.linger()
+			c.linger(lingerFor)
 			c.done.Ring()
 			c.shut("bad_request")
 			return
@@ -465,7 +465,7 @@
 	if !c.f.room.Hold(req.Length) {
 		if c.await(buf) {
 			c.plain(503, "no room for the body", 0, true)
-			c.linger()
+			c.linger(lingerFor)
 			c.done.Ring()
 			c.shut("no_room")
 		}
@@ -514,6 +514,11 @@
 		}
 	}
 	c.done.Wait(-1) // one at a time
+	if c.parted() {
+		c.done.Ring()
+		c.left(os.ErrDeadlineExceeded)
+		return false
+	}
 	if c.unseen && !c.see(buf) {
 		c.done.Ring()
 		return false
@@ -551,22 +556,42 @@
 func (c *client) hurry() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy && !c.begun && c.going != "displaced" && (c.served > 0 || c.going != "") {
+	if !c.busy && !c.bad && !c.begun && c.going != "displaced" && (c.served > 0 || c.going != "") {
 		c.conn.SetReadDeadline(c.f.g.Now().Add(slowRequest))
 	}
 	c.begun = true
 }
 
-// linger reads on for a moment, so that what the client still sends does not undo the answer it was sent.
-func (c *client) linger() {
+// part tells whoever reads that the last answer is out. Guards its tail: to close at once over what the client sends on has the system
+// reset the connection and drop what the client has not taken.
+func (c *client) part() {
+	c.mu.Lock()
+	c.bad = true
+	c.mu.Unlock()
+}
+
+func (c *client) parted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bad
+}
+
+// linger ends this side's half and reads on for so long at most, so that what the client still sends does not undo the answer it was
+// sent. The connection may be displaced meanwhile, or cut at the end of a drain.
+func (c *client) linger(within time.Duration) {
 	if t, ok := c.conn.(clock.Conn); ok && t.CloseWrite() == nil {
-		t.SetReadDeadline(c.f.g.Now().Add(lingerFor))
+		t.SetReadDeadline(c.f.g.Now().Add(within))
 		io.CopyN(io.Discard, t, lingerBytes)
 	}
 }
 
 // left is called when reading fails: the client has gone, or was silent, or this side closed.
 func (c *client) left(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.parted() {
+		c.linger(slowAnswer)
+		c.shut("asked")
+		return
+	}
 	reason := "reset"
 	switch {
 	case errors.Is(err, io.EOF):
@@ -666,8 +691,7 @@
 		o.close()
 		c.plain(status, text, wait, end)
 		if end {
-			c.shut("asked")
-			return false
+			c.part()
 		}
 		c.rest()
 		c.done.Ring()
@@ -694,7 +718,7 @@
 	c.busy, c.lk, c.since = false, nil, now
 	wait := idleClient
 	switch {
-	case c.ahead || c.going != "": // whoever reads looks up at once
+	case c.ahead || c.going != "" || c.bad: // whoever reads looks up at once
 		wait = 0
 	case c.begun:
 		wait = slowRequest
@@ -734,7 +758,7 @@
 			c.say(appendHead(nil, 502, 0, "", end), o.lk.Deadline)
 		}
 		if end {
-			c.shut("asked")
+			c.part()
 		}
 		c.rest()
 		return
