--- a/wire/ending_test.go
+++ b/wire/ending_test.go
@@ -161,8 +161,9 @@
 
 const rigSettings = `{"areas":["town"],"machine_types":["edge","parent","origin"],"ceilings":{"cancelling":CANCEL,"try_limit":6,
 "retry_after":true,"max_retry_after":2000000,"connect_timeout":8000000},"classes":[{"name":"segment","aim":4000000,"deadline":9000000,"points":1,"effect":"idempotent"},
-{"name":"order","aim":4000000,"deadline":9000000,"points":1,"effect":"at_most_once"}],
-"specifics":{"parent_kind":1,"source_kind":2,"flow_kb_per_s":100000,"max_age":[0,0],"grace_for":[0,0],"pass_on":[false,true],"seats_by_zone":[1],"cleared_within":6000000}}`
+{"name":"order","aim":4000000,"deadline":9000000,"points":1,"effect":"at_most_once"},
+{"name":"berth","aim":4000000,"deadline":9000000,"points":1,"effect":"deduplicated","group":"all","window":2000000}],
+"specifics":{"parent_kind":1,"source_kind":2,"flow_kb_per_s":100000,"max_age":[0,0,0],"grace_for":[0,0,0],"pass_on":[false,true,true],"seats_by_zone":[1],"cleared_within":6000000}}`
 
 func stand(t *testing.T, h *held, cancelling bool, most int) *rig {
 	terms, err := charter.Read([]byte(strings.Replace(rigSettings, "CANCEL", fmt.Sprint(cancelling), 1)))
@@ -345,6 +346,53 @@
 	})
 }
 
+// A deduplicated lookup that may have run is sent again inside its window of 2 s, and the connection for that is late to come up. Past
+// the window its repeat would have its effect a second time: it does not go out, and as repeats of the client would not be known
+// either, the lookup fails. Inside the window it goes out.
+func TestAFurtherSendWaitsPastItsWindow(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		t.Run(fmt.Sprint("late ", late), func(t *testing.T) {
+			h := &held{dial: make(chan bool)}
+			r := stand(t, h, true, 50)
+			c := r.ask("berth")
+			h.dial <- true
+			first := r.take()
+			began := time.Now() // the first send was decided before
+			first.Reset()
+			r.until("a second send", func() bool {
+				out, queued := r.router.InFlight()
+				return out == 1 && queued == 0 && r.waiting() == 1
+			})
+			if late {
+				time.Sleep(2*time.Second - time.Since(began))
+				close(h.dial)
+				r.status(c, 502)
+				r.nothingCame()
+				return
+			}
+			close(h.dial)
+			r.take().Hit(time.Now(), "hit", "ok")
+			r.status(c, 200)
+		})
+	}
+}
+
+// waiting counts the sends whose connection is not up.
+func (r *rig) waiting() (n int) {
+	r.links.mu.Lock()
+	defer r.links.mu.Unlock()
+	for _, of := range r.links.by {
+		for _, l := range of {
+			l.mu.Lock()
+			if l.conn == nil {
+				n += len(l.flights)
+			}
+			l.mu.Unlock()
+		}
+	}
+	return n
+}
+
 // A send waits behind one that its cache does not take, and the cache is told draining: what has begun goes on, what has not goes elsewhere.
 func TestASendBehindAPeerThatTakesNothing(t *testing.T) {
 	h := &held{write: make(chan bool), stuck: make(chan bool, 99)}
@@ -606,3 +654,84 @@
 		}
 	})
 }
+
+// An answer with Connection: close to a client that reads it late and sends something more meanwhile: the answer comes whole. A close
+// over what the client sends on would have the system reset the connection and drop what the client has not taken.
+func TestTheTailOfAnAnswerBehindAClose(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 15000)
+	for _, drain := range []bool{false, true} {
+		for _, ahead := range []bool{false, true} {
+			t.Run(fmt.Sprint("a drain ", drain, ", bytes sent ahead ", ahead), func(t *testing.T) {
+				r := stand(t, &held{}, true, 50)
+				d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+					raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+					return err
+				}}
+				c, err := d.Dial("tcp", r.listener.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				c.SetDeadline(time.Now().Add(20 * time.Second))
+				asks := "Connection: close\r\n"
+				if drain {
+					asks = ""
+				}
+				io.WriteString(c, r.text("segment", asks))
+				do := r.take()
+				if drain {
+					r.front.Drain()
+				}
+				if ahead {
+					io.WriteString(c, r.text("segment")+"GET /call/")
+					time.Sleep(20 * time.Millisecond)
+				}
+				do.Hit(time.Now(), "hit", body)
+				r.open(0)
+				r.until("an answer that is out", func() bool {
+					r.front.mu.Lock()
+					defer r.front.mu.Unlock()
+					for c := range r.front.clients {
+						c.mu.Lock()
+						out := !c.busy
+						c.mu.Unlock()
+						return out
+					}
+					return true
+				})
+				for range 3 { // the first byte after a close is answered by a reset
+					io.WriteString(c, "more\r\n")
+					time.Sleep(20 * time.Millisecond)
+				}
+				if got := r.status(c, 200); got != body {
+					t.Errorf("%d bytes of %d", len(got), len(body))
+				}
+				c.Close()
+				r.until("an end of its lingering", func() bool { return r.front.Load() == 0 })
+			})
+		}
+	}
+}
+
+// A client that has its last answer and stays: it lingers for a second at most, and a new client gets its place at once.
+func TestAClientThatStaysBehindAClose(t *testing.T) {
+	r := stand(t, &held{}, true, 1)
+	c := r.ask("segment", "Connection: close\r\n")
+	r.take().Hit(time.Now(), "hit", "ok")
+	r.status(c, 200)
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("not ended on this side: %v", err)
+	}
+	began := time.Now()
+	next := r.ask("segment")
+	r.take().Hit(time.Now(), "hit", "ok")
+	r.status(next, 200)
+	if took := time.Since(began); took > slowAnswer/2 {
+		t.Errorf("the next client waited %v", took)
+	}
+	next.Close()
+	last := r.ask("segment", "Connection: close\r\n")
+	r.take().Hit(time.Now(), "hit", "ok")
+	r.status(last, 200)
+	r.until("an end of its lingering", func() bool { return r.front.Load() == 0 })
+}
