--- a/cli/rigs/scale.go
+++ b/cli/rigs/scale.go
@@ -21,6 +21,7 @@
 // scales are the measurements against the size of the fleet.
 type scales struct {
 	Watch scaleWatch `cmd:"" help:"Hollow gateways, and some real ones, that each hear the discovery watch over loopback."`
+	Plot  scalePlot  `cmd:"" help:"Draw the figures of docs/CAPACITY.md: cost against size with the budget."`
 	Crowd scaleCrowd `cmd:"" hidden:"" help:"A process of hollow gateways, told what to do on standard input."`
 }
 
--- /dev/null
+++ b/lab/scale/capacity.go
@@ -0,0 +1,223 @@
+package scale
+
+import (
+	"fmt"
+	"image/color"
+	"math"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+
+	"foldslip/lab/cost"
+)
+
+// Capacity is a figure of docs/CAPACITY.md with the line fitted through it.
+type Capacity struct {
+	*cost.Figure
+	Fit *Fit // nil where there are fewer than two sizes
+}
+
+// Fitted reads a figure and fits it. Values of 0 or less, which the clock of a short run can give, are an error.
+func Fitted(path string) (*Capacity, error) {
+	f, err := cost.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	by := map[int][]float64{}
+	for _, p := range f.Points {
+		by[int(p.Size)] = append(by[int(p.Size)], p.Values...)
+	}
+	c := &Capacity{Figure: f}
+	if len(by) > 1 {
+		if c.Fit, err = Line(f.Name, by); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	return c, nil
+}
+
+// Off is the greatest factor by which the means lie off the line, either way; 1 where there is none.
+func (c *Capacity) Off() float64 {
+	off := 1.0
+	if c.Fit != nil {
+		for _, at := range c.Fit.At {
+			off = max(off, at.Off, 1/at.Off)
+		}
+	}
+	return off
+}
+
+// Misses is the size at which the figure first passes its budget, and whether that was measured; 0: at no size that was measured, nor on the
+// straight line through the last two sizes (on log axes) up to a thousand times the largest.
+func (c *Capacity) Misses() (size float64, measured bool) {
+	if c.Budget <= 0 || len(c.Points) == 0 {
+		return 0, false
+	}
+	points := slices.Clone(c.Points)
+	slices.SortFunc(points, func(a, b cost.Point) int { return int(math.Copysign(1, a.Size-b.Size)) })
+	cross := func(a, b cost.Point) float64 {
+		ya, _, _ := a.Median()
+		yb, _, _ := b.Median()
+		slope := math.Log(yb/ya) / math.Log(b.Size/a.Size)
+		if slope <= 0 {
+			return 0
+		}
+		return a.Size * math.Exp(math.Log(c.Budget/ya)/slope)
+	}
+	for i, p := range points {
+		if y, _, _ := p.Median(); y > c.Budget {
+			if i == 0 {
+				return p.Size, true
+			}
+			return cross(points[i-1], p), true
+		}
+	}
+	if n := len(points); n > 1 {
+		if size = cross(points[n-2], points[n-1]); size <= 1000*points[n-1].Size {
+			return size, false
+		}
+	}
+	return 0, false
+}
+
+// Value is the median at a size: as measured, else on the straight line (on log axes) between the sizes beside it, or through the last two.
+func (c *Capacity) Value(size float64) (value float64, measured bool) {
+	points := slices.Clone(c.Points)
+	slices.SortFunc(points, func(a, b cost.Point) int { return int(math.Copysign(1, a.Size-b.Size)) })
+	for i, p := range points {
+		y, _, _ := p.Median()
+		if p.Size == size || len(points) == 1 {
+			return y, p.Size == size
+		}
+		if p.Size > size && i > 0 || i == len(points)-1 {
+			last, _, _ := points[i-1].Median()
+			return last * math.Pow(size/points[i-1].Size, math.Log(y/last)/math.Log(p.Size/points[i-1].Size)), false
+		}
+	}
+	return 0, false
+}
+
+// Row is the figure's row of a table in Markdown.
+func (c *Capacity) Row() string {
+	at, measured := c.Value(c.At)
+	spread := ""
+	for _, p := range c.Points {
+		if p.Size == c.At {
+			_, least, most := p.Median()
+			spread = fmt.Sprintf(" (%.3g to %.3g)", least, most)
+		}
+	}
+	said := "M"
+	if !measured {
+		said = "X"
+	}
+	shape, misses := "", "none"
+	if c.Fit != nil {
+		shape = fmt.Sprintf("%.3g n^%.2f, off by %.2f at most", c.Fit.Factor, c.Fit.Slope, c.Off())
+		if c.Fit.Curved {
+			shape += ", curved"
+		}
+	}
+	if size, seen := c.Misses(); size > 0 {
+		if misses = fmt.Sprintf("%.3g", size); !seen {
+			misses += " (X)"
+		}
+	}
+	part := ""
+	if c.Budget > 0 {
+		part = fmt.Sprintf("%.2g%%", at/c.Budget*100)
+	}
+	return fmt.Sprintf("| %s | %.0f to %.0f %s | %s | %s at %.0f: %.3g%s %s | %s: %.3g %s | %s | %s |", c.Name, c.Points[0].Size, c.Points[len(c.Points)-1].Size, c.X, shape,
+		said, c.At, at, spread, c.Y, c.Of, c.Budget, c.Y, part, misses)
+}
+
+// CapacityHead is the head of the table of rows.
+const CapacityHead = "| figure | sizes | line on log axes | at the plan's size | budget | used | first misses at |\n| --- | --- | --- | --- | --- | --- | --- |"
+
+// Draw makes an SVG file of the figure on log axes: each run a point, the fitted line, the budget, and the plan's size.
+func (c *Capacity) Draw(dir string) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = c.Title, c.X, c.Y
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	p.Legend.Top, p.Legend.Left = true, true
+	var pts plotter.XYs
+	least, most := c.At, c.At
+	for _, at := range c.Points {
+		least, most = min(least, at.Size), max(most, at.Size)
+		for _, v := range at.Values {
+			if !(v > 0) {
+				return fmt.Errorf("%s: %g cannot stand on a log axis", c.Name, v)
+			}
+			pts = append(pts, plotter.XY{X: at.Size, Y: v})
+		}
+	}
+	dots, err := plotter.NewScatter(pts)
+	if err != nil {
+		return err
+	}
+	dots.GlyphStyle.Color, dots.GlyphStyle.Shape = color.RGBA{B: 200, A: 255}, draw.CircleGlyph{}
+	p.Add(dots)
+	p.Legend.Add("runs", dots)
+	line := func(name string, c color.Color, pts ...plotter.XY) error {
+		l, err := plotter.NewLine(plotter.XYs(pts))
+		if err != nil {
+			return err
+		}
+		l.Color, l.Dashes = c, []vg.Length{vg.Points(4), vg.Points(3)}
+		p.Add(l)
+		p.Legend.Add(name, l)
+		return nil
+	}
+	if c.Fit != nil {
+		shape := fmt.Sprintf("%.3g n^%.2f", c.Fit.Factor, c.Fit.Slope)
+		if c.Fit.Curved {
+			shape += " (curved: not this line)"
+		}
+		if err := line(shape, color.Gray{100}, plotter.XY{X: least, Y: c.Fit.Value(least)}, plotter.XY{X: most, Y: c.Fit.Value(most)}); err != nil {
+			return err
+		}
+	}
+	if c.Budget > 0 {
+		if err := line("budget: "+c.Of, color.RGBA{R: 200, A: 255}, plotter.XY{X: least, Y: c.Budget}, plotter.XY{X: most, Y: c.Budget}); err != nil {
+			return err
+		}
+	}
+	if c.At > 0 {
+		if err := line(fmt.Sprintf("the plan: %.0f", c.At), color.RGBA{G: 140, A: 255}, plotter.XY{X: c.At, Y: p.Y.Min}, plotter.XY{X: c.At, Y: p.Y.Max}); err != nil {
+			return err
+		}
+	}
+	if p.X.Min == p.X.Max {
+		p.X.Min, p.X.Max = p.X.Min/2, p.X.Max*2
+	}
+	if p.Y.Min == p.Y.Max {
+		p.Y.Min, p.Y.Max = p.Y.Min/2, p.Y.Max*2
+	}
+	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, filepath.Join(dir, c.Name+".svg"))
+}
+
+// CapacityOf reads all figures of a folder, by name.
+func CapacityOf(dir string) (all []*Capacity, err error) {
+	paths, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil {
+		return nil, err
+	}
+	if len(paths) == 0 || len(paths) > 256 {
+		return nil, fmt.Errorf("%s: %d figures (*.json), expected 1 to 256", dir, len(paths))
+	}
+	for _, path := range paths {
+		c, err := Fitted(path)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(a, b *Capacity) int { return strings.Compare(a.Name, b.Name) })
+	return all, nil
+}
--- /dev/null
+++ b/route/pools/cost_test.go
@@ -0,0 +1,50 @@
+package pools
+
+import (
+	"fmt"
+	"testing"
+
+	"foldslip/lab/cost"
+)
+
+var costs = cost.Flags()
+
+// The table of routes: its heap, and what compiling it takes, as each change does.
+func TestCostTable(t *testing.T) {
+	sizes := []int{10, 100, 1000, 5000}
+	table := func(n int) *Table {
+		made, faults := Compile(routesOf(n), kinds)
+		if made == nil {
+			t.Fatal(faults)
+		}
+		return made
+	}
+	costs.Take(t, cost.Figure{Name: "routes-heap", Title: "route/pools: heap of a table", X: "routes", Y: "bytes", Budget: 4 << 20, Of: "a table, 4 MB of 128", At: 1000}, sizes,
+		func(n int) float64 { return cost.Heap(func() any { return table(n) }) })
+	costs.Take(t, cost.Figure{Name: "routes-compile", Title: "route/pools: processor time of compiling a table", X: "routes", Y: "us of a core", Budget: 12400,
+		Of: "a change, 0.2% of a core at one in 6.2 s", At: 1000}, sizes, func(n int) float64 { return costs.Micros(func(int) { table(n) }) })
+}
+
+// A new list of caches under a table of 1,000 routes and 100 pools.
+func TestCostSee(t *testing.T) {
+	costs.Take(t, cost.Figure{Name: "routes-see", Title: "route/pools: processor time of a view for a new list, 100 pools", X: "caches in the list", Y: "us of a core", Budget: 2000,
+		Of: "a change, 10 a second within 2% of a core", At: 1800}, []int{225, 450, 900, 1800, 3600}, func(n int) float64 {
+		c := routesOf(1000)
+		c.Pools = map[string]Pool{}
+		for i := range 100 {
+			c.Pools[fmt.Sprint("p", i)] = Pool{Locations: []string{fmt.Sprint("l", i%25)}, Labels: []string{fmt.Sprint("x", i%3)}}
+		}
+		for i := range c.Routes {
+			c.Routes[i].To = all(fmt.Sprint("p", i%100))
+		}
+		var caches []Cache
+		for i := range n {
+			caches = append(caches, Cache{Name: fmt.Sprint("c", i), Location: fmt.Sprint("l", i%25), Labels: []string{fmt.Sprint("x", i%3)}})
+		}
+		table, faults := Compile(c, kinds)
+		if table == nil {
+			t.Fatal(faults)
+		}
+		return costs.Micros(func(int) { table.See(1, caches) })
+	})
+}
