--- a/lab/scale/capacity.go
+++ b/lab/scale/capacity.go
@@ -6,6 +6,7 @@
 	"math"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 
 	"gonum.org/v1/plot"
@@ -102,6 +103,19 @@
 	return 0, false
 }
 
+// short writes a figure with three digits that count, thousands apart.
+func short(v float64) string {
+	if math.Abs(v) < 1000 {
+		return strconv.FormatFloat(v, 'g', 3, 64)
+	}
+	unit := math.Pow(10, math.Floor(math.Log10(math.Abs(v)))-2)
+	text := strconv.FormatFloat(math.Round(v/unit)*unit, 'f', 0, 64)
+	for i := len(text) - 3; i > 0 && text[i-1] != '-'; i -= 3 {
+		text = text[:i] + "," + text[i:]
+	}
+	return text
+}
+
 // Row is the figure's row of a table in Markdown.
 func (c *Capacity) Row() string {
 	at, measured := c.Value(c.At)
@@ -109,14 +123,14 @@
 	for _, p := range c.Points {
 		if p.Size == c.At {
 			_, least, most := p.Median()
-			spread = fmt.Sprintf(" (%.3g to %.3g)", least, most)
+			spread = fmt.Sprintf(" (%s to %s)", short(least), short(most))
 		}
 	}
 	said := "M"
 	if !measured {
 		said = "X"
 	}
-	shape, misses := "", "none"
+	shape, misses, part := "", "none", ""
 	if c.Fit != nil {
 		shape = fmt.Sprintf("%.3g n^%.2f, off by %.2f at most", c.Fit.Factor, c.Fit.Slope, c.Off())
 		if c.Fit.Curved {
@@ -124,16 +138,17 @@
 		}
 	}
 	if size, seen := c.Misses(); size > 0 {
-		if misses = fmt.Sprintf("%.3g", size); !seen {
+		if misses = short(size); !seen {
 			misses += " (X)"
 		}
 	}
-	part := ""
 	if c.Budget > 0 {
-		part = fmt.Sprintf("%.2g%%", at/c.Budget*100)
+		if part = short(at/c.Budget*100) + "%"; at > c.Budget {
+			part = "**" + part + "**"
+		}
 	}
-	return fmt.Sprintf("| %s | %.0f to %.0f %s | %s | %s at %.0f: %.3g%s %s | %s: %.3g %s | %s | %s |", c.Name, c.Points[0].Size, c.Points[len(c.Points)-1].Size, c.X, shape,
-		said, c.At, at, spread, c.Y, c.Of, c.Budget, c.Y, part, misses)
+	return fmt.Sprintf("| %s | %s to %s %s | %s | %s at %s: %s%s %s | %s: %s | %s | %s |", c.Name, short(c.Points[0].Size), short(c.Points[len(c.Points)-1].Size), c.X, shape,
+		said, short(c.At), short(at), spread, c.Y, c.Of, short(c.Budget), part, misses)
 }
 
 // CapacityHead is the head of the table of rows.
--- a/lab/scale/capacity_test.go
+++ b/lab/scale/capacity_test.go
@@ -89,3 +89,11 @@
 		}
 	}
 }
+
+func TestFiguresAreWrittenShort(t *testing.T) {
+	for v, want := range map[float64]string{0: "0", 0.0538: "0.0538", 75.8234: "75.8", 999.4: "999", 1103: "1,100", 18234: "18,200", 1234567: "1,230,000", -4321: "-4,320"} {
+		if got := short(v); got != want {
+			t.Errorf("%v is written %s", v, got)
+		}
+	}
+}
