--- a/wire/front.go
+++ b/wire/front.go
@@ -757,8 +757,11 @@
 		case facade.Failed:
 			c.say(appendHead(nil, 502, 0, "", end), o.lk.Deadline)
 		}
-		if end {
+		switch {
+		case end && s.What == facade.Satisfied:
 			c.part()
+		case end: // a head alone is out whole; what is given up before the kill must not linger up to Cut
+			c.shut("asked")
 		}
 		c.rest()
 		return
