Places of gateways in the fleet's view, settings of the broadcast, and its carrier (begun)

Need: the broadcast of purges among gateways follows region, zone and site. Each gateway tells its place beside its stamp; gateways that are told none speak as before. The carrier is not yet switched on by anything; not yet tested.

--- a/config/fleet.go
+++ b/config/fleet.go
@@ -19,8 +19,12 @@
 	Folder    string   `json:"folder,omitempty"`    // of this gateway alone; none: who was known ends with the process
 	Socket    string   `json:"socket,omitempty"`    // where operators of this machine call
 	Members   int64    `json:"members"`             // held at most, this one included
-	Purges    bool     `json:"purges,omitempty"`    // purges that other gateways heard first are heeded
-	Expect    int64    `json:"expect,omitempty"`    // gateways there are, if the operators know; for telling a minority
+	Purges    bool     `json:"purges,omitempty"`    // purges that other gateways heard first are heeded, by fleet/verdict
+	Broadcast bool     `json:"broadcast,omitempty"` // the same by fleet/broadcast, for many gateways and many purges
+	Region    string   `json:"region,omitempty"`    // where this gateway stands: all three, or none
+	Zone      string   `json:"zone,omitempty"`
+	Site      string   `json:"site,omitempty"`
+	Expect    int64    `json:"expect,omitempty"` // gateways there are, if the operators know; for telling a minority
 	Probe     int64    `json:"probe_ms"`
 	Timeout   int64    `json:"probe_timeout_ms"`
 	Gossip    int64    `json:"gossip_ms"`
@@ -29,7 +33,10 @@
 	Reap      int64    `json:"reap_ms"`   // the dead count for the fleet's size so long
 }
 
-const mostSeeds = 64
+const (
+	mostSeeds = 64
+	mostPlace = 48 // bytes of a region's, zone's or site's name: membership.MostPlace
+)
 
 // check fills in defaults and tells the first value that cannot be.
 func (f *Fleet) check(file string) error {
@@ -72,6 +79,23 @@
 			return Fault{file, fmt.Sprintf("fleet.seeds[%d]", i), fmt.Sprintf("%q", s), "expected an IP and a port, as 10.0.0.4:7946"}
 		}
 	}
+	if f.Broadcast && f.Purges {
+		return Fault{file, "fleet.broadcast", "is set beside fleet.purges", "set one: broadcast; purges stays for fleets of a few gateways"}
+	}
+	places, told := []struct{ name, is string }{{"region", f.Region}, {"zone", f.Zone}, {"site", f.Site}}, 0
+	for _, p := range places {
+		if len(p.is) > mostPlace {
+			return Fault{file, "fleet." + p.name, fmt.Sprintf("has %d bytes", len(p.is)), fmt.Sprintf("at most %d", mostPlace)}
+		}
+		if p.is != "" {
+			told++
+		}
+	}
+	for _, p := range places {
+		if p.is == "" && told > 0 {
+			return Fault{file, "fleet." + p.name, "is missing", "name region, zone and site of this gateway, or none of them"}
+		}
+	}
 	if len(f.Label) > 64 {
 		return Fault{file, "fleet.label", fmt.Sprintf("has %d bytes", len(f.Label)), "at most 64"}
 	}
--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -22,6 +22,7 @@
 	"slices"
 	"sync"
 	"time"
+	"unique"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/hashicorp/memberlist"
@@ -55,9 +56,10 @@
 
 // Settings are what a gateway is told of its fleet. Times of the detector are those of the SWIM paper's protocol period.
 type Settings struct {
-	Name, Listen, Advertise string // IP and port; Advertise is what others are told
-	Label                   string // fleets of other labels are not heard
-	Key                     []byte // of 16, 24 or 32 bytes; none: plain
+	Name, Listen, Advertise string     // IP and port; Advertise is what others are told
+	Label                   string     // fleets of other labels are not heard
+	Place                   view.Place // where it stands, told to the others where it is set; a part has at most MostPlace bytes
+	Key                     []byte     // of 16, 24 or 32 bytes; none: plain
 	Seeds                   []string
 	SeedFile                string // an address a line, read anew while somebody is looked for
 	Most, Expect            int
@@ -139,7 +141,8 @@
 	}
 	chance := binary.LittleEndian.Uint16(b[:])
 	f := &Fleet{set: set, parts: parts, began: time.Now(), bell: make(chan struct{}, 1),
-		id:  view.ID{Name: set.Name, Addr: set.Advertise, Stamp: uint64(parts.Now().UnixMicro())<<12 | uint64(chance&0xfff)},
+		id: view.ID{Name: set.Name, Addr: set.Advertise, Stamp: uint64(parts.Now().UnixMicro())<<12 | uint64(chance&0xfff),
+			Place: set.Place},
 		rtt: hdrhistogram.New(1, 60_000_000, 2), settling: hdrhistogram.New(1, 3_600_000, 2),
 		refused: map[string]int64{}}
 	now := f.now()
@@ -519,27 +522,65 @@
 	}
 }
 
-// meta is what a gateway tells of itself with the detector's messages: form, stamp, whether it goes.
-const metaSize = 1 + 8 + 1
+// meta is what a gateway tells of itself with the detector's messages: form, stamp, whether it goes; and, where it was told one, its
+// place: region, zone and site, each a length and that many bytes. A build that knows no places refuses a gateway that tells one, so
+// places are set once all gateways run a build that knows them (docs/fleet-broadcast-operators.md).
+const (
+	metaSize = 1 + 8 + 1
+	// MostPlace bounds each part of a place, in bytes.
+	MostPlace = 48
+)
 
 var errMeta = errors.New("meta of another form")
 
-func readMeta(b []byte) (stamp uint64, leaving bool, err error) {
-	if len(b) != metaSize || b[0] != Speaks || b[metaSize-1] > 1 {
-		return 0, false, errMeta
+type meta struct {
+	stamp   uint64
+	leaving bool
+	place   view.Place
+}
+
+func (m meta) append(b []byte) []byte {
+	b = binary.LittleEndian.AppendUint64(append(b, Speaks), m.stamp)
+	going := byte(0)
+	if m.leaving {
+		going = 1
+	}
+	b = append(b, going)
+	if m.place == (view.Place{}) {
+		return b
+	}
+	for _, part := range []string{m.place.Region, m.place.Zone, m.place.Site} {
+		b = append(append(b, byte(len(part))), part...)
+	}
+	return b
+}
+
+func readMeta(b []byte) (m meta, err error) {
+	if len(b) < metaSize || b[0] != Speaks || b[metaSize-1] > 1 {
+		return meta{}, errMeta
 	}
-	return binary.LittleEndian.Uint64(b[1:]), b[metaSize-1] == 1, nil
+	m.stamp, m.leaving = binary.LittleEndian.Uint64(b[1:]), b[metaSize-1] == 1
+	rest := b[metaSize:]
+	if len(rest) == 0 {
+		return m, nil
+	}
+	for _, part := range []*string{&m.place.Region, &m.place.Zone, &m.place.Site} {
+		if len(rest) == 0 || rest[0] > MostPlace || len(rest) < 1+int(rest[0]) {
+			return meta{}, errMeta
+		}
+		*part, rest = string(rest[1:1+rest[0]]), rest[1+rest[0]:]
+	}
+	if len(rest) > 0 || m.place == (view.Place{}) {
+		return meta{}, errMeta
+	}
+	return m, nil
 }
 
 // NodeMeta is memberlist's Delegate.
 func (f *Fleet) NodeMeta(limit int) []byte {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	b := binary.LittleEndian.AppendUint64([]byte{Speaks}, f.id.Stamp)
-	if f.leaving {
-		return append(b, 1)
-	}
-	return append(b, 0)
+	return meta{f.id.Stamp, f.leaving, f.id.Place}.append(nil)
 }
 
 // NotifyMsg takes words that rode on gossip, and what another part of a peer sent to this one's; memberlist's Delegate.
@@ -631,7 +672,7 @@
 		return nil
 	}
 	why := ""
-	if _, _, err := readMeta(peer.Meta); err != nil || peer.DCur != Speaks {
+	if _, err := readMeta(peer.Meta); err != nil || peer.DCur != Speaks {
 		why = "version"
 	} else if len(peer.Name) == 0 || len(peer.Name) > mostName {
 		why = "name"
@@ -654,8 +695,8 @@
 }
 
 func idOf(n *memberlist.Node) view.ID {
-	stamp, _, _ := readMeta(n.Meta) // NotifyAlive let no other in
-	return view.ID{Name: n.Name, Addr: n.Address(), Stamp: stamp}
+	m, _ := readMeta(n.Meta)                                                                             // NotifyAlive let no other in
+	return view.ID{Name: n.Name, Addr: n.Address(), Stamp: m.stamp, Place: unique.Make(m.place).Value()} // hundreds share a place's strings
 }
 
 // NotifyJoin is memberlist's EventDelegate.
@@ -676,8 +717,8 @@
 func (f *Fleet) NotifyLeave(n *memberlist.Node) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, leaving, _ := readMeta(n.Meta) // the last that it told of itself
-	f.took(f.view.Gone(n.Name, leaving, f.now()))
+	m, _ := readMeta(n.Meta) // the last that it told of itself
+	f.took(f.view.Gone(n.Name, m.leaving, f.now()))
 }
 
 // NotifyConflict is memberlist's ConflictDelegate: a name is claimed from another address while its holder lives.
@@ -685,13 +726,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.counts.Conflicts++
-	stamp, _, err := readMeta(other.Meta)
+	m, err := readMeta(other.Meta)
 	if err != nil {
 		return
 	}
 	now := f.now()
 	if existing.Name == f.id.Name {
-		f.claimant, f.claimBy = net.JoinHostPort(other.Addr.String(), fmt.Sprint(other.Port)), stamp
+		f.claimant, f.claimBy = net.JoinHostPort(other.Addr.String(), fmt.Sprint(other.Port)), m.stamp
 	}
 	f.view.Claimed(existing.Name, other.Address(), now)
 	if last, told := f.refused[existing.Name]; !told || now-last > 60_000_000 {
--- a/fleet/membership/report.go
+++ b/fleet/membership/report.go
@@ -42,6 +42,7 @@
 	Name     string     `json:"name"`
 	Addr     string     `json:"addr"`
 	Stamp    uint64     `json:"stamp"`
+	Place    view.Place `json:"place,omitzero"`
 	State    view.State `json:"state"`
 	SinceMS  int64      `json:"since_ms"`
 	HeardMS  int64      `json:"heard_ago_ms"`
@@ -98,7 +99,7 @@
 	}
 	found := explain == ""
 	for _, m := range f.view.All() {
-		row := Row{Name: m.Name, Addr: m.Addr, Stamp: m.Stamp, State: m.State, SinceMS: (now - m.Since) / 1000, HeardMS: (now - m.Heard) / 1000,
+		row := Row{Name: m.Name, Addr: m.Addr, Stamp: m.Stamp, Place: m.Place, State: m.State, SinceMS: (now - m.Since) / 1000, HeardMS: (now - m.Heard) / 1000,
 			By: m.By, Agrees: f.view.Agrees(m.Name), Restarts: m.Restarts, Deaths: m.Deaths, Wrong: m.Wrong}
 		if m.Name == explain {
 			found = true
@@ -140,6 +141,20 @@
 	return f.view.Live()
 }
 
+// LiveIDs are the processes of live members, this gateway's included, by name, and the view's version that they are of.
+func (f *Fleet) LiveIDs() ([]view.ID, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.LiveIDs(), f.view.Version()
+}
+
+// Version is the view's.
+func (f *Fleet) Version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Version()
+}
+
 // Held is how many things wait or are kept, for who looks whether bounds hold.
 type Held struct{ Members, Lines, Called, Refused int }
 
--- a/fleet/view/view.go
+++ b/fleet/view/view.go
@@ -21,6 +21,7 @@
 	"encoding/binary"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -57,6 +58,15 @@
 	Name  string `json:"name"`
 	Addr  string `json:"addr"`
 	Stamp uint64 `json:"stamp"`
+	Place Place  `json:"place,omitzero"`
+}
+
+// Place is where a gateway stands, as its operators name it; all empty: not told. Nothing is decided by the names, only by which
+// gateways share them.
+type Place struct {
+	Region string `json:"region,omitempty"`
+	Zone   string `json:"zone,omitempty"`
+	Site   string `json:"site,omitempty"`
 }
 
 // Key stands for a name in words: a 64-bit hash. Two names of one fleet that share a key are refused (Join).
@@ -454,6 +464,18 @@
 	return out
 }
 
+// LiveIDs returns the processes of alive and suspect members, self included, by name.
+func (v *View) LiveIDs() []ID {
+	out := make([]ID, 0, v.live)
+	for _, m := range v.members {
+		if m.State.Live() {
+			out = append(out, m.ID)
+		}
+	}
+	slices.SortFunc(out, func(a, b ID) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
 // Size is how much of the fleet is seen: members that are alive, and the fleet they are a part of. The fleet is all who are
 // known and have not left, or what the operators said there are, if more. Unlike Live, a suspect does not count as seen: one
 // side of a split learns what it is at suspicion, not only at death.
