Broadcast carried over the fleet's datagrams, operators' call and sub-command (begun)

Need: what fleet/broadcast decides has to reach peers. fleet.broadcast switches it on; foldslip fleet broadcast looks at it.

--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -13,11 +13,12 @@
 
 // fleet are questions to a gateway about the fleet it sees, and the rig that proves it.
 type fleet struct {
-	View    fleetView    `cmd:"" help:"How much of the fleet a gateway sees, and whether the fleet agrees."`
-	Members fleetMembers `cmd:"" help:"The gateways that a gateway knows, with how sure it is of each."`
-	Explain fleetExplain `cmd:"" help:"Who said what of one gateway, and when."`
-	Limits  fleetLimits  `cmd:"" help:"The limits of the whole fleet: this gateway's part, what it lent and borrowed, and by how much the fleet can be over now."`
-	Run     fleetRun     `cmd:"" passthrough:"" help:"Start a fleet of real gateways on loopback, put faults between them and report (runs foldslip-rig, which stands beside this program)."`
+	View      fleetView      `cmd:"" help:"How much of the fleet a gateway sees, and whether the fleet agrees."`
+	Members   fleetMembers   `cmd:"" help:"The gateways that a gateway knows, with how sure it is of each."`
+	Explain   fleetExplain   `cmd:"" help:"Who said what of one gateway, and when."`
+	Limits    fleetLimits    `cmd:"" help:"The limits of the whole fleet: this gateway's part, what it lent and borrowed, and by how much the fleet can be over now."`
+	Broadcast fleetBroadcast `cmd:"" help:"How purges spread among gateways, as one of them sees it: its place in the tree, what it carried, and what it lacks."`
+	Run       fleetRun       `cmd:"" passthrough:"" help:"Start a fleet of real gateways on loopback, put faults between them and report (runs foldslip-rig, which stands beside this program)."`
 }
 
 type fleetSocket struct {
@@ -132,6 +133,38 @@
 	return w.Flush()
 }
 
+type fleetBroadcast struct{ fleetSocket }
+
+func (f *fleetBroadcast) Run(to *streams) error {
+	a, err := socket{f.Socket, f.JSON, f.Wait}.call(operator.Call{Do: "broadcast"})
+	if err != nil {
+		return err
+	}
+	r := a.Broadcast
+	if r == nil {
+		return fmt.Errorf("%s: the gateway told nothing of its broadcast; is it of this version?", f.Socket)
+	}
+	if f.JSON {
+		return json.NewEncoder(to.out).Encode(r)
+	}
+	parent := "under " + r.Node.Parent
+	if r.Node.Parent == "" {
+		parent = "the root"
+	}
+	fmt.Fprintf(to.out, "%s in region %q, zone %q, site %q: %s, %d of %d live below it: %s\n", r.Name, r.Place.Region, r.Place.Zone, r.Place.Site, parent,
+		len(r.Node.Children), r.Live, strings.Join(r.Node.Children, ", "))
+	if b := r.Node.Behind; b.Since != 0 {
+		fmt.Fprintf(to.out, "BEHIND: %d batches and %d seconds of purges are known to be missing\n", b.Batches, b.Seconds)
+	} else {
+		fmt.Fprintln(to.out, "whole: nothing is known to be missing")
+	}
+	c, up := r.Counts, max(float64(r.UpMS)/1000, 1)
+	fmt.Fprintf(to.out, "datagrams %.1f in, %.1f out a second, %.0f and %.0f bytes; %d not sent, %d dropped as too many waited, %d of unknown senders, %d unreadable\n",
+		float64(c.TakenIn)/up, float64(c.SentOut)/up, float64(c.BytesIn)/up, float64(c.BytesOut)/up, c.NotSent, c.Full, c.Unknown, c.Unreadable)
+	fmt.Fprintf(to.out, "purges that peers told first %d; own ones without room %d; gaps told %d\n", c.PeersFirst, c.OwnDropped, c.BehindTimes)
+	return nil
+}
+
 // fleetRun is a command of foldslip-rig, whose libraries (plots) a gateway does without.
 type fleetRun struct {
 	Args []string `arg:"" optional:""`
--- a/door/operator/operator.go
+++ b/door/operator/operator.go
@@ -19,6 +19,7 @@
 	"foldslip/clock"
 	"foldslip/config"
 	"foldslip/config/change"
+	"foldslip/fleet/broadcast/carrier"
 	"foldslip/fleet/limits"
 	"foldslip/fleet/membership"
 	"foldslip/fleet/post"
@@ -35,7 +36,7 @@
 
 // Call is what an operator asks for.
 type Call struct {
-	Do       string        `json:"do"`             // propose, plan, check, stage, apply, confirm, undo, back, history, text; fleet, limits
+	Do       string        `json:"do"`             // propose, plan, check, stage, apply, confirm, undo, back, history, text; fleet, limits, broadcast
 	Name     string        `json:"name,omitempty"` // of the gateway to explain, with fleet
 	No       uint64        `json:"no,omitempty"`
 	Parent   uint64        `json:"parent,omitempty"` // 0: the one in force
@@ -49,16 +50,17 @@
 
 // Answer is what became of it.
 type Answer struct {
-	Step    *change.Step       `json:"step,omitempty"`
-	History []change.Entry     `json:"history,omitempty"`
-	Force   *change.Force      `json:"force,omitempty"`
-	Text    []byte             `json:"text,omitempty"`
-	Move    *pools.Move        `json:"move,omitempty"`
-	Faults  []pools.Fault      `json:"faults,omitempty"`
-	Fleet   *membership.Report `json:"fleet,omitempty"`
-	Limits  []limits.Row       `json:"limits,omitempty"`
-	Error   string             `json:"error,omitempty"`
-	Remedy  string             `json:"remedy,omitempty"`
+	Step      *change.Step       `json:"step,omitempty"`
+	History   []change.Entry     `json:"history,omitempty"`
+	Force     *change.Force      `json:"force,omitempty"`
+	Text      []byte             `json:"text,omitempty"`
+	Move      *pools.Move        `json:"move,omitempty"`
+	Faults    []pools.Fault      `json:"faults,omitempty"`
+	Fleet     *membership.Report `json:"fleet,omitempty"`
+	Limits    []limits.Row       `json:"limits,omitempty"`
+	Broadcast *carrier.Report    `json:"broadcast,omitempty"`
+	Error     string             `json:"error,omitempty"`
+	Remedy    string             `json:"remedy,omitempty"`
 }
 
 // Operator is the socket.
@@ -71,9 +73,10 @@
 
 // Of are the parts of a gateway that operators call for; what is nil is off.
 type Of struct {
-	Routes *steer.Steer
-	Fleet  *membership.Fleet
-	Limits *post.Post
+	Routes    *steer.Steer
+	Fleet     *membership.Fleet
+	Limits    *post.Post
+	Broadcast *carrier.Carrier
 }
 
 // Open listens on a path, for some parts.
@@ -201,6 +204,13 @@
 		}
 		return Answer{Limits: o.of.Limits.Rows()}
 	}
+	if c.Do == "broadcast" {
+		if o.of.Broadcast == nil {
+			return Answer{Error: "this gateway spreads no purges by broadcast", Remedy: "set fleet.broadcast in its settings, and call at fleet.socket"}
+		}
+		r := o.of.Broadcast.Report()
+		return Answer{Broadcast: &r}
+	}
 	if o.of.Routes == nil {
 		return Answer{Error: "this gateway has no routes", Remedy: "set routing in its settings, and call at routing.socket"}
 	}
@@ -239,7 +249,7 @@
 	case c.Do == "undo":
 		step, err = o.of.Routes.Undo(c.No, c.Reason)
 	default:
-		return Answer{Error: fmt.Sprintf("%q is no step", c.Do), Remedy: "propose, plan, check, stage, apply, confirm, undo, back, history, text; fleet, limits"}
+		return Answer{Error: fmt.Sprintf("%q is no step", c.Do), Remedy: "propose, plan, check, stage, apply, confirm, undo, back, history, text; fleet, limits, broadcast"}
 	}
 	if err != nil {
 		a := Answer{Error: err.Error()}
--- a/fleet/broadcast/carrier/carrier.go
+++ b/fleet/broadcast/carrier/carrier.go
@@ -62,24 +62,26 @@
 	began time.Time
 	bell  chan struct{}
 
-	mu      sync.Mutex
-	node    *broadcast.Node
-	in      [][]byte
-	told    []broadcast.Purge
-	peers   map[uint64]string // live ones, by key
-	version uint64            // of the view that the node was told
-	seen    bool
-	counts  Counts
-	gapAt   int64 // since when the node is behind; 0: it is not
-	behind  bool  // and that it was told
+	version uint64 // of the view that the node was told; Run's goroutine's
+	seen    bool   // one was
+
+	mu     sync.Mutex
+	node   *broadcast.Node
+	in     [][]byte
+	told   []broadcast.Purge
+	peers  map[uint64]string // live ones, by key
+	counts Counts
+	gapAt  int64 // since when the node is behind; 0: it is not
+	behind bool  // and that it was told
 }
 
-// New makes a gateway's: heed takes purges that peers told first, on Run's goroutine. clock is the machine's, for the age of purges.
+// New makes a gateway's: heed takes purges that peers told first, on Run's goroutine. wall is the machine's clock, for the age of purges.
 func New(self string, place view.Place, heed func([]broadcast.Purge), log *slog.Logger, seed uint64, wall func() time.Time) *Carrier {
 	c := &Carrier{self: self, place: broadcast.Place{Region: place.Region, Zone: place.Zone, Site: place.Site}, heed: heed, log: log, began: time.Now(),
 		bell: make(chan struct{}, 1), peers: map[uint64]string{}}
-	c.node = broadcast.New(broadcast.Usual, broadcast.Member{Name: self, Place: c.place}, seed, rand.New(rand.NewPCG(seed, 0x62726f6164636173)),
-		c.now())
+	set := broadcast.Usual
+	set.Unix = wall().UnixMilli()
+	c.node = broadcast.New(set, broadcast.Member{Name: self, Place: c.place}, seed, rand.New(rand.NewPCG(seed, 0x62726f6164636173)), c.now())
 	return c
 }
 
@@ -153,10 +155,11 @@
 func (c *Carrier) turn() (heed []broadcast.Purge, out []letter, next time.Duration) {
 	version := c.fleet.Version()
 	var live []view.ID
-	if c.mu.Lock(); !c.seen || version != c.version { // the version is this goroutine's alone to write
-		c.mu.Unlock()
+	if !c.seen || version != c.version { // Run's goroutine alone touches these two
 		live, version = c.fleet.LiveIDs()
-		c.mu.Lock()
+	}
+	c.mu.Lock()
+	if live != nil {
 		c.see(live, version)
 	}
 	defer c.mu.Unlock()
@@ -217,7 +220,7 @@
 func (c *Carrier) gap(now int64) {
 	s := c.node.Stats()
 	switch {
-	case !s.Behind:
+	case s.Behind.Since == 0:
 		if c.behind {
 			c.log.Info("fleet_broadcast", "mode", "whole", "behind_ms", (now-c.gapAt)/1000)
 		}
@@ -227,7 +230,7 @@
 	case !c.behind && now-c.gapAt > behindFor.Microseconds():
 		c.behind = true
 		c.counts.BehindTimes++
-		c.log.Warn("fleet_broadcast", "mode", "behind", "missing", s.Missing)
+		c.log.Warn("fleet_broadcast", "mode", "behind", "batches", s.Behind.Batches, "seconds", s.Behind.Seconds)
 	}
 }
 
--- a/service/fleet.go
+++ b/service/fleet.go
@@ -12,10 +12,13 @@
 	"foldslip/config"
 	"foldslip/door/operator"
 	"foldslip/facade"
+	"foldslip/fleet/broadcast"
+	"foldslip/fleet/broadcast/carrier"
 	"foldslip/fleet/link"
 	"foldslip/fleet/membership"
 	"foldslip/fleet/post"
 	"foldslip/fleet/verdict"
+	"foldslip/fleet/view"
 	"foldslip/route/steer"
 	"foldslip/wire"
 )
@@ -24,7 +27,8 @@
 // and no decision asks it.
 type part struct {
 	fleet  *membership.Fleet
-	post   *post.Post // nil: no limits to share
+	post   *post.Post       // nil: no limits to share
+	caster *carrier.Carrier // nil: purges are not broadcast
 	router *facade.Facade
 	stop   chan struct{}
 	ended  chan struct{}
@@ -42,7 +46,8 @@
 	}
 	set := membership.Settings{Name: name, Listen: c.Listen, Advertise: c.Advertise, Label: c.Label, Seeds: c.Seeds, SeedFile: c.SeedFile,
 		Most: int(c.Members), Expect: int(c.Expect), Probe: config.Ms(c.Probe), ProbeTimeout: config.Ms(c.Timeout), Gossip: config.Ms(c.Gossip),
-		Reap: config.Ms(c.Reap), Settle: config.Ms(c.Settle), Rejoin: config.Ms(c.Rejoin)}
+		Reap: config.Ms(c.Reap), Settle: config.Ms(c.Settle), Rejoin: config.Ms(c.Rejoin),
+		Place: view.Place{Region: c.Region, Zone: c.Zone, Site: c.Site}}
 	if c.KeyFile != "" {
 		key, err := g.ReadFile(c.KeyFile)
 		if err != nil {
@@ -76,22 +81,38 @@
 	if routes != nil {
 		doors = routes
 	}
+	// heard brings purges that peers told first to where they count, as those of the own watch.
+	heard := func(purges []facade.Purge) {
+		for _, one := range purges {
+			bulletin.Purges.Note(one.Object, one.Group, one.Issued)
+		}
+		router.Tick(nil, false, purges)
+	}
 	var heed func([]verdict.Purge)
 	if c.Purges {
 		heed = func(some []verdict.Purge) {
 			var purges []facade.Purge
 			for _, v := range some {
-				issued := time.UnixMilli(v.Issued)
-				bulletin.Purges.Note(v.Object, int(v.Group), issued)
-				purges = append(purges, facade.Purge{Object: v.Object, Group: int(v.Group), Issued: issued})
+				purges = append(purges, facade.Purge{Object: v.Object, Group: int(v.Group), Issued: time.UnixMilli(v.Issued)})
 			}
-			router.Tick(nil, false, purges)
+			heard(purges)
 		}
 	}
 	if doors != nil || heed != nil {
 		p.post = post.New(name, doors, heed, g.Log(), seed)
 		parts.Take = p.post.Take
 	}
+	if c.Broadcast {
+		p.broadcast(set, parts.Now, seed, g, bulletin, heard)
+		others := parts.Take
+		parts.Take = func(b []byte) {
+			if carrier.Mine(b) {
+				p.caster.Take(b)
+			} else if others != nil {
+				others(b)
+			}
+		}
+	}
 	if heed != nil {
 		bulletin.Event = func(no int64, purges []facade.Purge) {
 			var told []verdict.Purge
@@ -109,9 +130,31 @@
 	if p.post != nil {
 		p.post.Over(p.fleet)
 	}
+	if p.caster != nil {
+		p.caster.Over(p.fleet)
+	}
 	return p, nil
 }
 
+// broadcast makes the carrier of purges between gateways, told what the own discovery watch tells.
+func (p *part) broadcast(set membership.Settings, wall func() time.Time, seed uint64, g clock.Ground, bulletin *wire.Bulletin,
+	heard func([]facade.Purge)) {
+	p.caster = carrier.New(set.Name, set.Place, func(some []broadcast.Purge) {
+		purges := make([]facade.Purge, 0, len(some))
+		for _, v := range some {
+			purges = append(purges, facade.Purge{Object: v.Object, Group: int(v.Group), Issued: time.UnixMilli(v.Issued)})
+		}
+		heard(purges)
+	}, g.Log(), seed, wall)
+	bulletin.Event = func(_ int64, purges []facade.Purge) {
+		told := make([]broadcast.Purge, 0, len(purges))
+		for _, v := range purges {
+			told = append(told, broadcast.Purge{Object: v.Object, Group: int64(v.Group), Issued: v.Issued.UnixMilli()})
+		}
+		p.caster.Told(told)
+	}
+}
+
 // Run takes part until the gateway drains or its life ends.
 func (p *part) Run(life *clock.Life) error {
 	defer close(p.ended)
@@ -132,10 +175,18 @@
 		}
 		close(done)
 	}()
+	cast := make(chan struct{})
+	go func() {
+		if p.caster != nil {
+			p.caster.Run(stop)
+		}
+		close(cast)
+	}()
 	go p.count(stop)
 	err := p.fleet.Run(stop)
 	end()
 	<-done
+	<-cast
 	return err
 }
 
@@ -170,7 +221,7 @@
 	}
 	of := operator.Of{Routes: routes}
 	if p != nil {
-		of.Fleet, of.Limits, fleet = p.fleet, p.post, own.Fleet.Socket
+		of.Fleet, of.Limits, of.Broadcast, fleet = p.fleet, p.post, p.caster, own.Fleet.Socket
 	}
 	open := func(what, path string, of operator.Of) {
 		if path == "" || err != nil {
@@ -188,6 +239,6 @@
 		return doors, err
 	}
 	open("routing", routing, operator.Of{Routes: routes})
-	open("fleet", fleet, operator.Of{Fleet: of.Fleet, Limits: of.Limits})
+	open("fleet", fleet, operator.Of{Fleet: of.Fleet, Limits: of.Limits, Broadcast: of.Broadcast})
 	return doors, err
 }
