--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -133,10 +133,13 @@
 	return w.Flush()
 }
 
-type fleetBroadcast struct{ fleetSocket }
+type fleetBroadcast struct {
+	After uint64 `help:"Leave out the heeded purges numbered up to this one (with --json)."`
+	fleetSocket
+}
 
 func (f *fleetBroadcast) Run(to *streams) error {
-	a, err := socket{f.Socket, f.JSON, f.Wait}.call(operator.Call{Do: "broadcast"})
+	a, err := socket{f.Socket, f.JSON, f.Wait}.call(operator.Call{Do: "broadcast", No: f.After})
 	if err != nil {
 		return err
 	}
@@ -153,10 +156,10 @@
 	}
 	fmt.Fprintf(to.out, "%s in region %q, zone %q, site %q: %s, %d of %d live below it: %s\n", r.Name, r.Place.Region, r.Place.Zone, r.Place.Site, parent,
 		len(r.Node.Children), r.Live, strings.Join(r.Node.Children, ", "))
-	if b := r.Node.Behind; b.Since != 0 {
+	if b := r.Node.Behind; r.Mode == "behind" {
 		fmt.Fprintf(to.out, "BEHIND: %d batches and %d seconds of purges are known to be missing\n", b.Batches, b.Seconds)
 	} else {
-		fmt.Fprintln(to.out, "whole: nothing is known to be missing")
+		fmt.Fprintln(to.out, "whole: nothing is known to be missing for longer than 2 s")
 	}
 	c, up := r.Counts, max(float64(r.UpMS)/1000, 1)
 	fmt.Fprintf(to.out, "datagrams %.1f in, %.1f out a second, %.0f and %.0f bytes; %d not sent, %d dropped as too many waited, %d of unknown senders, %d unreadable\n",
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -114,3 +114,35 @@
 		}
 	}
 }
+
+// What cannot be of the broadcast of purges is refused with what is wrong, where, and what to do; what can be is taken as it stands.
+func TestSettingsOfTheBroadcastAreChecked(t *testing.T) {
+	long := strings.Repeat("x", mostPlace)
+	for text, want := range map[string]string{
+		`broadcast: true`: "",
+		`broadcast: true, region: 'north', zone: 'n-1', site: 'n-1-a'`:  "",
+		`region: 'north', zone: 'n-1', site: 'n-1-a'`:                   "", // places come before the broadcast
+		`broadcast: true, region: '` + long + `', zone: 'z', site: 's'`: "",
+		`purges: true, region: 'north', zone: 'n-1', site: 'n-1-a'`:     "",
+		`broadcast: true, purges: true`:                                 `f.jsonnet: fleet.broadcast: is set beside fleet.purges; set one: broadcast`,
+		`region: 'north'`:                                               `f.jsonnet: fleet.zone: is missing; name region, zone and site of this gateway, or none of them`,
+		`zone: 'n-1', site: 'n-1-a'`:                                    `f.jsonnet: fleet.region: is missing; name region, zone and site`,
+		`region: 'north', zone: 'n-1'`:                                  `f.jsonnet: fleet.site: is missing; name region, zone and site`,
+		`region: '` + long + `x', zone: 'z', site: 's'`:                 `f.jsonnet: fleet.region: has 49 bytes; at most 48`,
+		`region: 'r', zone: '` + long + `x', site: 's'`:                 `f.jsonnet: fleet.zone: has 49 bytes; at most 48`,
+		`region: 'r', zone: 'z', site: '` + long + `x'`:                 `f.jsonnet: fleet.site: has 49 bytes; at most 48`,
+		`broadcast: 'yes'`:                                              "broadcast",
+	} {
+		all := `{ fleet: { listen: '127.0.0.1:7946', ` + text + ` } }`
+		s, err := Read("f.jsonnet", func(string) ([]byte, error) { return []byte(all), nil })
+		if want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%s: %v", text, err)
+		} else if err == nil && s.Fleet.Broadcast != strings.Contains(text, "broadcast") {
+			t.Errorf("%s: %+v", text, s.Fleet)
+		}
+	}
+	if s, err := Read("f.jsonnet", func(string) ([]byte, error) { return []byte(`{ fleet: { listen: '127.0.0.1:7946' } }`), nil }); err != nil ||
+		s.Fleet.Broadcast || s.Fleet.Region+s.Fleet.Zone+s.Fleet.Site != "" {
+		t.Errorf("off where nothing is set: %+v %v", s, err)
+	}
+}
--- a/door/operator/operator.go
+++ b/door/operator/operator.go
@@ -208,7 +208,7 @@
 		if o.of.Broadcast == nil {
 			return Answer{Error: "this gateway spreads no purges by broadcast", Remedy: "set fleet.broadcast in its settings, and call at fleet.socket"}
 		}
-		r := o.of.Broadcast.Report()
+		r := o.of.Broadcast.Report(c.No)
 		return Answer{Broadcast: &r}
 	}
 	if o.of.Routes == nil {
--- a/fleet/broadcast/carrier/carrier.go
+++ b/fleet/broadcast/carrier/carrier.go
@@ -6,7 +6,8 @@
 //
 // One goroutine (Run) does all of it; Take and Told only queue and never wait. Bounds: mostQueued frames of mostFrame bytes and
 // mostTold purges of the own watch wait, past them the new ones are dropped and counted: the repair of the broadcast finds them, and the
-// own watch is heeded without it anyway. Locks: mu guards node and queues and is never held over I/O. It lives as long as the gateway.
+// own watch is heeded without it anyway. The latest mostLatest purges that counted here are kept for who asks, some 100 KB. Locks: mu
+// guards node, queues and that list and is never held over I/O, nor over a line of the log. It lives as long as the gateway.
 package carrier
 
 import (
@@ -28,6 +29,8 @@
 	headSize   = 1 + 8
 	look       = 200 * time.Millisecond // between looks at the view
 	behindFor  = 2 * time.Second        // before a gap is told in the log: what is repaired at once is no news
+	wholeFor   = 5 * time.Second        // without one so old, before the log says that it is over: at most two lines in wholeFor
+	mostLatest = 1024                   // purges told to who asks
 )
 
 // Fleet is the part of membership that it needs.
@@ -71,17 +74,32 @@
 	told   []broadcast.Purge
 	peers  map[uint64]string // live ones, by key
 	counts Counts
-	gapAt  int64 // since when the node is behind; 0: it is not
-	behind bool  // and that it was told
+	behind bool  // and the log was told so
+	gapAt  int64 // since when the gap that it was told of lasts
+	oldAt  int64 // when a gap was last older than behindFor
+	latest []Heeded
+	heeded uint64 // purges that were put in latest since New
+}
+
+// Heeded is a purge that counted at this gateway: the time that it did by the gateway's own up time, which no wrong clock shifts.
+type Heeded struct {
+	No     uint64 `json:"no"` // from 1 on, without gaps, since the process started
+	Object string `json:"object,omitempty"`
+	Group  int64  `json:"group,omitempty"`
+	Issued int64  `json:"issued_ms"`      // Unix, as whoever told it says
+	AtMS   int64  `json:"at_up_ms"`       // as Report.UpMS
+	Peer   bool   `json:"peer,omitempty"` // a peer told it first; else the own watch did, perhaps after a peer
 }
 
 // New makes a gateway's: heed takes purges that peers told first, on Run's goroutine. wall is the machine's clock, for the age of purges.
-func New(self string, place view.Place, heed func([]broadcast.Purge), log *slog.Logger, seed uint64, wall func() time.Time) *Carrier {
+// stamp differs at each start of a process, and between gateways: peers hold batches by it, and those of a new process under an old
+// stamp would be taken for ones that they had. All chance comes of it too.
+func New(self string, place view.Place, heed func([]broadcast.Purge), log *slog.Logger, stamp uint64, wall func() time.Time) *Carrier {
 	c := &Carrier{self: self, place: broadcast.Place{Region: place.Region, Zone: place.Zone, Site: place.Site}, heed: heed, log: log, began: time.Now(),
 		bell: make(chan struct{}, 1), peers: map[uint64]string{}}
 	set := broadcast.Usual
 	set.Unix = wall().UnixMilli()
-	c.node = broadcast.New(set, broadcast.Member{Name: self, Place: c.place}, seed, rand.New(rand.NewPCG(seed, 0x62726f6164636173)), c.now())
+	c.node = broadcast.New(set, broadcast.Member{Name: self, Place: c.place}, stamp, rand.New(rand.NewPCG(stamp, 0x62726f6164636173)), c.now())
 	return c
 }
 
@@ -122,10 +140,24 @@
 	room := max(0, mostTold-len(c.told))
 	c.counts.OwnDropped += uint64(max(0, len(purges)-room))
 	c.told = append(c.told, purges[:min(room, len(purges))]...)
+	c.list(purges, false, c.now()) // those that found no room too: they are heeded
 	c.mu.Unlock()
 	c.ring()
 }
 
+// list keeps what counted here for who asks; mu is held.
+func (c *Carrier) list(purges []broadcast.Purge, peer bool, now int64) {
+	for _, p := range purges {
+		c.heeded++
+		h := Heeded{c.heeded, p.Object, p.Group, p.Issued, now / 1000, peer}
+		if len(c.latest) < mostLatest {
+			c.latest = append(c.latest, h)
+		} else {
+			c.latest[(c.heeded-1)%mostLatest] = h
+		}
+	}
+}
+
 // Run goes on until stop is closed.
 func (c *Carrier) Run(stop <-chan struct{}) {
 	timer := time.NewTimer(0)
@@ -137,12 +169,18 @@
 		case <-c.bell:
 		case <-timer.C:
 		}
-		heed, out, next := c.turn()
-		if len(heed) > 0 {
-			c.heed(heed)
+		t := c.turn()
+		if len(t.heed) > 0 {
+			c.heed(t.heed)
+			c.mu.Lock()
+			c.list(t.heed, true, c.now())
+			c.mu.Unlock()
+		}
+		c.send(t.out)
+		if t.line != nil {
+			t.line()
 		}
-		c.send(out)
-		timer.Reset(next)
+		timer.Reset(t.next)
 	}
 }
 
@@ -151,8 +189,16 @@
 	b  []byte
 }
 
-// turn brings in what waits and gives what is to be heeded and sent, and when to come again.
-func (c *Carrier) turn() (heed []broadcast.Purge, out []letter, next time.Duration) {
+// toDo is what a turn leaves to be done without the lock.
+type toDo struct {
+	heed []broadcast.Purge
+	out  []letter
+	line func() // of the log; nil: none
+	next time.Duration
+}
+
+// turn brings in what waits and gives what is to be done, and when to come again.
+func (c *Carrier) turn() (t toDo) {
 	version := c.fleet.Version()
 	var live []view.ID
 	if !c.seen || version != c.version { // Run's goroutine alone touches these two
@@ -170,16 +216,18 @@
 		c.node.Own(told, now)
 	}
 	for _, b := range in {
-		heed = append(heed, c.read(b, now)...)
+		t.heed = append(t.heed, c.read(b, now)...)
 	}
 	c.node.Step(now)
 	for _, l := range c.node.Out() {
 		b := binary.LittleEndian.AppendUint64([]byte{broadcast.Kind}, view.Key(c.self))
-		out = append(out, letter{l.To, append(b, l.Frame...)})
+		t.out = append(t.out, letter{l.To, append(b, l.Frame...)})
 	}
-	c.counts.PeersFirst += uint64(len(heed))
-	c.gap(now)
-	return heed, out, min(look, max(time.Millisecond, time.Duration(c.node.Next()-now)*time.Microsecond))
+	c.counts.PeersFirst += uint64(len(t.heed))
+	t.line = c.gap(now)
+	next := min(look.Microseconds(), c.node.Next()-now) // bounded before it is made nanoseconds: never would not fit
+	t.next = max(time.Millisecond, time.Duration(next)*time.Microsecond)
+	return t
 }
 
 // see tells the node who is live; mu is held.
@@ -216,22 +264,25 @@
 	return heed
 }
 
-// gap tells when a gap has lasted and when it is closed; mu is held.
-func (c *Carrier) gap(now int64) {
-	s := c.node.Stats()
+// gap gives the line of the log where the mode changes: behind once a gap has lasted behindFor, whole once none so old was there for
+// wholeFor. Under steady loss some gap is always there, each a short one: that is no mode. mu is held.
+func (c *Carrier) gap(now int64) func() {
+	b := c.node.Stats().Behind
+	old := b.Since != 0 && now-b.Since > behindFor.Microseconds()
+	if old {
+		c.oldAt = now
+	}
 	switch {
-	case s.Behind.Since == 0:
-		if c.behind {
-			c.log.Info("fleet_broadcast", "mode", "whole", "behind_ms", (now-c.gapAt)/1000)
-		}
-		c.gapAt, c.behind = 0, false
-	case c.gapAt == 0:
-		c.gapAt = now
-	case !c.behind && now-c.gapAt > behindFor.Microseconds():
-		c.behind = true
+	case old && !c.behind:
+		c.behind, c.gapAt = true, b.Since
 		c.counts.BehindTimes++
-		c.log.Warn("fleet_broadcast", "mode", "behind", "batches", s.Behind.Batches, "seconds", s.Behind.Seconds)
+		return func() { c.log.Warn("fleet_broadcast", "mode", "behind", "batches", b.Batches, "seconds", b.Seconds) }
+	case c.behind && now-c.oldAt > wholeFor.Microseconds():
+		c.behind = false
+		lasted := (c.oldAt - c.gapAt) / 1000
+		return func() { c.log.Info("fleet_broadcast", "mode", "whole", "behind_ms", lasted) }
 	}
+	return nil
 }
 
 func (c *Carrier) send(out []letter) {
@@ -253,14 +304,25 @@
 	Name   string          `json:"name"`
 	Place  broadcast.Place `json:"place"`
 	Live   int             `json:"live"`
+	Mode   string          `json:"mode"` // behind or whole, as the log was told
 	Counts Counts          `json:"counts"`
 	Node   broadcast.Stats `json:"node"`
 	UpMS   int64           `json:"up_ms"`
+	Heeded uint64          `json:"heeded"` // the last one's number
+	Latest []Heeded        `json:"latest,omitempty"`
 }
 
-// Report tells it.
-func (c *Carrier) Report() Report {
+// Report tells it, with the latest purges that counted here, those numbered up to after left out: of the last mostLatest.
+func (c *Carrier) Report(after uint64) Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Report{c.self, c.place, len(c.peers) + 1, c.counts, c.node.Stats(), c.now() / 1000}
+	r := Report{Name: c.self, Place: c.place, Live: len(c.peers) + 1, Mode: "whole", Counts: c.counts, Node: c.node.Stats(), UpMS: c.now() / 1000,
+		Heeded: c.heeded}
+	if c.behind {
+		r.Mode = "behind"
+	}
+	for no := max(after, c.heeded-uint64(len(c.latest))) + 1; no <= c.heeded; no++ {
+		r.Latest = append(r.Latest, c.latest[(no-1)%mostLatest])
+	}
+	return r
 }
--- a/fleet/broadcast/frame.go
+++ b/fleet/broadcast/frame.go
@@ -8,8 +8,9 @@
 	"slices"
 )
 
-// Kind is the first byte of every frame, beside other things that gateways say.
-const Kind byte = 4
+// Kind is the first byte of every frame, beside other things that gateways say: words are 1, limits 2, verdicts 3, and 4 alone asks a
+// gateway to speak up.
+const Kind byte = 5
 
 // The second byte tells what a frame is. Numbers are varints of encoding/binary where not said otherwise; all of a frame must be readable.
 const (
--- a/service/fleet.go
+++ b/service/fleet.go
@@ -1,6 +1,8 @@
 package service
 
 import (
+	crand "crypto/rand"
+	"encoding/binary"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -103,7 +105,11 @@
 		parts.Take = p.post.Take
 	}
 	if c.Broadcast {
-		p.broadcast(set, parts.Now, seed, g, bulletin, heard)
+		var stamp [8]byte // not of the seed, which a configuration may give alike at each start and to each gateway
+		if _, err := crand.Read(stamp[:]); err != nil {
+			return nil, err
+		}
+		p.broadcast(set, parts.Now, binary.LittleEndian.Uint64(stamp[:]), g, bulletin, heard)
 		others := parts.Take
 		parts.Take = func(b []byte) {
 			if carrier.Mine(b) {
@@ -137,7 +143,7 @@
 }
 
 // broadcast makes the carrier of purges between gateways, told what the own discovery watch tells.
-func (p *part) broadcast(set membership.Settings, wall func() time.Time, seed uint64, g clock.Ground, bulletin *wire.Bulletin,
+func (p *part) broadcast(set membership.Settings, wall func() time.Time, stamp uint64, g clock.Ground, bulletin *wire.Bulletin,
 	heard func([]facade.Purge)) {
 	p.caster = carrier.New(set.Name, set.Place, func(some []broadcast.Purge) {
 		purges := make([]facade.Purge, 0, len(some))
@@ -145,7 +151,7 @@
 			purges = append(purges, facade.Purge{Object: v.Object, Group: int(v.Group), Issued: time.UnixMilli(v.Issued)})
 		}
 		heard(purges)
-	}, g.Log(), seed, wall)
+	}, g.Log(), stamp, wall)
 	bulletin.Event = func(_ int64, purges []facade.Purge) {
 		told := make([]broadcast.Purge, 0, len(purges))
 		for _, v := range purges {
