Broadcast: the last purges before a silence are reconciled; behind by seconds too

Cause: sums went up to five seconds before the newest purge known, so what a gateway lacked of the last seconds before purges stopped was never asked for (the carrier's story of a cut: 50 of 3,000 missing after two minutes). The span goes on with time now, up to 300 s, on the gateway's own monotonic time. A gap that only reconciliation knows of was no mode for the log: it is dated by the carrier. Measured: the carrier's ten stories and fleet/broadcast pass.

--- a/fleet/broadcast/broadcast.go
+++ b/fleet/broadcast/broadcast.go
@@ -143,6 +143,7 @@
 	sweepAt  int64
 
 	reconcileAt int64
+	newestAt    int64 // when the newest issue was last heard to rise
 }
 
 const never = int64(1<<63 - 1)
@@ -230,7 +231,11 @@
 		n.stats.Unkept++
 		return unknown
 	}
+	newest := n.kept.newest
 	if n.kept.add(p) {
+		if n.kept.newest != newest {
+			n.newestAt = now
+		}
 		return fresh
 	}
 	return known
--- a/fleet/broadcast/carrier/carrier.go
+++ b/fleet/broadcast/carrier/carrier.go
@@ -79,6 +79,8 @@
 	oldAt  int64 // when a gap was last older than behindFor
 	latest []Heeded
 	heeded uint64 // purges that were put in latest since New
+
+	differAt int64 // since when reconciliation knows of seconds that may lack something; 0: it knows of none
 }
 
 // Heeded is a purge that counted at this gateway: the time that it did by the gateway's own up time, which no wrong clock shifts.
@@ -268,13 +270,24 @@
 // wholeFor. Under steady loss some gap is always there, each a short one: that is no mode. mu is held.
 func (c *Carrier) gap(now int64) func() {
 	b := c.node.Stats().Behind
-	old := b.Since != 0 && now-b.Since > behindFor.Microseconds()
+	since := b.Since // of batches; seconds that a peer has more of are dated here
+	if b.Seconds == 0 {
+		c.differAt = 0
+	} else {
+		if c.differAt == 0 {
+			c.differAt = now
+		}
+		if since == 0 || c.differAt < since {
+			since = c.differAt
+		}
+	}
+	old := since != 0 && now-since > behindFor.Microseconds()
 	if old {
 		c.oldAt = now
 	}
 	switch {
 	case old && !c.behind:
-		c.behind, c.gapAt = true, b.Since
+		c.behind, c.gapAt = true, since
 		c.counts.BehindTimes++
 		return func() { c.log.Warn("fleet_broadcast", "mode", "behind", "batches", b.Batches, "seconds", b.Seconds) }
 	case c.behind && now-c.oldAt > wholeFor.Microseconds():
--- a/fleet/broadcast/reconcile.go
+++ b/fleet/broadcast/reconcile.go
@@ -8,6 +8,7 @@
 // rate; who is asked answers as long as its own has room.
 const (
 	settle      = 5         // seconds of issue time that may still be under way
+	quiet       = 300       // seconds that the span goes on in a silence; with Keep less than mostSums minutes
 	margin      = 120       // seconds above the horizon that sums begin
 	mostOpen    = 4         // requests without their answer
 	answerWait  = 1_500_000 // then it is asked anew, and then the peer is given up
@@ -54,10 +55,11 @@
 
 func ceilMinute(sec int64) int64 { return (sec + minute - 1) / minute * minute }
 
-// compared is the span that sums are told of.
+// compared is the span that sums are told of: up to what may still be under way. Where no newer purge comes, it goes on with time, for
+// the last ones before a silence, which nothing that follows would show to be missing.
 func (n *Node) compared(now int64) span {
 	s := span{from: ceilMinute(n.horizon(now)) + margin}
-	s.to = max(s.from, n.kept.newest/1000-settle)
+	s.to = max(s.from, n.kept.newest/1000-settle+min(quiet, (now-n.newestAt)/1_000_000))
 	return s
 }
 
