--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -164,7 +164,7 @@
 	c, up := r.Counts, max(float64(r.UpMS)/1000, 1)
 	fmt.Fprintf(to.out, "datagrams %.1f in, %.1f out a second, %.0f and %.0f bytes; %d not sent, %d dropped as too many waited, %d of unknown senders, %d unreadable\n",
 		float64(c.TakenIn)/up, float64(c.SentOut)/up, float64(c.BytesIn)/up, float64(c.BytesOut)/up, c.NotSent, c.Full, c.Unknown, c.Unreadable)
-	fmt.Fprintf(to.out, "purges that peers told first %d; own ones without room %d; gaps told %d\n", c.PeersFirst, c.OwnDropped, c.BehindTimes)
+	fmt.Fprintf(to.out, "purges that counted here %d, of them told by peers first %d; own ones without room %d; gaps told %d\n", r.Heeded, c.PeersFirst, c.OwnDropped, c.BehindTimes)
 	return nil
 }
 
