--- a/cli/rigs/rigs.go
+++ b/cli/rigs/rigs.go
@@ -145,6 +145,7 @@
 	}
 	c.table(out, reports)
 	limits(out, reports)
+	spreads(out, reports)
 	if bad > 0 {
 		return fmt.Errorf("%d of %d runs did what must not be", bad, len(reports))
 	}
@@ -298,6 +299,25 @@
 	w.Flush()
 }
 
+// spreads prints how purges came to gateways that could not hear the bulletin, a line a run.
+func spreads(out io.Writer, reports []*fleet.Report) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	first := true
+	for _, r := range reports {
+		s := r.Spread
+		if s == nil {
+			continue
+		}
+		if first {
+			fmt.Fprintln(w, "SCENARIO\tSEED\tTOLD\tOF PEERS\tIN 4.5S\tSHARE\tP50\tP99\tMOST\tOWN\tAT THE END\tLOST\tBUSIEST B/S")
+		}
+		first = false
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.4f\t%dms\t%dms\t%dms\t%d\t%d\t%d\t%.0f\n", r.Scenario, r.Seed, s.Told, s.Pairs, s.Within, s.Share, s.P50, s.P99,
+			s.Most, s.Own, s.Final, s.Lost, s.Busiest)
+	}
+	w.Flush()
+}
+
 func secs(s float64) string {
 	if math.IsNaN(s) {
 		return "never"
--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -14,19 +14,20 @@
 
 // Report is what became of one run.
 type Report struct {
-	Scenario string       `json:"scenario"`
-	Seed     uint64       `json:"seed"`
-	Gateways int64        `json:"gateways"`
-	ReadyMS  int64        `json:"ready_ms"` // until all started gateways had settled
-	Steps    []StepReport `json:"steps"`
-	False    int          `json:"false_deaths"` // lines that told dead a gateway that ran and could be reached
-	Rest     Traffic      `json:"at_rest"`      // between ready and the first step
-	Churn    Traffic      `json:"in_churn"`     // from the first step on
-	Load     *LoadReport  `json:"load,omitempty"`
-	Limit    *LimitReport `json:"limit,omitempty"`
-	Events   []Event      `json:"events,omitempty"`
-	Views    []ViewAt     `json:"views,omitempty"`
-	Wrong    []string     `json:"wrong,omitempty"` // what must not be
+	Scenario string        `json:"scenario"`
+	Seed     uint64        `json:"seed"`
+	Gateways int64         `json:"gateways"`
+	ReadyMS  int64         `json:"ready_ms"` // until all started gateways had settled
+	Steps    []StepReport  `json:"steps"`
+	False    int           `json:"false_deaths"` // lines that told dead a gateway that ran and could be reached
+	Rest     Traffic       `json:"at_rest"`      // between ready and the first step
+	Churn    Traffic       `json:"in_churn"`     // from the first step on
+	Load     *LoadReport   `json:"load,omitempty"`
+	Limit    *LimitReport  `json:"limit,omitempty"`
+	Spread   *SpreadReport `json:"spread,omitempty"` // of purges told at a rate
+	Events   []Event       `json:"events,omitempty"`
+	Views    []ViewAt      `json:"views,omitempty"`
+	Wrong    []string      `json:"wrong,omitempty"` // what must not be
 }
 
 // StepReport is how a step ended.
@@ -125,6 +126,10 @@
 			rep.Wrong = append(rep.Wrong, fmt.Sprintf("%.0f a second were let in of a limit of %.0f, at least %.0f are wanted", rep.Limit.Mean, l.Lookups, l.Least*l.Lookups))
 		}
 	}
+	if r.spread != nil {
+		rep.Spread = r.spread.report(r.states)
+		rep.Wrong = append(rep.Wrong, rep.Spread.wrong(r.s.Purges)...)
+	}
 	if err := r.crashes(); err != nil {
 		rep.Wrong = append(rep.Wrong, err.Error())
 	}
--- a/lab/fleet/rig.go
+++ b/lab/fleet/rig.go
@@ -37,15 +37,16 @@
 
 // Rig is one run of a scenario on real processes.
 type Rig struct {
-	s     *Scenario
-	o     Options
-	cast  *Cast
-	links *Links
-	relay *Relay
-	all   []*process
-	by    map[string]*process
-	began time.Time
-	load  *load
+	s      *Scenario
+	o      Options
+	cast   *Cast
+	links  *Links
+	relay  *Relay
+	all    []*process
+	by     map[string]*process
+	began  time.Time
+	load   *load
+	spread *spread // nil: the scenario tells no purges at a rate
 
 	mu       sync.Mutex
 	states   []moment // agreement over time
@@ -181,6 +182,8 @@
 func (r *Rig) settings(p *process, i int, caches []standin.Member, seeds []string, own, door netip.AddrPort) error {
 	f := r.s.Fleet
 	f.Listen, f.Advertise, f.Seeds, f.Socket = own.String(), door.String(), seeds, p.socket()
+	at := r.s.place(p.name)
+	f.Region, f.Zone, f.Site = at.Region, at.Zone, at.Site
 	if r.s.Disk {
 		f.Folder = filepath.Join(p.dir, "kept")
 	}
@@ -254,18 +257,28 @@
 			return err
 		}
 	}
+	if r.s.Purges != nil {
+		r.spread = startSpread(r)
+	}
 	for i, st := range r.s.Steps {
 		time.Sleep(ready + time.Duration(st.AtMS)*time.Millisecond - r.now())
 		r.mark(i)
+		at := r.now()
 		if err := r.step(st); err != nil {
 			return fmt.Errorf("step %d (%s): %w", i, st.Do, err)
 		}
+		if r.spread != nil {
+			r.spread.changed(at)
+		}
 		r.looked()
 	}
 	time.Sleep(time.Duration(r.s.EndMS) * time.Millisecond)
 	if r.load != nil {
 		r.load.stop()
 	}
+	if r.spread != nil {
+		r.spread.stop()
+	}
 	r.mark(len(r.s.Steps))
 	return nil
 }
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -32,6 +32,8 @@
 	Seeds    int64        `json:"seeds,omitempty"`   // gateways that the others are told of; 3
 	Fleet    config.Fleet `json:"fleet,omitempty"`   // settings; addresses, seeds, folder and socket are the rig's
 	Offsets  []Offset     `json:"offsets,omitempty"` // clocks that are wrong
+	Places   []Place      `json:"places,omitempty"`  // where gateways stand
+	Purges   *Purges      `json:"purges,omitempty"`  // told at a rate; needs fleet.broadcast
 	ReadyMS  int64        `json:"ready_ms,omitempty"`
 	Steps    []Step       `json:"steps"`
 	EndMS    int64        `json:"end_ms"` // after the last step
@@ -137,6 +139,19 @@
 	if l := s.Limit; l != nil && (l.Lookups < 1 || l.Over < 0 || s.Load.PerSecond == 0) {
 		return bad("limit", fmt.Sprintf("%+v", *l), "a limit of at least 1 lookup a second, and a load")
 	}
+	if p := s.Purges; p != nil && (p.PerSecond <= 0 || p.FromMS < 0 || p.PerSecond*float64(p.ForMS)/1000 > mostTold || p.Share < 0 || p.Share > 1 || !s.Fleet.Broadcast) {
+		return bad("purges", fmt.Sprintf("%+v", *p), fmt.Sprintf("expected per_second above 0, at most %d in all, and fleet.broadcast", mostTold))
+	}
+	for i, p := range s.Places {
+		if p.Region == "" || p.Zone == "" || p.Site == "" {
+			return bad(fmt.Sprintf("places[%d]", i), fmt.Sprintf("%+v", p), "expected region, zone and site")
+		}
+		for _, who := range p.Who {
+			if !slices.Contains(s.names(), who) {
+				return bad(fmt.Sprintf("places[%d].who", i), fmt.Sprintf("%q is nobody", who), "expected n1 to n"+fmt.Sprint(s.Gateways))
+			}
+		}
+	}
 	if s.Seeds == 0 {
 		s.Seeds = min(3, s.Gateways-s.Late)
 	}
@@ -152,6 +167,9 @@
 		return bad("steps", fmt.Sprintf("has %d", len(s.Steps)), fmt.Sprintf("at most %d", mostSteps))
 	}
 	last, picked := int64(0), map[string]bool{}
+	for name := range s.heads() {
+		picked[name] = true
+	}
 	for i, st := range s.Steps {
 		at := fmt.Sprintf("steps[%d]", i)
 		if st.AtMS < last {
@@ -221,7 +239,7 @@
 
 // NewCast makes the cast of one seed.
 func (s *Scenario) NewCast(seed uint64) *Cast {
-	return &Cast{rand.New(rand.NewPCG(seed, 0x63617374)), s.names(), map[string][]string{}}
+	return &Cast{rand.New(rand.NewPCG(seed, 0x63617374)), s.names(), s.heads()}
 }
 
 func (c *Cast) names(who []string) (out []string) {
