--- a/lab/fleet/rig_test.go
+++ b/lab/fleet/rig_test.go
@@ -5,8 +5,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"foldslip/config"
 )
@@ -118,14 +120,18 @@
 
 func TestScenariosThatCannotBePlayedAreRefusedWithTheirPlace(t *testing.T) {
 	for text, want := range map[string]string{
-		`{ gateways: 3, steps: [{ at_ms: 1, do: 'explode' }] }`:                        "steps[0].do",
-		`{ gateways: 3, steps: [{ at_ms: 1, do: 'kill', who: ['n4'] }] }`:              `"n4" is nobody`,
-		`{ gateways: 3, steps: [{ at_ms: 1, do: 'start', who: ['@x'] }] }`:             `"@x" is nobody`,
-		`{ gateways: 99, steps: [] }`:                                                  "gateways",
-		`{ gateways: 3, stps: [] }`:                                                    "stps: no such setting",
-		`{ gateways: 3, steps: [{ at_ms: 5, do: 'heal' }, { at_ms: 1, do: 'heal' }] }`: "before the step before it",
-		`{ gateways: 3, load: { per_second: 5 }, steps: [] }`:                          "load.per_second",
-		`{ gateways: 3, steps: [], end_ms: 99999999 }`:                                 "a run takes at most",
+		`{ gateways: 3, steps: [{ at_ms: 1, do: 'explode' }] }`:                                              "steps[0].do",
+		`{ gateways: 3, steps: [{ at_ms: 1, do: 'kill', who: ['n4'] }] }`:                                    `"n4" is nobody`,
+		`{ gateways: 3, steps: [{ at_ms: 1, do: 'start', who: ['@x'] }] }`:                                   `"@x" is nobody`,
+		`{ gateways: 99, steps: [] }`:                                                                        "gateways",
+		`{ gateways: 3, stps: [] }`:                                                                          "stps: no such setting",
+		`{ gateways: 3, steps: [{ at_ms: 5, do: 'heal' }, { at_ms: 1, do: 'heal' }] }`:                       "before the step before it",
+		`{ gateways: 3, load: { per_second: 5 }, steps: [] }`:                                                "load.per_second",
+		`{ gateways: 3, steps: [], end_ms: 99999999 }`:                                                       "a run takes at most",
+		`{ gateways: 3, purges: { per_second: 5, for_ms: 1000 }, steps: [] }`:                                "purges",
+		`{ gateways: 3, fleet: { broadcast: true }, purges: { per_second: 500, for_ms: 60000 }, steps: [] }`: "at most 3000",
+		`{ gateways: 3, places: [{ who: ['n1'], region: 'r', zone: 'z' }], steps: [] }`:                      "places[0]",
+		`{ gateways: 3, places: [{ who: ['n4'], region: 'r', zone: 'z', site: 's' }], steps: [] }`:           "places[0].who",
 	} {
 		path := filepath.Join(t.TempDir(), "s.jsonnet")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -141,3 +147,98 @@
 		}
 	}
 }
+
+// Purges that one gateway of twelve in four sites hears of the bulletin come to all others, also while the root of the tree is dead.
+func TestPurgesOfOneWatchComeToAllGateways(t *testing.T) {
+	t.Parallel()
+	s := Scenario{Name: "broadcast", Gateways: 12, Fleet: brief, EndMS: 7000,
+		Purges: &Purges{PerSecond: 10, FromMS: 1000, ForMS: 5000, Share: 0.99},
+		Places: []Place{{Who: []string{"n1", "n2", "n3"}, Region: "north", Zone: "a", Site: "a1"}, {Who: []string{"n4", "n5", "n6"}, Region: "north", Zone: "a", Site: "a2"},
+			{Who: []string{"n7", "n8", "n9"}, Region: "south", Zone: "b", Site: "b1"}, {Who: []string{"n10", "n11", "n12"}, Region: "south", Zone: "b", Site: "b2"}},
+		Steps: []Step{
+			{AtMS: 100, Do: "link", To: []string{Bulletin}, Cut: true, Settle: "none"},
+			{AtMS: 100, Do: "link", From: []string{Bulletin}, Cut: true, Settle: "none"},
+			{AtMS: 3000, Do: "kill", Who: []string{"@root"}, Settle: "none"},
+		}}
+	s.Fleet.Broadcast = true
+	root := s.heads()["root"][0]
+	deaf := slices.DeleteFunc(s.names(), func(name string) bool { return name == "n2" })
+	s.Steps[0].From, s.Steps[1].To = deaf, deaf
+	if root == "n2" {
+		t.Fatal("the one that hears is the one that dies")
+	}
+	if err := s.check("story"); err != nil {
+		t.Fatal(err)
+	}
+	rep, err := Run(&s, Options{Program: program, Dir: t.TempDir(), Seed: 1, Net: testNet + 21, Tell: t.Logf})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, wrong := range rep.Wrong {
+		t.Error(wrong)
+	}
+	if r := rep.Spread; r.Told != 50 || r.Pairs < 400 || r.Final != 11*50 {
+		t.Errorf("%+v", r)
+	}
+	t.Logf("%+v", rep.Spread)
+}
+
+// What the rig says of the spreading comes of what it did: a purge that came late, one that did not come, and gateways that had no part.
+func TestTheRigJudgesTheSpreadingOfPurges(t *testing.T) {
+	w := func(at int, up, hears string, side map[string]int) world {
+		out := world{at: time.Duration(at) * time.Second, done: time.Duration(at) * time.Second, up: map[string]bool{}, hears: map[string]bool{}, side: side}
+		for _, name := range strings.Fields(up) {
+			out.up[name] = true
+		}
+		for _, name := range strings.Fields(hears) {
+			out.hears[name] = true
+		}
+		return out
+	}
+	one := map[string]int{"n1": 0, "n2": 0, "n3": 0}
+	had := func(objects ...string) *heeds {
+		h := &heeds{asked: true, now: map[string]bool{}, first: map[string]time.Duration{}}
+		for i, o := range objects {
+			if o != "" {
+				h.now[o], h.first[o] = true, time.Duration(10+10*i)*time.Second+time.Second
+			}
+		}
+		return h
+	}
+	s := &spread{told: []toldPurge{{"a", 10 * time.Second}, {"b", 20 * time.Second}, {"c", 30 * time.Second}},
+		worlds: []world{w(0, "n1 n2 n3", "n1", one), w(15, "n1 n2", "n1", one), w(25, "n1 n2 n3", "n1", one)},
+		had:    map[string]*heeds{"n1": had("a", "b", "c"), "n2": had("a", "b", "c"), "n3": had("a", "", "c")}}
+	agreed := []moment{{at: 0, agree: true}, {at: 15 * time.Second}, {at: 28 * time.Second, agree: true}}
+	if r := s.report(agreed); r.Pairs != 5 || r.Within != 5 || r.Own != 3 || r.Lost != 1 || r.Final != 9 || r.Most != 1000 {
+		t.Errorf("one was down for the second purge: %+v", r)
+	}
+	if r := s.report(agreed[:2]); r.Pairs != 4 {
+		t.Errorf("its views never agreed again: %+v", r)
+	}
+	s.had["n2"].first["a"] = 15 * time.Second
+	if r := s.report(agreed); r.Within != 4 || r.Share != 0.8 || r.Most != 5000 {
+		t.Errorf("one came late: %+v", r)
+	}
+	delete(s.had["n2"].first, "a")
+	if r := s.report(agreed); r.Within != 4 || r.Pairs != 5 {
+		t.Errorf("one did not come: %+v", r)
+	}
+	s.worlds[2].hears["n2"] = true
+	if r := s.report(agreed); r.Pairs != 4 || r.Own != 3 {
+		t.Errorf("a watch that has just come back is neither: %+v", r)
+	}
+	s.worlds[1].side = map[string]int{"n1": 0, "n2": 1}
+	if r := s.report(agreed); r.Pairs != 3 {
+		t.Errorf("who is cut off need not be told: %+v", r)
+	}
+	r := &SpreadReport{Lost: 1, Final: 9, Pairs: 100, Share: 0.98, Unasked: 1}
+	if got := r.wrong(&Purges{Share: 0.99}); len(got) != 3 {
+		t.Errorf("%q", got)
+	}
+	if got := (&SpreadReport{}).wrong(&Purges{Share: 0.99}); len(got) != 2 {
+		t.Errorf("%q", got)
+	}
+	if got := (&SpreadReport{Share: 1, Pairs: 1}).wrong(&Purges{Share: 0.99}); len(got) != 0 {
+		t.Errorf("%q", got)
+	}
+}
