--- a/fleet/broadcast/carrier/carrier_test.go
+++ b/fleet/broadcast/carrier/carrier_test.go
@@ -437,4 +437,19 @@
 			t.Errorf("%+v", r.Latest)
 		}
 	})
+	t.Run("while it is switched on gateway by gateway, those that have it on hear all, if later", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			town := settle(12)
+			for _, name := range []string{"n0", "n1", "n2", "n4", "n8", "n11"} { // live, and without a carrier: nothing answers
+				delete(town.all, name)
+			}
+			defer town.run()()
+			time.Sleep(time.Second)
+			got := town.tell(20, 6, func(p broadcast.Purge) { town.all["n7"].Told([]broadcast.Purge{p}) }, 30*time.Second)
+			if got.missing > 0 {
+				t.Errorf("%+v", got)
+			}
+			t.Logf("%+v", got)
+		})
+	})
 }
