--- a/fleet/broadcast/broadcast.go
+++ b/fleet/broadcast/broadcast.go
@@ -65,7 +65,7 @@
 
 // Usual are the settings for the whole fleet: 3,900 gateways and 100 purges a second. Keep is an hour's cut and half an hour to make up
 // for it: what is older than that when its turn comes cannot be had of a peer any more.
-var Usual = Settings{Keep: 5_400_000_000, Most: 600_000, Rate: 9_000, Gather: 200_000, Have: 250_000, Reconcile: 3_000_000, Recent: 5_000_000}
+var Usual = Settings{Keep: 5_400_000_000, Most: 600_000, Rate: 9_000, Gather: 200_000, Have: 300_000, Reconcile: 3_000_000, Recent: 5_000_000}
 
 // Stats are counters since New, and what is at hand.
 type Stats struct {
@@ -76,6 +76,7 @@
 	Behind   Behind
 
 	Heeded     uint64 // purges that a peer told first
+	Grafts     int    // edges that stand for those of silent neighbours
 	Batches    uint64 // said by this gateway
 	Said       uint64 // purges in them
 	Copies     uint64 // batches that came, again or not
@@ -118,6 +119,8 @@
 	seq    uint64 // of the last batch
 	saidAt int64  // its time
 	tree   tree
+	heard  map[string]int64 // when, of those near in the tree
+	grafts []string
 	out    []Letter
 	stats  Stats
 
@@ -152,7 +155,7 @@
 func New(set Settings, self Member, stamp uint64, chance *rand.Rand, now int64) *Node {
 	b := binary.LittleEndian.AppendUint64([]byte(self.Name), stamp)
 	n := &Node{set: set, self: self, chance: chance, me: xxhash.Sum64(b), kept: newKept(set.Most), waiting: map[Purge]int64{},
-		origins: map[uint64]*origin{}, log: map[batchID]*stored{}, injectAt: never, sweepAt: now + sweepTurn,
+		origins: map[uint64]*origin{}, heard: map[string]int64{}, log: map[batchID]*stored{}, injectAt: never, sweepAt: now + sweepTurn,
 		rate: bucket{left: set.Rate * 1_000_000, at: now}, injects: bucket{left: injectBurst * 1_000_000, at: now}}
 	n.haveAt = now + chance.Int64N(max(1, set.Have))
 	n.reconcileAt = now + chance.Int64N(max(1, set.Reconcile))
@@ -197,6 +200,8 @@
 		return
 	}
 	n.tree = plant(sorted(members), n.self)
+	n.grafts = n.grafts[:0]
+	n.forgetOthers()
 }
 
 // Own takes what the own discovery watch told.
@@ -247,6 +252,9 @@
 	n.stats.FramesIn++
 	n.stats.BytesIn += uint64(len(frame) + datagram)
 	n.spend(len(frame)+datagram, now)
+	if _, near := n.heard[from]; near {
+		n.heard[from] = now
+	}
 	if heed, err = n.take(from, frame, now); err != nil {
 		n.stats.Unreadable++
 	}
@@ -359,6 +367,7 @@
 func (n *Node) Stats() Stats {
 	s := n.stats
 	s.Parent, s.Children = n.tree.parent, n.tree.children
+	s.Grafts = len(n.grafts)
 	s.Kept, s.Waiting, s.Dropped = n.kept.count, len(n.waiting), n.kept.dropped
 	s.Behind = Behind{Batches: len(n.wants), Seconds: n.differ, Since: n.doubt}
 	for _, w := range n.wants {
