--- a/fleet/broadcast/broadcast.go
+++ b/fleet/broadcast/broadcast.go
@@ -232,7 +232,7 @@
 
 // keep keeps a purge if it can.
 func (n *Node) keep(p Purge, now int64) novelty {
-	if p.Issued/1000 < n.horizon(now) || n.set.Unix != 0 && p.Issued > n.set.Unix+now/1000+ahead {
+	if p.Issued/1000 < n.horizon(now) || p.Issued > n.future(now) {
 		n.stats.Unkept++
 		return unknown
 	}
--- a/fleet/broadcast/reconcile.go
+++ b/fleet/broadcast/reconcile.go
@@ -53,6 +53,15 @@
 	return min(n.kept.newest, n.set.Unix+now/1000)
 }
 
+// future is the issue in Unix milliseconds after which purges are not kept here, so not asked for either: a gateway whose clock is a day
+// slow would ask for the same ones at each pass.
+func (n *Node) future(now int64) int64 {
+	if n.set.Unix == 0 {
+		return mostIssued
+	}
+	return n.set.Unix + now/1000 + ahead
+}
+
 func ceilMinute(sec int64) int64 { return (sec + minute - 1) / minute * minute }
 
 // compared is the span that sums are told of: up to what may still be under way. Where no newer purge comes, it goes on with time, for
@@ -196,9 +205,9 @@
 			return
 		}
 		s.opened = true
-		horizon := n.horizon(now)
+		horizon, future := n.horizon(now), n.future(now)
 		for i, of := range its.of { // the newest is asked first: it is the last
-			if sec := its.from + int64(i)*minute; of.count > 0 && sec >= horizon && n.kept.minutes[sec/minute] != of {
+			if sec := its.from + int64(i)*minute; of.count > 0 && sec >= horizon && sec*1000 <= future && n.kept.minutes[sec/minute] != of {
 				s.todo = append(s.todo, request{minute: true, of: pull{second: sec}})
 			}
 		}
@@ -215,7 +224,7 @@
 	for i, of := range its.of {
 		sec := its.from + int64(i)
 		own := n.kept.ofSecond(sec)
-		if own == of || of.count == 0 {
+		if own == of || of.count == 0 || sec*1000 > n.future(now) {
 			continue
 		}
 		split := 0
