--- a/fleet/broadcast/carrier/carrier_test.go
+++ b/fleet/broadcast/carrier/carrier_test.go
@@ -104,10 +104,10 @@
 	return modes
 }
 
-// spread is how many seconds each of some purges took to be told at each gateway that had it of peers, by the gateways' own lists.
+// spread is what became of some purges: pairs of one and a gateway, those that counted there later than 4.5 s, and those that never did.
 type spread struct{ pairs, late, missing int }
 
-// latest takes the lists of all carriers and tells how many of those purges counted within 4.5 s of their issue, of peers or not.
+// latest takes what all carriers list as counted since the numbers in after, and keeps when each purge first did.
 func (t *town) latest(began time.Time, seen map[string]map[broadcast.Purge]time.Duration, after map[string]uint64) {
 	for name, c := range t.all {
 		if seen[name] == nil {
@@ -125,7 +125,7 @@
 	}
 }
 
-// tell has purges told at a rate for some seconds, each to the watches that the function names, then waits; all are looked for at all.
+// tell has purges told at a rate for some seconds, to watches by the function, then waits; all are looked for at all gateways.
 func (t *town) tell(aSecond, seconds int, to func(p broadcast.Purge), wait time.Duration) (out spread) {
 	began := time.Now()
 	seen, after := map[string]map[broadcast.Purge]time.Duration{}, map[string]uint64{}
