--- a/lab/fleet/spread.go
+++ b/lab/fleet/spread.go
@@ -47,12 +47,12 @@
 	Share   float64 `json:"share"`
 	P50     int64   `json:"p50_ms"`
 	P99     int64   `json:"p99_ms"`
-	Most    int64   `json:"most_ms"` // of those that came
-	Own     int     `json:"own"`     // purges and gateways that heard the bulletin themselves
-	Final   int     `json:"final"`   // purges and gateways that ran at the end
-	Lost    int     `json:"lost"`    // of them those that the gateway's process never heeded
+	Most    int64   `json:"most_ms"`         // of those that came
+	Own     int     `json:"own"`             // purges and gateways that heard the bulletin themselves
+	Final   int     `json:"final"`           // purges and gateways that ran at the end
+	Lost    int     `json:"lost"`            // of them those that the gateway's process never heeded
 	Busiest float64 `json:"busiest_bytes_s"` // in and out, of the busiest gateway at the end: the mean since its process started
-	Unasked int     `json:"unasked"` // gateways that ran at the end and gave no report
+	Unasked int     `json:"unasked"`         // gateways that ran at the end and gave no report
 }
 
 // spread tells purges and asks gateways what they heeded.
@@ -183,7 +183,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h.after, h.asked = r.Heeded, true
-	h.rate = float64(r.Node.BytesIn+r.Node.BytesOut)/max(1, float64(r.UpMS)/1000)
+	h.rate = float64(r.Node.BytesIn+r.Node.BytesOut) / max(1, float64(r.UpMS)/1000)
 	for _, one := range r.Latest {
 		when := at - time.Duration(r.UpMS-one.AtMS)*time.Millisecond // no earlier than it was: the answer took its time
 		h.now[one.Object] = true
