--- a/fleet/broadcast/broadcast.go
+++ b/fleet/broadcast/broadcast.go
@@ -147,6 +147,7 @@
 	sweepAt  int64
 
 	reconcileAt int64
+	newestAt    int64 // when the newest issue was last heard to rise
 }
 
 const never = int64(1<<63 - 1)
@@ -235,11 +236,15 @@
 
 // keep keeps a purge if it can.
 func (n *Node) keep(p Purge, now int64) novelty {
-	if p.Issued/1000 < n.horizon(now) || n.set.Unix != 0 && p.Issued > n.set.Unix+now/1000+ahead {
+	if p.Issued/1000 < n.horizon(now) || p.Issued > n.future(now) {
 		n.stats.Unkept++
 		return unknown
 	}
+	newest := n.kept.newest
 	if n.kept.add(p) {
+		if n.kept.newest != newest {
+			n.newestAt = now
+		}
 		return fresh
 	}
 	return known
--- a/fleet/broadcast/reconcile.go
+++ b/fleet/broadcast/reconcile.go
@@ -8,6 +8,7 @@
 // rate; who is asked answers as long as its own has room.
 const (
 	settle      = 5         // seconds of issue time that may still be under way
+	quiet       = 300       // seconds that the span goes on in a silence; with Keep less than mostSums minutes
 	margin      = 120       // seconds above the horizon that sums begin
 	mostOpen    = 4         // requests without their answer
 	answerWait  = 1_500_000 // then it is asked anew, and then the peer is given up
@@ -54,12 +55,22 @@
 	return min(n.kept.newest, n.set.Unix+now/1000)
 }
 
+// future is the issue in Unix milliseconds after which purges are not kept here, so not asked for either: a gateway whose clock is a day
+// slow would ask for the same ones at each pass.
+func (n *Node) future(now int64) int64 {
+	if n.set.Unix == 0 {
+		return mostIssued
+	}
+	return n.set.Unix + now/1000 + ahead
+}
+
 func ceilMinute(sec int64) int64 { return (sec + minute - 1) / minute * minute }
 
-// compared is the span that sums are told of.
+// compared is the span that sums are told of: up to what may still be under way. Where no newer purge comes, it goes on with time, for
+// the last ones before a silence, which nothing that follows would show to be missing.
 func (n *Node) compared(now int64) span {
 	s := span{from: ceilMinute(n.horizon(now)) + margin}
-	s.to = max(s.from, n.kept.newest/1000-settle)
+	s.to = max(s.from, n.kept.newest/1000-settle+min(quiet, (now-n.newestAt)/1_000_000))
 	return s
 }
 
@@ -201,9 +212,9 @@
 			return
 		}
 		s.opened = true
-		horizon := n.horizon(now)
+		horizon, future := n.horizon(now), n.future(now)
 		for i, of := range its.of { // the newest is asked first: it is the last
-			if sec := its.from + int64(i)*minute; of.count > 0 && sec >= horizon && n.kept.minutes[sec/minute] != of {
+			if sec := its.from + int64(i)*minute; of.count > 0 && sec >= horizon && sec*1000 <= future && n.kept.minutes[sec/minute] != of {
 				s.todo = append(s.todo, request{minute: true, of: pull{second: sec}})
 			}
 		}
@@ -220,7 +231,7 @@
 	for i, of := range its.of {
 		sec := its.from + int64(i)
 		own := n.kept.ofSecond(sec)
-		if own == of || of.count == 0 {
+		if own == of || of.count == 0 || sec*1000 > n.future(now) {
 			continue
 		}
 		split := 0
--- a/wire/front.go
+++ b/wire/front.go
@@ -190,6 +190,7 @@
 				f.g.Log().Warn("accept_failed", "text", err.Error())
 			}
 			if clock.NoDescriptor(err) && f.Yield() {
+				f.waited = f.g.Now() // those that come now may have waited with a request on them, and have gone
 				continue
 			}
 			if again.Wait(acceptAgain) {
