Scale: the spreading of purges on the virtual network, with the mechanism as it is

Purges among gateways miss their terms from two gateways on (docs/CAPACITY.md); what replaces it must be seen beside it under the same faults.

--- /dev/null
+++ b/lab/scale/spread.go
@@ -0,0 +1,100 @@
+package scale
+
+import (
+	"math/rand/v2"
+
+	"foldslip/fleet/verdict"
+)
+
+// told is a purge as a discovery watch tells it.
+type told struct {
+	Object string // 16 hex digits; "": of a group
+	Group  int64
+	Issued int64 // Unix milliseconds
+}
+
+// spreader is a mechanism that spreads purges, one gateway's; times are in microseconds of the gateway's clock.
+type spreader interface {
+	// own takes what the own watch told: its last number, and purges with their numbers (rising, from 1 at the gateway's start).
+	own(last int64, numbers []int64, purges []told, now int64)
+	// see takes the list of live gateways after it changed.
+	see(now int64)
+	// take takes a datagram of another gateway and gives what it brought that was not known.
+	take(from int, b []byte, now int64) []told
+	// step does what is due.
+	step(now int64)
+	// next is when step wants to be called.
+	next() int64
+	// copies is how many purges were put into datagrams; behind how often the gateway knew that it had missed some.
+	copies() int64
+	behind() int64
+}
+
+// The old mechanism's times, as fleet/post sets them (read there: they are not changed by runs).
+const (
+	oldTurn  = 250_000
+	oldHello = 500_000
+	oldKeep  = 60_000_000
+)
+
+// oldSpread is fleet/verdict as fleet/post carries it: a turn each 0.25 s, hellos to two gateways each 0.5 s, answers at once.
+type oldSpread struct {
+	g    *gateway
+	book *verdict.Book
+	due  int64
+	sent int64
+}
+
+func newOldSpread(g *gateway, now int64) spreader {
+	chance := rand.New(rand.NewPCG(g.run.o.Seed, uint64(g.i)<<32|uint64(g.life)))
+	return &oldSpread{g: g, book: verdict.New(verdict.Settings{Turn: oldHello, Keep: oldKeep}, chance, now), due: now + chance.Int64N(oldTurn)}
+}
+
+func (s *oldSpread) own(last int64, numbers []int64, purges []told, now int64) {
+	for k, p := range purges {
+		s.book.Own(numbers[k], []verdict.Purge{{No: numbers[k], Object: p.Object, Group: p.Group, Issued: p.Issued}}, now)
+	}
+	s.book.Own(last, nil, now)
+}
+
+func (s *oldSpread) see(int64) {}
+
+func (s *oldSpread) take(from int, b []byte, now int64) (heed []told) {
+	f, err := verdict.ReadFrame(b)
+	if err != nil || !s.g.view.has(from) {
+		return nil
+	}
+	for _, p := range s.book.Take(f.Purges, now) {
+		heed = append(heed, told{p.Object, p.Group, p.Issued})
+	}
+	if f.Answer {
+		return heed
+	}
+	if more := s.book.Answer(f.Seen); len(more) > 0 {
+		s.sent += int64(len(more))
+		s.g.send(from, verdict.Frame{From: uint64(s.g.i), Answer: true, Seen: s.book.Hello(), Purges: more}.Append(nil))
+	}
+	return heed
+}
+
+func (s *oldSpread) step(now int64) {
+	if now < s.due {
+		return
+	}
+	s.due += oldTurn
+	r := s.g.run
+	live := r.scratch[:0]
+	for j, name := range r.names {
+		if j != s.g.i && s.g.view.has(j) {
+			live = append(live, name)
+		}
+	}
+	r.scratch = live
+	for _, to := range s.book.Hellos(live, now) {
+		s.g.send(r.at[to], verdict.Frame{From: uint64(s.g.i), Seen: s.book.Hello()}.Append(nil))
+	}
+}
+
+func (s *oldSpread) next() int64   { return s.due }
+func (s *oldSpread) copies() int64 { return s.sent }
+func (s *oldSpread) behind() int64 { return 0 }
