foldslip-rig scale broadcast: cases, tables, plots of the spreading of purges

A command, its help, JSON lines and plots for the runs of the spreading. Small fleets get three regions, so that the loss of one means something.

--- a/cli/rigs/rigs.go
+++ b/cli/rigs/rigs.go
@@ -84,8 +84,10 @@
 
 type misuse struct{ error }
 
-func (c *scenarios) seeds() (first, last uint64, err error) {
-	a, b, span := strings.Cut(c.Seeds, "-")
+func (c *scenarios) seeds() (first, last uint64, err error) { return seedRange(c.Seeds) }
+
+func seedRange(text string) (first, last uint64, err error) {
+	a, b, span := strings.Cut(text, "-")
 	if !span {
 		b = a
 	}
@@ -94,7 +96,7 @@
 		last, err = strconv.ParseUint(b, 10, 32)
 	}
 	if err != nil || last < first || last-first >= 1000 {
-		return 0, 0, misuse{fmt.Errorf("--seeds %q: expected one, or first and last of at most 1000, as 1-20", c.Seeds)}
+		return 0, 0, misuse{fmt.Errorf("--seeds %q: expected one, or first and last of at most 1000, as 1-20", text)}
 	}
 	return first, last, nil
 }
--- a/cli/rigs/scale.go
+++ b/cli/rigs/scale.go
@@ -20,8 +20,9 @@
 
 // scales are the measurements against the size of the fleet.
 type scales struct {
-	Watch scaleWatch `cmd:"" help:"Hollow gateways, and some real ones, that each hear the discovery watch over loopback."`
-	Crowd scaleCrowd `cmd:"" hidden:"" help:"A process of hollow gateways, told what to do on standard input."`
+	Watch     scaleWatch     `cmd:"" help:"Hollow gateways, and some real ones, that each hear the discovery watch over loopback."`
+	Broadcast scaleBroadcast `cmd:"" help:"Purges spread among thousands of hollow gateways on a virtual network with faults."`
+	Crowd     scaleCrowd     `cmd:"" hidden:"" help:"A process of hollow gateways, told what to do on standard input."`
 }
 
 type scaleCrowd struct{}
--- a/lab/scale/broadcast.go
+++ b/lab/scale/broadcast.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"foldslip/fleet/broadcast"
 )
 
 // BroadcastOptions are of a run of the spreading of purges among gateways, on a virtual clock.
@@ -32,6 +34,8 @@
 	Within       time.Duration // the term of a purge; 0: 4.5 s
 	Bytes        float64       // a second, in and out, of a gateway; 0: 15 KB
 
+	Skew time.Duration // gateways' Unix clocks are off by up to so much either way
+
 	Measure bool // processor and heap: only where nothing else runs in the process
 	Tell    func(string, ...any)
 }
@@ -68,6 +72,9 @@
 	names   []string
 	at      map[string]int
 	scratch []string
+	known   []broadcast.Member            // all
+	shared  map[string][]broadcast.Member // lists of the live, by who is in them
+	key     []byte
 	all     []gateway
 	views   *views
 	make    func(*gateway, int64) spreader
@@ -91,7 +98,7 @@
 	last     []Counters
 	worstIn  []int64
 	worstOut []int64
-	base     [2]int64 // copies and behind of lives that ended
+	base     int64 // copies of lives that ended
 }
 
 type tick struct{ at, bytes int64 } // most bytes of a gateway in that second, in and out
@@ -124,29 +131,32 @@
 		return fmt.Errorf("told %q: expected one of %s", o.Told, strings.Join(Sources(), ", "))
 	case o.Warm < 0 || o.For <= 0 || o.Settle <= 0 || o.Fault < 0 || o.Restarts < 0 || o.Warm+o.For+o.Settle > 4*time.Hour:
 		return fmt.Errorf("times: expected more than 0, and 4 hours in all")
+	case findCase(o.Case) == nil:
+		return fmt.Errorf("case %q: expected one of %s", o.Case, strings.Join(Cases(), ", "))
 	}
 	return nil
 }
 
+// Check tells what cannot be played.
+func (o BroadcastOptions) Check() error { return o.usual() }
+
 // Broadcast plays a run. Equal options give equal reports but for Core and Heap.
 func Broadcast(o BroadcastOptions) (*BroadcastReport, error) {
 	if err := o.usual(); err != nil {
 		return nil, err
 	}
 	c := findCase(o.Case)
-	if c == nil {
-		return nil, fmt.Errorf("case %q: expected one of %s", o.Case, strings.Join(Cases(), ", "))
-	}
 	if o.Told == "" {
 		o.Told = c.told
 	}
-	r := &broadcastRun{o: o, c: c, places: Sized(o.Gateways), at: map[string]int{}, chance: rand.New(rand.NewPCG(o.Seed, 0x62726f6164)), digest: xxhash.New(),
+	r := &broadcastRun{o: o, c: c, places: spreadPlaces(o.Gateways), at: map[string]int{}, shared: map[string][]broadcast.Member{}, chance: rand.New(rand.NewPCG(o.Seed, 0x62726f6164)), digest: xxhash.New(),
 		r: &BroadcastReport{What: "broadcast", Gateways: o.Gateways, Mechanism: o.Mechanism, Case: o.Case, Told: o.Told, Rate: o.Rate, Seed: o.Seed, Seconds: o.For.Seconds()}}
 	r.net = NewNet(o.Seed, r.places, Usual, r.newGateway)
 	r.all, r.guarded = make([]gateway, o.Gateways), newSet(o.Gateways)
 	for i := range r.all {
 		r.names = append(r.names, fmt.Sprintf("g%04d", i))
 		r.at[r.names[i]] = i
+		r.known = append(r.known, r.member(i))
 	}
 	r.views = &views{r: r}
 	r.make = spreaders[o.Mechanism]
@@ -326,8 +336,7 @@
 		return
 	}
 	g := &r.all[i]
-	r.base[0] += g.its.copies()
-	r.base[1] += g.its.behind()
+	r.base += g.its.copies()
 	r.net.Kill(i)
 	r.r.Kills++
 	r.views.note(sighting{who: int32(i), life: g.life})
@@ -416,13 +425,17 @@
 
 // sample looks at the last second's bytes.
 func (r *broadcastRun) sample() {
-	var most int64
+	var most, behind int64
 	for i := range r.all {
+		if r.net.Up(i) && r.all[i].its.behind() {
+			behind++
+		}
 		c := r.net.Count(i)
 		in, out := c.BytesIn-r.last[i].BytesIn, c.BytesOut-r.last[i].BytesOut
 		r.worstIn[i], r.worstOut[i] = max(r.worstIn[i], in), max(r.worstOut[i], out)
 		most = max(most, in+out)
 		r.last[i] = c
 	}
+	r.r.BehindMost, r.r.BehindEnd, r.r.BehindTime = max(r.r.BehindMost, behind), behind, r.r.BehindTime+float64(behind)
 	r.seconds = append(r.seconds, tick{int64(r.net.Now() / time.Second), most})
 }
--- a/lab/scale/broadcast_report.go
+++ b/lab/scale/broadcast_report.go
@@ -76,14 +76,18 @@
 	Roles     []RoleCost `json:"roles"`
 	Copies    float64    `json:"copies"` // in datagrams, of a purge for each gateway
 	Heeded    int64      `json:"heeded"`
-	Behind    int64      `json:"behind"`
-	Unknown   int64      `json:"unknown"` // purges heeded that nobody issued
-	Refused   int64      `json:"refused"` // datagrams that were too long
-	Kills     int        `json:"kills"`
-	Core      float64    `json:"core"` // processor seconds a second of a gateway, the stand-ins' and the network's with it; 0: not measured
-	Heap      float64    `json:"heap"` // bytes a gateway
-	Digest    string     `json:"digest"`
-	Wrong     []string   `json:"wrong"`
+	// Gateways that know that they lack purges: the most at once, at the end, and gateway seconds in all.
+	BehindMost int64    `json:"behind_most"`
+	BehindEnd  int64    `json:"behind_end"`
+	BehindTime float64  `json:"behind_time"`
+	Unread     int64    `json:"unread"`  // frames that could not be read
+	Unknown    int64    `json:"unknown"` // purges heeded that nobody issued
+	Refused    int64    `json:"refused"` // datagrams that were too long
+	Kills      int      `json:"kills"`
+	Core       float64  `json:"core"` // processor seconds a second of a gateway, the stand-ins' and the network's with it; 0: not measured
+	Heap       float64  `json:"heap"` // bytes a gateway
+	Digest     string   `json:"digest"`
+	Wrong      []string `json:"wrong"`
 
 	pairsIn, freshIn int64
 	places           []string
@@ -143,12 +147,10 @@
 		role.In, role.Out, role.Most = role.In+x, role.Out+y, max(role.Most, x+y)
 		out.Worst = max(out.Worst, float64(r.worstIn[i]), float64(r.worstOut[i]))
 		out.Refused += r.net.Count(i).Refused
-		out.Behind += r.all[i].its.behind()
-		r.base[0] += r.all[i].its.copies()
+		r.base += r.all[i].its.copies()
 	}
-	out.Behind += r.base[1]
 	if out.Purges > 0 {
-		out.Copies = float64(r.base[0]) / float64(out.Purges) / float64(len(r.all))
+		out.Copies = float64(r.base) / float64(out.Purges) / float64(len(r.all))
 	}
 	for _, role := range roles {
 		role.In, role.Out = role.In/float64(role.Gateways), role.Out/float64(role.Gateways)
@@ -158,7 +160,7 @@
 		return cmp.Or(cmp.Compare(a.Gateways, b.Gateways), cmp.Compare(a.Role, b.Role))
 	})
 	out.In, out.Out, out.Both, out.Datagrams = spreadOf(in), spreadOf(sent), spreadOf(both), spreadOf(grams)
-	fmt.Fprint(r.digest, in, sent, grams, out.Heeded, out.Behind, r.net.Steps())
+	fmt.Fprint(r.digest, in, sent, grams, out.Heeded, out.BehindTime, r.net.Steps())
 	out.Digest = fmt.Sprintf("%016x", r.digest.Sum64())
 	out.judge(o)
 }
@@ -183,5 +185,6 @@
 	wrong(b.Share < 1, "everywhere within %v: %.4f of the purges", o.Within, b.Share)
 	wrong(b.Both.Most > o.Bytes, "%.0f bytes a second of a gateway, %.0f were allowed", b.Both.Most, o.Bytes)
 	wrong(b.Unknown > 0, "%d purges heeded that nobody issued", b.Unknown)
+	wrong(b.Unread > 0, "%d frames could not be read", b.Unread)
 	wrong(b.Refused > 0, "%d datagrams were too long", b.Refused)
 }
--- a/lab/scale/cases.go
+++ b/lab/scale/cases.go
@@ -192,3 +192,12 @@
 		r.net.At(r.o.Warm+time.Duration(float64(r.o.For)*(float64(k)+0.5)/float64(count)), func() { r.restart([]int{i}, 2*time.Second) })
 	}
 }
+
+// spreadPlaces is the users' shape where there are enough gateways, and else three regions, five zones and nine sites, or as near as it
+// goes: a tree over places and the loss of one need some.
+func spreadPlaces(gateways int) []Place {
+	of := func(full, least, most int) int { return min(most, max(least, gateways*full/FullGateways)) }
+	sites := of(FullSites, 9, max(1, gateways/3))
+	zones := of(FullZones, 5, sites)
+	return Layout(gateways, sites, zones, of(FullRegions, 3, zones))
+}
--- a/lab/scale/spread.go
+++ b/lab/scale/spread.go
@@ -25,9 +25,9 @@
 	step(now int64)
 	// next is when step wants to be called.
 	next() int64
-	// copies is how many purges were put into datagrams; behind how often the gateway knew that it had missed some.
+	// copies is how many purges were put into datagrams; behind whether the gateway knows that it lacks some.
 	copies() int64
-	behind() int64
+	behind() bool
 }
 
 // The old mechanism's times, as fleet/post sets them (read there: they are not changed by runs).
@@ -97,4 +97,4 @@
 
 func (s *oldSpread) next() int64   { return s.due }
 func (s *oldSpread) copies() int64 { return s.sent }
-func (s *oldSpread) behind() int64 { return 0 }
+func (s *oldSpread) behind() bool  { return false }
