--- a/fleet/broadcast/broadcast.go
+++ b/fleet/broadcast/broadcast.go
@@ -116,9 +116,10 @@
 	out    []Letter
 	stats  Stats
 
-	kept    kept
-	waiting map[Purge]int64 // own, not yet said: when to
-	lead    bool            // this gateway said the last ones, and nobody else did
+	kept     kept
+	newestAt int64           // when the newest issue so far was heard
+	waiting  map[Purge]int64 // own, not yet said: when to
+	lead     bool            // this gateway said the last ones, and nobody else did
 
 	origins map[uint64]*origin
 	log     map[batchID]*stored
@@ -220,7 +221,11 @@
 		n.stats.Unkept++
 		return unknown
 	}
+	newest := n.kept.newest
 	if n.kept.add(p) {
+		if n.kept.newest > newest {
+			n.newestAt = now
+		}
 		return fresh
 	}
 	return known
--- a/fleet/broadcast/reconcile.go
+++ b/fleet/broadcast/reconcile.go
@@ -54,10 +54,11 @@
 
 func ceilMinute(sec int64) int64 { return (sec + minute - 1) / minute * minute }
 
-// compared is the span that sums are told of.
+// compared is the span that sums are told of: up to what may still be under way. While nothing newer comes it goes on, so that the last
+// purges before a rest are compared too.
 func (n *Node) compared(now int64) span {
 	s := span{from: ceilMinute(n.horizon(now)) + margin}
-	s.to = max(s.from, n.kept.newest/1000-settle)
+	s.to = max(s.from, (n.kept.newest+(now-n.newestAt)/1000)/1000-settle)
 	return s
 }
 
