--- a/lab/scale/broadcast.go
+++ b/lab/scale/broadcast.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"math"
@@ -51,6 +52,7 @@
 const (
 	mostGateways = 10_000
 	mostPurges   = 1 << 20
+	mostLate     = 5               // purges that a report names
 	freshFor     = 5 * time.Second // a gateway counts as standing so long after its start; before, apart
 	excluded     = math.MaxUint32
 	firstIssued  = int64(1_764_576_000_000) // Unix milliseconds of the Net's beginning
@@ -190,9 +192,6 @@
 			break
 		}
 	}
-	if debugEnd != nil {
-		debugEnd(r)
-	}
 	r.finish(true)
 	if o.Measure {
 		var after syscall.Rusage
@@ -270,9 +269,9 @@
 // issue issues the next purge: of an object, each fiftieth of one of eight groups.
 func (r *broadcastRun) issue() {
 	k, now := len(r.purges), r.net.Now()
-	p := purge{at: now, told: told{Object: fmt.Sprintf("%016x", mix(r.o.Seed^uint64(k)<<20)), Group: int64(k%8 + 1), Issued: firstIssued + now.Milliseconds()}}
+	p := purge{at: now, told: told{Object: fmt.Sprintf("%016x", mix(r.o.Seed^uint64(k)<<20)), Issued: firstIssued + now.Milliseconds()}}
 	if k%50 == 49 {
-		p.Object = ""
+		p.Object, p.Group = "", int64(k/50%8+1)
 	}
 	if r.o.Told == "two" {
 		p.side = r.side(r.tellers[k%2])
@@ -389,6 +388,7 @@
 func (r *broadcastRun) count(k int) {
 	p := &r.purges[k]
 	var worst uint32
+	who := 0
 	lost, lostFar, within := 0, 0, uint32(r.o.Within.Microseconds()+1)
 	sum := make([]byte, 0, 4*len(p.lag)+8)
 	sum = binary.LittleEndian.AppendUint64(sum, uint64(k))
@@ -408,11 +408,18 @@
 			if v <= within {
 				r.r.pairsIn++
 			}
-			worst = max(worst, v)
+			if v > worst {
+				worst, who = v, i
+			}
 		}
 	}
 	r.digest.Write(sum)
 	r.r.Purges++
+	if worst > within {
+		r.r.Late = append(r.r.Late, Late{(p.at - r.o.Warm).Seconds(), who, float64(worst) / 1e6})
+		slices.SortStableFunc(r.r.Late, func(a, b Late) int { return cmp.Compare(b.Took, a.Took) })
+		r.r.Late = r.r.Late[:min(len(r.r.Late), mostLate)]
+	}
 	r.r.LostPairs += int64(lost)
 	r.r.LostFar += int64(lostFar)
 	r.r.LostFresh += int64(len(p.fresh))
@@ -443,5 +450,3 @@
 	r.r.BehindMost, r.r.BehindEnd, r.r.BehindTime = max(r.r.BehindMost, behind), behind, r.r.BehindTime+float64(behind)
 	r.seconds = append(r.seconds, tick{int64(r.net.Now() / time.Second), most})
 }
-
-var debugEnd func(*broadcastRun)
--- a/lab/scale/broadcast_report.go
+++ b/lab/scale/broadcast_report.go
@@ -36,6 +36,13 @@
 	Most     float64 `json:"most"` // in and out, of the one with most
 }
 
+// Late is a purge that was late somewhere.
+type Late struct {
+	Issued  float64 `json:"issued"`  // seconds after purges began
+	Gateway int     `json:"gateway"` // the last that heard it
+	Took    float64 `json:"took"`
+}
+
 // BroadcastReport is what a run gave. Times are in seconds, -1: never. "Everywhere" is at each gateway that stood (was up and had been
 // for 5 s) when the purge was issued and did not end before it heard; bytes are a second, with IP and UDP, while purges are told.
 type BroadcastReport struct {
@@ -56,6 +63,8 @@
 	P999    float64 `json:"p999"`
 	Most    float64 `json:"most"`
 
+	Late []Late `json:"late,omitempty"` // the latest that were late
+
 	Pairs      int64   `json:"pairs"`
 	Lost       int64   `json:"lost"` // purges that some gateway had not heard when the run ended
 	LostPairs  int64   `json:"lost_pairs"`
