--- a/lab/scale/broadcast.go
+++ b/lab/scale/broadcast.go
@@ -77,6 +77,7 @@
 	at      map[string]int
 	scratch []string
 	known   []broadcast.Member            // all
+	sorted  []broadcast.Member            // all, in the tree's order
 	shared  map[string][]broadcast.Member // lists of the live, by who is in them
 	key     []byte
 	all     []gateway
@@ -161,6 +162,8 @@
 		r.at[r.names[i]] = i
 		r.known = append(r.known, r.member(i))
 	}
+	r.sorted = slices.Clone(r.known)
+	broadcast.SortMembers(r.sorted)
 	r.views = &views{r: r}
 	r.make = spreaders[o.Mechanism]
 	first := r.chance.IntN(o.Gateways)
--- a/lab/scale/roles.go
+++ b/lab/scale/roles.go
@@ -28,9 +28,9 @@
 		return list
 	}
 	var list []broadcast.Member
-	for i := range r.all {
-		if view.has(i) {
-			list = append(list, r.known[i])
+	for _, m := range r.sorted { // in the tree's order: a list that is not is copied
+		if view.has(r.at[m.Name]) {
+			list = append(list, m)
 		}
 	}
 	if len(r.shared) >= mostShared {
