--- a/lab/scale/broadcast.go
+++ b/lab/scale/broadcast.go
@@ -149,6 +149,37 @@
 	if err := o.usual(); err != nil {
 		return nil, err
 	}
+	r := newBroadcastRun(o)
+	var before syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+	for i := range r.all {
+		r.net.Start(i)
+	}
+	r.schedule()
+	end := o.Warm + o.For + o.Settle
+	for now := time.Second; now <= end; now += time.Second {
+		r.net.Run(now)
+		r.finish(false)
+		if now >= o.Warm+o.For && now >= r.settled() && r.open == len(r.purges) {
+			break
+		}
+	}
+	r.finish(true)
+	if o.Measure {
+		var after syscall.Rusage
+		syscall.Getrusage(syscall.RUSAGE_SELF, &after)
+		cpu := func(u *syscall.Rusage) float64 { return float64(u.Utime.Nano()+u.Stime.Nano()) / 1e9 }
+		r.r.Core = (cpu(&after) - cpu(&before)) / float64(o.Gateways) / r.net.Now().Seconds()
+	}
+	r.report()
+	if o.Measure {
+		r.r.Heap = r.heap()
+	}
+	return r.r, nil
+}
+
+// newBroadcastRun sets up a run whose options are whole.
+func newBroadcastRun(o BroadcastOptions) *broadcastRun {
 	c := findCase(o.Case)
 	if o.Told == "" {
 		o.Told = c.told
@@ -180,33 +211,7 @@
 	}
 	r.last, r.began = make([]Counters, o.Gateways), make([]Counters, o.Gateways)
 	r.worstIn, r.worstOut = make([]int64, o.Gateways), make([]int64, o.Gateways)
-
-	var before syscall.Rusage
-	syscall.Getrusage(syscall.RUSAGE_SELF, &before)
-	for i := range r.all {
-		r.net.Start(i)
-	}
-	r.schedule()
-	end := o.Warm + o.For + o.Settle
-	for now := time.Second; now <= end; now += time.Second {
-		r.net.Run(now)
-		r.finish(false)
-		if now >= o.Warm+o.For && now >= r.settled() && r.open == len(r.purges) {
-			break
-		}
-	}
-	r.finish(true)
-	if o.Measure {
-		var after syscall.Rusage
-		syscall.Getrusage(syscall.RUSAGE_SELF, &after)
-		cpu := func(u *syscall.Rusage) float64 { return float64(u.Utime.Nano()+u.Stime.Nano()) / 1e9 }
-		r.r.Core = (cpu(&after) - cpu(&before)) / float64(o.Gateways) / r.net.Now().Seconds()
-	}
-	r.report()
-	if o.Measure {
-		r.r.Heap = r.heap()
-	}
-	return r.r, nil
+	return r
 }
 
 // settled is when the case has no more to play.
