--- a/fleet/broadcast/broadcast.go
+++ b/fleet/broadcast/broadcast.go
@@ -90,6 +90,7 @@
 	Unreadable uint64 // frames
 	Wrong      uint64 // purges of the own watch whose issue cannot be
 	Long       uint64 // purges with names of more than 255 bytes: not told, they wait for the own watch
+	Held       uint64 // times that batches waited for the rate
 	Unsaid     uint64 // purges that found no room to wait or are not recent: left to reconciliation
 	Unkept     uint64 // purges that were too old or far ahead of the clock to keep
 	Dropped    uint64 // kept ones that went for want of room
@@ -113,16 +114,18 @@
 	set    Settings
 	self   Member
 	chance *rand.Rand
-	me     uint64 // as an origin: of the name and the stamp, so another at each start
+	me     uint64 // as an origin: of the name and the stamp, so another at each start; and another after a rest
 	seq    uint64 // of the last batch
+	saidAt int64  // its time
 	tree   tree
 	out    []Letter
 	stats  Stats
 
-	kept     kept
-	newestAt int64           // when the newest issue so far was heard
-	waiting  map[Purge]int64 // own, not yet said: when to
-	lead     bool            // this gateway said the last ones, and nobody else did
+	kept      kept
+	waiting   map[Purge]int64 // own, not yet said: when to
+	lead      bool            // this gateway said the last ones, and nobody else did
+	meekUntil int64           // until then nobody begins to speak here: there are sayers enough
+	newestAt  int64           // when the newest issue so far was heard
 
 	origins map[uint64]*origin
 	log     map[batchID]*stored
@@ -258,11 +261,11 @@
 	r := reader{b: frame[2:]}
 	switch frame[1] {
 	case wordBatch:
-		id, purges := r.id(), r.purges()
+		id, by, purges := r.id(), r.tier(), r.purges()
 		if err := r.done(); err != nil {
 			return nil, err
 		}
-		return n.takeBatch(from, id, purges, frame, now), nil
+		return n.takeBatch(from, id, by, purges, frame, now), nil
 	case wordHave:
 		all := r.haves()
 		if err := r.done(); err != nil {
