Broadcast: what is new goes before a cut's backlog

After a heal the batches of the cut went along the tree as new ones do, and up to 64 of an origin were asked for, each in a frame of its own to a peer of its own. Now a batch whose purges are older than Recent is sent on with room in the rate alone; gaps are asked for in one frame, again of one other; and 24 batches of an origin, some 5 s, are followed, the others left to reconciliation.

--- a/fleet/broadcast/inject.go
+++ b/fleet/broadcast/inject.go
@@ -97,7 +97,7 @@
 		n.lead = true
 		n.mark(id, "", now)
 		n.store(id, frame, "", now)
-		n.forward(frame, "", now)
+		n.forward(frame, "", mostIssued, now)
 	}
 	if len(due) > 0 {
 		return
@@ -109,12 +109,16 @@
 }
 
 // forward sends a batch along the edges but the one it came from.
-func (n *Node) forward(frame []byte, from string, now int64) {
+func (n *Node) forward(frame []byte, from string, newest int64, now int64) {
+	least := -mostShedDebt * n.set.Rate
+	if newest < n.reference(now)-n.set.Recent/1000 {
+		least = 0 // a backlog: what is new goes first, reconciliation has the rest
+	}
 	for _, to := range n.neighbours() {
 		if to == from || n.silent(to, now) { // haves go to a silent one still, and tell it and this one when it is back
 			continue
 		}
-		if n.credit(now) < -mostShedDebt*n.set.Rate {
+		if n.credit(now) < least {
 			n.stats.Shed++
 			continue
 		}
@@ -156,6 +160,6 @@
 	}
 	frame = slices.Clone(frame)
 	n.store(id, frame, from, now)
-	n.forward(frame, from, now)
+	n.forward(frame, from, purges[len(purges)-1].Issued, now)
 	return heed
 }
--- a/fleet/broadcast/repair.go
+++ b/fleet/broadcast/repair.go
@@ -8,7 +8,7 @@
 // Repair of batches. A gap in an origin's sequence is asked of the one it was seen from; haves tell of batches to those that no gap tells
 // (the last before a rest, a subtree whose parent died). What was repaired goes along the tree as new.
 const (
-	window      = 64 // sequences after the contiguous ones; more are left to reconciliation
+	window      = 24 // sequences after the contiguous ones, some 5 s of them; more are left to reconciliation
 	jump        = 1024
 	history     = 24         // batches before the first that is heard of are asked for: some 5 s
 	mostOrigins = 64         // followed; the idlest goes
@@ -132,9 +132,10 @@
 	n.wants = slices.DeleteFunc(n.wants, func(w wanted) bool {
 		return w.id == id || w.id.origin == id.origin && w.id.seq <= o.top
 	})
+	due := now + gapWait + n.chance.Int64N(gapSpread) // all in one frame
 	for seq := o.top + 1; seq < id.seq; seq++ {
 		if !o.had(seq) {
-			n.want(batchID{id.origin, seq}, from, false, now+gapWait+n.chance.Int64N(gapSpread), now)
+			n.want(batchID{id.origin, seq}, from, false, due, now)
 		}
 	}
 	return true
@@ -176,13 +177,15 @@
 		o := n.origins[w.id.origin]
 		return o == nil || o.had(w.id.seq)
 	})
+	others := [2]string{n.anyone(false), n.anyone(true)} // all that is asked again goes to one, in one frame
+	spread := n.chance.Int64N(againSpread)
 	for i := range n.wants {
 		w := &n.wants[i]
 		if w.due > now {
 			continue
 		}
 		if w.peer == "" {
-			w.peer = n.anyone(w.tries%2 == 1)
+			w.peer = others[w.tries%2]
 		}
 		if ids := ask[w.peer]; len(ids) < mostWants && w.peer != "" {
 			if ids == nil {
@@ -190,7 +193,7 @@
 			}
 			ask[w.peer] = append(ids, w.id)
 		}
-		w.due = now + againWait[w.tries] + n.chance.Int64N(againSpread)
+		w.due = now + againWait[w.tries] + spread
 		w.tries++
 		w.peer = ""
 	}
@@ -246,6 +249,7 @@
 	if beside {
 		wait = newsBeside
 	}
+	due := now + wait.wait + n.chance.Int64N(wait.spread)
 	for _, h := range all {
 		its := origin{top: h.top, after: h.after}
 		top := h.top
@@ -270,7 +274,7 @@
 			}
 			for seq := o.top + 1; seq <= top; seq++ {
 				if !o.had(seq) && its.had(seq) {
-					n.want(batchID{h.origin, seq}, from, true, now+wait.wait+n.chance.Int64N(wait.spread), now)
+					n.want(batchID{h.origin, seq}, from, true, due, now)
 				}
 			}
 		}
