--- a/lab/scale/layout.go
+++ b/lab/scale/layout.go
@@ -1,5 +1,5 @@
 // Package scale measures what a gateway's control side costs at the size of the users' whole fleet, where a real process for each
-// gateway does not fit on a machine. It has three parts.
+// gateway does not fit on a machine. It has four parts.
 //
 // Net is a network on a virtual clock for pure modules (inputs and time in, actions out): one event queue, a latency for each pair of
 // places, loss, cuts, kills, pauses, counts of each node. One goroutine owns a Net; runs at once are Nets of their own.
@@ -10,6 +10,9 @@
 // Hollow gateways are the real control code (the reader of the watch, the purges, the caches, the router) without its load, many to
 // a process; kubemark is the published example. Real processes run beside them so that both are seen to cost the same.
 //
+// Broadcast plays the spreading of purges among gateways on Net, the old mechanism and the new one, under faults (cases.go), with lists
+// of live gateways that differ for a while (views.go).
+//
 // Nothing of the gateway imports this package; cli/rigs and tests do.
 package scale
 
