--- a/cli/rigs/broadcast.go
+++ b/cli/rigs/broadcast.go
@@ -1,6 +1,7 @@
 package rigs
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -39,6 +40,7 @@
 	Hold      []string      `default:"new" help:"Mechanisms whose lost purges and broken bounds make the exit status 1."`
 	Jobs      int           `default:"1" help:"Runs at once, 1 to 16. Processor and heap are measured only with 1."`
 	JSON      string        `help:"Write a line of JSON for each run."`
+	From      []string      `help:"Files of JSON lines written before: tell and draw their runs in place of playing any."`
 	Plot      string        `help:"Folder for SVG plots of time and bytes against size, on log axes."`
 }
 
@@ -59,6 +61,7 @@
   foldslip-rig scale broadcast --sizes 500 --seeds 1-20 --case none,loss1,loss5,heads,zone --jobs 4 --json out.jsonl
   foldslip-rig scale broadcast --sizes 12,50,200,500 --mechanism old,new --plot plots
   foldslip-rig scale broadcast --sizes 200 --case cut --seconds 4200 --fault 1h --mechanism new --seeds 1
+  foldslip-rig scale broadcast --from a.jsonl,b.jsonl --plot plots   # runs kept from before
   foldslip-rig scale broadcast --sizes 3900 --seeds 1 --mechanism new # processor and heap too; some GB
 
 Exit status 1 if a mechanism under --hold lost a purge or broke a bound.`
@@ -128,7 +131,12 @@
 			return misuse{err}
 		}
 	}
-	all, err := c.play(jobs, lines, to.errs)
+	var all []*scale.BroadcastReport
+	if len(c.From) > 0 {
+		all, err = readRuns(c.From)
+	} else {
+		all, err = c.play(jobs, lines, to.errs)
+	}
 	if err != nil {
 		return err
 	}
@@ -151,6 +159,31 @@
 	return nil
 }
 
+// readRuns reads runs kept before, in the order of tables.
+func readRuns(paths []string) (all []*scale.BroadcastReport, err error) {
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, misuse{err}
+		}
+		defer file.Close()
+		for d := json.NewDecoder(file); ; {
+			r := &scale.BroadcastReport{}
+			if err := d.Decode(r); errors.Is(err, io.EOF) {
+				break
+			} else if err != nil {
+				return nil, misuse{fmt.Errorf("--from %s: %w", path, err)}
+			}
+			all = append(all, r)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b *scale.BroadcastReport) int {
+		return cmp.Or(cmp.Compare(a.Gateways, b.Gateways), cmp.Compare(slices.Index(scale.Cases(), a.Case), slices.Index(scale.Cases(), b.Case)),
+			cmp.Compare(b.Mechanism, a.Mechanism), cmp.Compare(a.Seed, b.Seed))
+	})
+	return all, nil
+}
+
 // play plays some at once and keeps their order.
 func (c *scaleBroadcast) play(jobs []scale.BroadcastOptions, lines *json.Encoder, errs io.Writer) ([]*scale.BroadcastReport, error) {
 	bar := progressbar.NewOptions(len(jobs), progressbar.OptionSetWriter(errs), progressbar.OptionShowCount(), progressbar.OptionClearOnFinish(),
--- a/cli/rigs/broadcast_test.go
+++ b/cli/rigs/broadcast_test.go
@@ -50,6 +50,9 @@
 			t.Error(err)
 		}
 	}
+	if status, again, errs := called("--from", lines); status != 0 || len(strings.Split(again, "\n")) != len(strings.Split(out, "\n")) {
+		t.Errorf("status %d; the same runs from their file: %s%s, before: %s", status, again, errs, out)
+	}
 	if status, out, _ := called("--sizes", "12", "--seeds", "1", "--seconds", "2", "--settle", "5", "--mechanism", "old", "--hold", "old"); status != 1 || !strings.Contains(out, "not heard") {
 		t.Errorf("status %d where the old mechanism is held to the bounds and loses: %s", status, out)
 	}
