--- a/fleet/broadcast/broadcast.go
+++ b/fleet/broadcast/broadcast.go
@@ -129,6 +129,7 @@
 	waiting   map[Purge]int64 // own, not yet said: when to
 	lead      bool            // this gateway said the last ones, and nobody else did
 	meekUntil int64           // until then nobody begins to speak here: there are sayers enough
+	newestAt  int64           // when the newest issue so far was heard
 
 	origins map[uint64]*origin
 	log     map[batchID]*stored
@@ -147,7 +148,6 @@
 	sweepAt  int64
 
 	reconcileAt int64
-	newestAt    int64 // when the newest issue was last heard to rise
 }
 
 const never = int64(1<<63 - 1)
--- /dev/null
+++ b/lab/scale/roles.go
@@ -0,0 +1,96 @@
+package scale
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"foldslip/fleet/broadcast"
+)
+
+// spreaders make a mechanism's part of a gateway.
+var spreaders = map[string]func(g *gateway, now int64) spreader{"old": newOldSpread, "new": newNewSpread}
+
+const mostShared = 64 // lists of the live that are kept for who has the same
+
+func (r *broadcastRun) member(i int) broadcast.Member {
+	p := r.places[i]
+	return broadcast.Member{Name: r.names[i], Place: broadcast.Place{Region: fmt.Sprintf("r%02d", p.Region), Zone: fmt.Sprintf("z%02d", p.Zone), Site: fmt.Sprintf("s%03d", p.Site)}}
+}
+
+// members gives a list of the live; gateways that see the same share one, as no process of theirs would, so that 3,900 fit.
+func (r *broadcastRun) members(view set) []broadcast.Member {
+	key := r.key[:0]
+	for _, word := range view {
+		key = binary.LittleEndian.AppendUint64(key, word)
+	}
+	r.key = key
+	if list, is := r.shared[string(key)]; is {
+		return list
+	}
+	var list []broadcast.Member
+	for _, m := range r.sorted { // in the tree's order: a list that is not is copied
+		if view.has(r.at[m.Name]) {
+			list = append(list, m)
+		}
+	}
+	if len(r.shared) >= mostShared {
+		clear(r.shared)
+	}
+	r.shared[string(key)] = list
+	return list
+}
+
+// ranked gives the gateways that are up in the order of the new mechanism's tree, and of each how high it stands: 0 the root, 1 a region's
+// head, 2 a zone's, 3 a site's, 4 another.
+func (r *broadcastRun) ranked() (who []int, level []int) {
+	var list []broadcast.Member
+	for i := range r.all {
+		if r.net.Up(i) {
+			list = append(list, r.known[i])
+		}
+	}
+	broadcast.SortMembers(list)
+	for k, m := range list {
+		l := 4
+		if k == 0 {
+			l = 0
+		} else if before := list[k-1].Place; before.Region != m.Place.Region {
+			l = 1
+		} else if before.Zone != m.Place.Zone {
+			l = 2
+		} else if before.Site != m.Place.Site {
+			l = 3
+		}
+		who, level = append(who, r.at[m.Name]), append(level, l)
+	}
+	return who, level
+}
+
+// heads are the most loaded gateways by the true list of the live: root, regions' heads, zones' heads.
+func (r *broadcastRun) heads() (out [3][]int) {
+	who, level := r.ranked()
+	for k, l := range level {
+		if l < 3 && !r.guarded.has(who[k]) {
+			out[l] = append(out[l], who[k])
+		}
+	}
+	return out
+}
+
+// roles name each gateway's place in the tree.
+func (r *broadcastRun) roles() []string {
+	out := make([]string, len(r.all))
+	who, level := r.ranked()
+	for k, i := range who {
+		out[i] = [...]string{"root", "region head", "zone head", "site head", "other"}[level[k]]
+		if s, is := r.all[i].its.(*newSpread); is && level[k] == 4 && len(s.node.Stats().Children) == 0 {
+			out[i] = "leaf"
+		}
+	}
+	if r.o.Told != "all" {
+		for _, i := range r.tellers {
+			out[i] = "told"
+		}
+	}
+	return out
+}
