Broadcast: another's batch goes on only to neighbours that have said something

Change: forward passes over a neighbour that has said nothing since it is one; own batches go as before, and haves bring what it lacks.

--- a/fleet/broadcast/broadcast.go
+++ b/fleet/broadcast/broadcast.go
@@ -121,6 +121,7 @@
 	saidAt int64  // its time
 	tree   tree
 	heard  map[string]int64 // when, of those near in the tree
+	met    map[string]bool  // neighbours that said something since they are
 	grafts []string
 	out    []Letter
 	stats  Stats
@@ -159,7 +160,7 @@
 	set.Reconcile, set.Recent = cmp.Or(set.Reconcile, Usual.Reconcile), cmp.Or(set.Recent, Usual.Recent)
 	b := binary.LittleEndian.AppendUint64([]byte(self.Name), stamp)
 	n := &Node{set: set, self: self, chance: chance, me: xxhash.Sum64(b), kept: newKept(set.Most), waiting: map[Purge]int64{},
-		origins: map[uint64]*origin{}, heard: map[string]int64{}, log: map[batchID]*stored{}, injectAt: never, sweepAt: now + sweepTurn,
+		origins: map[uint64]*origin{}, heard: map[string]int64{}, met: map[string]bool{}, log: map[batchID]*stored{}, injectAt: never, sweepAt: now + sweepTurn,
 		rate: bucket{left: set.Rate * 1_000_000, at: now}, injects: bucket{left: injectBurst * 1_000_000, at: now}}
 	n.haveAt = now + chance.Int64N(max(1, set.Have))
 	n.reconcileAt = now + chance.Int64N(max(1, set.Reconcile))
@@ -259,6 +260,9 @@
 	if _, near := n.heard[from]; near {
 		n.heard[from] = now
 	}
+	if n.beside(from) {
+		n.met[from] = true
+	}
 	if heed, err = n.take(from, frame, now); err != nil {
 		n.stats.Unreadable++
 	}
--- a/fleet/broadcast/graft.go
+++ b/fleet/broadcast/graft.go
@@ -1,6 +1,9 @@
 package broadcast
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // Graft. The view takes seconds to tell that a gateway is dead, and meanwhile its place parts the tree. Neighbours tell each other haves, so
 // those of the dead one know within silence, and stand in a line for it: its parent, then its children in order. Each takes for an edge of the
@@ -73,4 +76,5 @@
 			delete(n.heard, peer)
 		}
 	}
+	maps.DeleteFunc(n.met, func(peer string, _ bool) bool { return !n.beside(peer) })
 }
--- a/fleet/broadcast/inject.go
+++ b/fleet/broadcast/inject.go
@@ -118,6 +118,11 @@
 		if to == from || n.silent(to, now) { // haves go to a silent one still, and tell it and this one when it is back
 			continue
 		}
+		// Guards who seems a neighbour to many that have just started, whose lists lack each other: until it has said something it may not
+		// know of the edge, and has its batches by its own ones. What it lacks it asks for by the have.
+		if from != "" && !n.met[to] {
+			continue
+		}
 		if n.credit(now) < least {
 			n.stats.Shed++
 			continue
