--- a/cli/rigs/broadcast.go
+++ b/cli/rigs/broadcast.go
@@ -117,20 +117,11 @@
 			return misuse{err}
 		}
 	}
-	var lines *json.Encoder
-	if c.JSON != "" {
-		file, err := os.Create(c.JSON)
-		if err != nil {
-			return misuse{err}
-		}
-		defer file.Close()
-		lines = json.NewEncoder(file)
-	}
-	if c.Plot != "" {
-		if err := os.MkdirAll(c.Plot, 0o755); err != nil {
-			return misuse{err}
-		}
+	lines, done, err := outputs(c.JSON, c.Plot)
+	if err != nil {
+		return err
 	}
+	defer done()
 	var all []*scale.BroadcastReport
 	if len(c.From) > 0 {
 		all, err = readRuns(c.From)
--- a/cli/rigs/scale.go
+++ b/cli/rigs/scale.go
@@ -114,20 +114,11 @@
 			return err
 		}
 	}
-	var lines *json.Encoder
-	if c.JSON != "" {
-		file, err := os.Create(c.JSON)
-		if err != nil {
-			return misuse{err}
-		}
-		defer file.Close()
-		lines = json.NewEncoder(file)
-	}
-	if c.Plot != "" {
-		if err := os.MkdirAll(c.Plot, 0o755); err != nil {
-			return misuse{err}
-		}
+	lines, done, err := outputs(c.JSON, c.Plot)
+	if err != nil {
+		return err
 	}
+	defer done()
 	var budget scale.Budget
 	if c.Budget {
 		budget = scale.FullBudget
@@ -257,3 +248,22 @@
 	}
 	fmt.Fprintf(out, "\n%s", text)
 }
+
+// outputs opens what a run is written to: JSON lines (nil: none) and a folder of plots; done closes it.
+func outputs(path, plots string) (lines *json.Encoder, done func(), err error) {
+	done = func() {}
+	if path != "" {
+		file, err := os.Create(path)
+		if err != nil {
+			return nil, done, misuse{err}
+		}
+		lines, done = json.NewEncoder(file), func() { file.Close() }
+	}
+	if plots != "" {
+		if err := os.MkdirAll(plots, 0o755); err != nil {
+			done()
+			return nil, func() {}, misuse{err}
+		}
+	}
+	return lines, done, nil
+}
