--- /dev/null
+++ b/logic/outlier.go
@@ -0,0 +1,126 @@
+// Outlier ejection: which cache is out of use, its probes, and when it is readmitted.
+
+package logic
+
+import (
+	"fmt"
+	"slices"
+)
+
+const (
+	errorsMove = 3  // so many plain errors of a cache in a row move lookups on, so many put it out:
+	errorsOut  = 10 // chance alone does not make them where one in four ends so everywhere
+
+	recentTimes                    = 10                // of a cache or parent, over which its mean is taken
+	trialEvery                     = 1 * second        // between trials of a cache or parent that is out
+	lagMultiple, lagFloor, lagPart = 3.0, 250 * ms, .1 // of others' mean; past it, of first bytes; of a budget
+)
+
+// hear notes a good answer; a good trial brings a cache back, and one that died warms up as if started then.
+func (r *Router) hear(c *Cache, s *Send) {
+	c.heard, c.strikes, c.errors = r.now, 0, 0
+	if c.out && c.trial == s {
+		if c.coldFrom == 0 && (c.died || c.Kind == r.its.ParentKind && r.now-c.outAt > coldAfter) {
+			c.coldFrom, c.tokens, c.tokensAt = r.now, 0, r.now
+		}
+		c.out, c.recents = false, 0
+		r.log("%s back after %d us", c.Name, r.now-c.outAt)
+	}
+	c.died = c.died && c.out
+}
+
+// strike weighs one account: so many failures in a row put the cache out, a failed trial puts the next off.
+func (r *Router) strike(c *Cache, n, most int, why string) {
+	if c.out {
+		c.nextAt, c.lags = r.now+trialEvery, false
+	} else if n >= most {
+		r.putOut(c, fmt.Sprintf("%s, %d in a row", why, n))
+	}
+}
+
+func (r *Router) putOut(c *Cache, why string) {
+	c.out, c.outAt, c.lags = true, r.now, false
+	c.nextAt = r.now + trialEvery/2 + Micros(r.chance.next()%uint32(trialEvery/2))
+	r.log("%s out: %s", c.Name, why)
+}
+
+// trialDue tells whether a cache may have the lookup: one that is out gets one at a time, of no unusual size,// or any, where it only lags and routes leave no other edge that is in (a panic threshold).
+func (r *Router) trialDue(c *Cache, lk *Lookup) bool {
+	in := func(o *Cache) bool { return !o.out && o.State == Ready && lk.scope.edge(o) }
+	return !c.out || c.lags && c.mute == 0 && !slices.ContainsFunc(r.edges, in) ||
+		c.trial == nil && r.now >= c.nextAt && float64(lk.work) <= 1.5*lk.kind.mean(r.now)
+}
+
+// timed tells whether a send's time tells of where it went: it was answered, or ended overdue unanswered// (a slow cache's sends end so, and would else not count against it).
+func (r *Router) timed(s *Send, got *ending) bool {
+	return got.end == Satisfied || r.now >= s.overdue && (got.end == TimedOut || got.end == Cancelled)
+}
+
+// timeAmong keeps recent times and puts out one that lags behind its group's others, while half are in.
+func (r *Router) timeAmong(p *Cache, group []*Cache, took, n, floor float64) {
+	i := p.recents % recentTimes
+	p.recentTook[i], p.recentN[i] = took, n
+	if p.recents++; p.recents < recentTimes || p.out {
+		return
+	}
+	mine, others, heard, out := p.mean(), 0.0, 0.0, 1 // the unheard count as average
+	for _, o := range group {
+		if o.out {
+			out++
+		}
+		if o != p && o.recents > 0 {
+			others, heard = others+o.mean(), heard+1
+		}
+	}
+	others /= max(heard, 1)
+	if heard > 0 && 2*out <= len(group) && mine > max(lagMultiple*others, others+floor/n) {
+		r.putOut(p, fmt.Sprintf("lags, mean %.0f against %.0f", mine, others))
+		p.lags = p.Kind != r.its.ParentKind
+	}
+}
+
+func (c *Cache) mean() float64 {
+	took, n := 0.0, 0.0
+	for i := range c.recentN {
+		took, n = took+c.recentTook[i], n+c.recentN[i]
+	}
+	return took / max(n, 1)
+}
+
+// findSilent tells silent from slow. A full link makes fills late: while a cache owes one lookups look first,// and two looks unanswered put it out; a parent three fills, while others are heard and owe few.
+func (r *Router) findSilent() {
+	newest, mute := Micros(0), 0 // mute: fills that all parents owe
+	for _, c := range r.caches {
+		if c.mute, c.muteLooks = 0, 0; c.Kind == r.its.ParentKind {
+			newest = max(newest, c.heard)
+		}
+	}
+	for _, s := range r.open {
+		p := s.source
+		switch {
+		case r.now < s.overdue:
+		case s.to.heard < s.at:
+			s.to.mute++
+			if p == s.to || s.lk.write {
+				s.to.muteLooks++
+			}
+		case p.Kind == r.its.ParentKind && p.heard < s.at && r.now > s.overdue+200*ms:
+			if mute++; newest >= s.at {
+				p.mute++
+			}
+		}
+	}
+	for _, c := range r.caches {
+		if !c.out && (c.muteLooks >= 2 || c.Kind == r.its.ParentKind && c.mute >= 3 && 3*c.mute > 2*mute) {
+			r.putOut(c, fmt.Sprintf("silent, %d overdue", c.mute))
+		}
+	}
+	for _, s := range r.open {
+		lk := s.lk
+		stuck := s.to.out && s.to.heard < s.at || s.source.out && s.source.heard < s.at
+		if stuck && r.now >= s.overdue && lk.deadline-r.now > lk.work && len(lk.sends) < r.its.SendLimit &&
+			lk.kind.Effect == Idempotent {
+			r.cancel(s)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,6 +1,7 @@
 package logic
 
-// What the module remembers: plain types; all that is decided with them stands in logic.go.
+// What the module remembers: plain types; all that is decided with them stands in the files that deploy/balancer.toml names
+// under policy.
 
 // Cache is a server in the list: an edge cache, a parent or the origin.
 type Cache struct {
@@ -33,6 +34,14 @@
 	recentTook, recentN [recentTimes]float64 // a parent's recent times, and what each is counted over
 }
 
+// NewCache makes the cache for a name at the door.
+func NewCache(name string) *Cache {
+	return &Cache{Name: name, hash: hashOf(name), limit: firstLimit, Row: Row{State: Gone}}
+}
+
+// Over tells whether the lookup has had its final answer.
+func (lk *Lookup) Over() bool { return lk.over }
+
 // Lookup is a client's request while this router owes it an answer.
 type Lookup struct {
 	Door             string // the door's word for it
