--- a/logic/edge.go
+++ b/logic/edge.go
@@ -23,13 +23,15 @@
 		switch {
 		case c.State != Ready || c == lk.failedAt || !r.mayRepeat(lk, c, 0) || !lk.scope.edge(c):
 		case !r.trialDue(c, lk):
-		case !r.warmEnough(c, lk.part) || !r.afford(c, lk.kind.mean(r.now)):
+		case !r.warmEnough(c, lk.part):
 			wait = true
 		case float64(c.open)-r.fillsOpen(c.sends) >= part*c.limit || r.now < c.pauseTill:
 			if part < 1 {
 				return keep // two homes are enough: a third would fill what they hold
 			}
 			wait, part = true, roomToSpill
+		case !r.afford(c, max(float64(lk.work), lk.kind.mean(r.now))):
+			wait = true
 		default:
 			s.to = c
 			return pass
@@ -54,6 +56,9 @@
 	switch {
 	case got.end == Satisfied || got.end == Missed || got.remark >= SourceRefused:
 		r.hear(c, s)
+		if got.end == Satisfied {
+			r.weigh(c, got.took-got.waited, lk.work)
+		}
 		if got.remark == Hit || got.remark == Aged {
 			c.took.add(r.now, float64(got.took))
 			c.ideal.add(r.now, float64(lk.span()))
--- a/logic/fills.go
+++ b/logic/fills.go
@@ -12,10 +12,13 @@
 	manyFills  = 40         // up to so many every late one counts
 )
 
-// parent names the source: the object's home among all listed parents, or the next that is up; the origin for// what runs there, as parents hold nothing of it and would cost it time. While fills are pressed (slow, or// without places) lookups look first, so that hits go on; misses fill a few at a time.
+// parent names the source: the object's home among all listed parents, or the next that is up; the origin for
+// what runs there, as parents hold nothing of it and would cost it time. While fills are pressed (slow, or
+// without places) lookups look first, so that hits go on; misses fill a few at a time. Not at a cold cache,
+// where a look counts as much as the fill that follows it (rule 4), and most looks miss.
 func (r *Router) parent(s *Send) verdict {
 	lk, pressed := s.lk, r.pressedTill > r.now
-	if (pressed || s.to.mute > 0 || lk.aged) && !lk.write {
+	if (pressed && s.to.coldFrom == 0 || s.to.mute > 0 || lk.aged) && !lk.write {
 		if lk.missed == nil || lk.aged {
 			if s.source = s.to; !pressed {
 				s.how &^= Join // a quick miss shows that a cache with overdue fills is alive
@@ -79,7 +82,7 @@
 		return
 	}
 	if got.remark == Hit || got.remark == Aged {
-		p.tokens += float64(lk.work) // no fill reached it
+		p.sent.add(r.now, r.fallFor(), -float64(lk.work)) // no fill reached it
 	}
 	// A parent's fills are timed to their first byte where that is told, else a KB; where nothing tells a fill,
 	// all sends that named it are, hits that passed it by too.
@@ -93,7 +96,8 @@
 	switch {
 	case got.end == Satisfied && filled:
 		r.hear(p, s)
-		p.borne.add(r.now, float64(lk.work))
+		r.weigh(p, got.took-got.waited, lk.work)
+		p.borne.add(r.now, float64(min(lk.work, got.took)))
 	case got.remark == SourceRefused || got.remark == SourceLost:
 		p.died = p.died || got.remark == SourceLost
 		p.strikes++
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,5 +1,5 @@
 // Package logic decides for one router: which cache, which source, which rank, how long, what is given up.
-// The front end (an adapter or a gateway) makes a Router with Start and caches with NewCache, and tells it what
+// The front end (an adapter or a gateway) makes a Router with Start, caches with NewCache, and tells it what
 // happens and when; it answers through Host (host.go; plain types in state.go). One call at a time. A lookup
 // goes down the chain intake > copies > edge > parent > dispatch as the draft of a send. A stage
 // passes it on, keeps it (held) or ends it; what comes back runs the same stages in reverse.
@@ -8,7 +8,6 @@
 package logic
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -51,7 +50,9 @@
 	return r
 }
 
-// Carry takes over, at a move to settings of another shape, what still means the same: purges (rule 5),// counts, and of each cache listed in both by name its warming (rule 4) and whether it is out. Limits, times// and fills start afresh: what they were measured against may have changed. Call it after the first list.
+// Carry takes over, at a move to settings of another shape, what still means the same: purges (rule 5),
+// counts, and of each cache listed in both by name its warming (rule 4) and whether it is out. Limits, times
+// and fills start afresh: what they were measured against may have changed. Call it after the first list.
 func (r *Router) Carry(from *Router) {
 	maps.Copy(r.counts, from.counts)
 	for key, at := range from.purged {
@@ -63,7 +64,7 @@
 	}
 	for _, c := range r.caches {
 		if o := was[c.Name]; o != nil && o != c {
-			c.coldFrom, c.tokens, c.tokensAt = max(c.coldFrom, o.coldFrom), min(c.tokens, o.tokens), o.tokensAt
+			c.coldFrom, c.sent, c.scale, c.scaleAt = max(c.coldFrom, o.coldFrom), o.sent, o.scale, o.scaleAt
 			c.out, c.outAt, c.nextAt, c.died, c.lags = o.out, o.outAt, o.nextAt, o.died, o.lags
 		}
 	}
@@ -85,7 +86,7 @@
 		}
 		named[c] = true
 		if row.Started > c.Started || c.Standing+row.Standing > Told && row.Started != c.Started {
-			c.coldFrom, c.tokens, c.tokensAt = row.Started, 0, now // its warming begins
+			c.startWarming(row.Started, now)
 		}
 		if row.Standing == Doubted && c.Standing != Doubted && !c.out {
 			c.out, c.outAt, c.nextAt = true, now, now // trials at once
@@ -98,18 +99,7 @@
 		}
 		return c.State == Gone
 	})
-	slices.SortFunc(r.caches, func(a, b *Cache) int { return cmp.Compare(a.hash, b.hash) })
-	r.edges, r.parents, r.origin = nil, nil, nil
-	for _, c := range r.caches {
-		switch {
-		case c.Kind == r.its.OriginKind:
-			r.origin = c
-		case c.Kind == r.its.ParentKind:
-			r.parents = append(r.parents, c)
-		case c.Zone == r.its.Zone:
-			r.edges = append(r.edges, c)
-		}
-	}
+	r.group()
 }
 
 // Arrive takes a lookup; the door may drop it when it comes back over.
@@ -157,16 +147,6 @@
 	r.finish(lk)
 }
 
-// Purged takes word of a purge of an object, or of a group where name is empty, made that long ago.
-func (r *Router) Purged(now Micros, name string, group int, ago Micros) {
-	r.now = now
-	key := uint64(group) // far below any hash
-	if name != "" {
-		key = hashOf(name)
-	}
-	r.purged[key] = max(r.purged[key], now-ago)
-}
-
 // Woken is called when a timer comes due.
 func (r *Router) Woken(now Micros, token int64) {
 	r.now = now
@@ -282,10 +262,6 @@
 			t.trial = s
 		}
 	}
-	c.tokens -= lk.kind.mean(r.now)
-	if s.source != c {
-		s.source.tokens -= float64(lk.work)
-	}
 	s.overdue = r.now + Micros(overduePart*float64(lk.span()))
 	lk.sends = append(lk.sends, s)
 	lk.open++
@@ -301,7 +277,7 @@
 	its := func(o *Send) bool { return o == s }
 	r.open, s.to.sends = slices.DeleteFunc(r.open, its), slices.DeleteFunc(s.to.sends, its)
 	if got.end == Satisfied {
-		s.to.borne.add(r.now, float64(s.lk.work))
+		s.to.borne.add(r.now, float64(min(s.lk.work, got.took))) // less of a copy that the client holds
 	}
 }
 
@@ -336,20 +312,11 @@
 	r.held = slices.DeleteFunc(r.held, func(o *Lookup) bool { return o == lk })
 }
 
-// mayRepeat guards rule 2: where may a further send of this lookup go, asked at the decision and at its first// byte, which may wait for a connection; out counts it then. There are never two out at once.
+// mayRepeat guards rule 2: where may a further send of this lookup go, asked at the decision and at its first
+// byte, which may wait for a connection; out counts it then. There are never two out at once.
 func (r *Router) mayRepeat(lk *Lookup, to *Cache, out int) bool {
 	k, at := lk.kind, lk.ranTo
 	return lk.open <= out && (at == nil || k.Effect == Idempotent || k.Effect == Deduplicated &&
 		r.now <= lk.ranAt+k.Memory-50*ms && (k.Circle == Everywhere ||
 		to.Zone == at.Zone && (k.Circle == SameZone || to.Cell == at.Cell)))
 }
-
-// halve ages the counts and drops what has none left, and purges that no copy can be older than.
-func (r *Router) halve() {
-	r.halveAt = r.now + halveEvery
-	for part, n := range r.counts {
-		r.counts[part] = n / 2
-	}
-	maps.DeleteFunc(r.counts, func(_ uint64, n float64) bool { return n < 1 })
-	maps.DeleteFunc(r.purged, func(_ uint64, at Micros) bool { return r.now > at+r.its.PurgeDone+second })
-}
--- a/logic/measure.go
+++ b/logic/measure.go
@@ -22,6 +22,32 @@
 // rate is the sum as an amount per microsecond.
 func (s *sum) rate(now Micros) float64 { return s.read(now) * math.Ln2 / float64(halfLife) }
 
+// windowSlots is how many slots of a window cover its span.
+const windowSlots = 4
+
+// window sums up what was added within a span: never less than of the span, of at most a slot more.
+type window struct {
+	slots [windowSlots + 1]float64
+	slot  Micros // number of the newest
+}
+
+func (w *window) read(now, span Micros) (total float64) {
+	newest := now * windowSlots / span
+	for w.slot = max(w.slot, newest-windowSlots-1); w.slot < newest; {
+		w.slot++
+		w.slots[w.slot%(windowSlots+1)] = 0
+	}
+	for _, v := range w.slots {
+		total += v
+	}
+	return total
+}
+
+func (w *window) add(now, span Micros, v float64) {
+	w.read(now, span)
+	w.slots[w.slot%(windowSlots+1)] += v
+}
+
 func (m *mwc) next() uint32 {
 	t := uint64(698769069)*uint64(m.x) + uint64(m.c)
 	m.x, m.c = uint32(t), uint32(t>>32)
@@ -43,3 +69,15 @@
 	z = (z ^ z>>27) * 0x94d049bb133111eb
 	return z ^ z>>31
 }
+
+// mean is a cache's or parent's recent time, over what it is counted over.
+func (c *Cache) mean() float64 {
+	took, n := 0.0, 0.0
+	for i := range c.recentN {
+		took, n = took+c.recentTook[i], n+c.recentN[i]
+	}
+	return took / max(n, 1)
+}
+
+// mean is the mean sending time of a kind: what the rule counts for a send to a cold cache.
+func (k *kind) mean(now Micros) float64 { return k.work.read(now) / max(k.n.read(now), 1e-3) }
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -184,7 +184,9 @@
 	}
 	for i := range 50 { // the warming cache gets no more in the first second than it did before
 		f.ask(0, fmt.Sprint(i))
-		f.end(f.last(), Satisfied, Untold, 10*ms)
+		if f.last().to != now[0] { // what it has not answered shows nothing of what it bears
+			f.end(f.last(), Satisfied, Untold, 10*ms)
+		}
 		f.pass(20 * ms)
 	}
 	to := 0
--- a/logic/outlier.go
+++ b/logic/outlier.go
@@ -20,8 +20,8 @@
 func (r *Router) hear(c *Cache, s *Send) {
 	c.heard, c.strikes, c.errors = r.now, 0, 0
 	if c.out && c.trial == s {
-		if c.coldFrom == 0 && (c.died || c.Kind == r.its.ParentKind && r.now-c.outAt > coldAfter) {
-			c.coldFrom, c.tokens, c.tokensAt = r.now, 0, r.now
+		if c.died || c.coldFrom == 0 && c.Kind == r.its.ParentKind && r.now-c.outAt > coldAfter {
+			c.startWarming(r.now, r.now)
 		}
 		c.out, c.recents = false, 0
 		r.log("%s back after %d us", c.Name, r.now-c.outAt)
@@ -44,14 +44,16 @@
 	r.log("%s out: %s", c.Name, why)
 }
 
-// trialDue tells whether a cache may have the lookup: one that is out gets one at a time, of no unusual size,// or any, where it only lags and routes leave no other edge that is in (a panic threshold).
+// trialDue tells whether a cache may have the lookup: one that is out gets one at a time, of no unusual size,
+// or any, where it only lags and routes leave no other edge that is in (a panic threshold).
 func (r *Router) trialDue(c *Cache, lk *Lookup) bool {
 	in := func(o *Cache) bool { return !o.out && o.State == Ready && lk.scope.edge(o) }
 	return !c.out || c.lags && c.mute == 0 && !slices.ContainsFunc(r.edges, in) ||
 		c.trial == nil && r.now >= c.nextAt && float64(lk.work) <= 1.5*lk.kind.mean(r.now)
 }
 
-// timed tells whether a send's time tells of where it went: it was answered, or ended overdue unanswered// (a slow cache's sends end so, and would else not count against it).
+// timed tells whether a send's time tells of where it went: it was answered, or ended overdue unanswered
+// (a slow cache's sends end so, and would else not count against it).
 func (r *Router) timed(s *Send, got *ending) bool {
 	return got.end == Satisfied || r.now >= s.overdue && (got.end == TimedOut || got.end == Cancelled)
 }
@@ -79,15 +81,8 @@
 	}
 }
 
-func (c *Cache) mean() float64 {
-	took, n := 0.0, 0.0
-	for i := range c.recentN {
-		took, n = took+c.recentTook[i], n+c.recentN[i]
-	}
-	return took / max(n, 1)
-}
-
-// findSilent tells silent from slow. A full link makes fills late: while a cache owes one lookups look first,// and two looks unanswered put it out; a parent three fills, while others are heard and owe few.
+// findSilent tells silent from slow. A full link makes fills late: while a cache owes one lookups look first,
+// and two looks unanswered put it out; a parent three fills, while others are heard and owe few.
 func (r *Router) findSilent() {
 	newest, mute := Micros(0), 0 // mute: fills that all parents owe
 	for _, c := range r.caches {
--- a/logic/shedding.go
+++ b/logic/shedding.go
@@ -33,7 +33,8 @@
 	}
 }
 
-// expects is how long the answer will take: for a fill the wait for the source, whatever the size, and as// much more than its sending time as fills of late.
+// expects is how long the answer will take: for a fill the wait for the source, whatever the size, and as
+// much more than its sending time as fills of late.
 func (k *kind) expects(now Micros, lk *Lookup) Micros {
 	if lk.missed == nil {
 		return lk.work
@@ -43,9 +44,6 @@
 	return Micros(waited/(k.fillN.read(now)+1) + float64(lk.work)*stretch)
 }
 
-// mean is the mean sending time of a kind: what the rule counts for a send to a cold cache.
-func (k *kind) mean(now Micros) float64 { return k.work.read(now) / max(k.n.read(now), 1e-3) }
-
 // span is the latency budget as a time to take.
 func (lk *Lookup) span() Micros {
 	return min(lk.kind.Budget+Micros(lk.kind.Stretch*float64(lk.work)), lk.kind.GiveUp)
--- a/logic/slowstart.go
+++ b/logic/slowstart.go
@@ -3,10 +3,18 @@
 package logic
 
 const (
-	coldAfter = 3 * second // a parent out for longer may have started anew
-	coldRate  = 1.4        // of what a cold cache bears at least; the rule counts a multiple of it
-	stakePart = 0.35       // of what a parent bears by the rule, for one fill that the bucket is staked on
-	coldBurst = 0.4        // of the rule's multiple above 1, at once
+	coldAfter  = 3 * second // a parent out for longer may have started anew
+	stakePart  = 0.35       // of what a parent bears by the rule, for one fill that the budget is staked on
+	stakeLeast = 0.25       // of a lookup's work has to be left to be staked on it,
+	stakeFull  = 0.9        // or this part of a budget that is smaller
+
+	allowedPart = 0.98 // of what the rule allows a cache of full scale in its span
+	mostAtOnce  = 2.0  // of what a cold cache bears at least, in the rule's span: more would only come late
+
+	surePart   = 0.5   // of what warm ones of its group bear a cold cache surely bears this part
+	listedPart = 0.8   // of a link that the list tells
+	fullPace   = 2.0   // while its transfers take more than this multiple of their sending time it is sent less,
+	leastScale = 0.125 // down to this part
 )
 
 // share is how much of its link a cold cache surely has by now; 1 once warm.
@@ -27,37 +35,59 @@
 	return c.coldFrom == 0 || float64(mix(hash, c.hash+1)>>40)/(1<<24) < r.share(c)
 }
 
-// afford guards rule 4: this router's part of what a cold cache can bear, as a bucket that bounds any window.// A link bears what is listed, else what warm ones carry times the routers, or one transfer.
+// afford guards rule 4: this router's part of what a cold cache may be sent in any span of the rule's length.
+// A link likely bears what is listed, else what warm ones of its group carry times the routers; it surely
+// bears a part of that, what it was seen to carry itself, or one transfer.
 func (r *Router) afford(c *Cache, work float64) bool {
 	share := r.share(c)
 	if c.coldFrom == 0 {
 		return true
 	}
-	carried, multiple, routers := r.edgeCarries, r.its.FallMultiple, r.seats()
+	carried, multiple, part := r.edgeCarries, r.its.FallMultiple, 1/r.seats()
 	if c.Kind == r.its.ParentKind {
-		carried, multiple, routers = r.parentCarries, r.its.ParentFall, r.routers()
+		carried, multiple, part = r.parentCarries, r.its.ParentFall, 1/r.routers()
 	}
-	part := 1 / routers
-	link := carried / part
+	likely, sure := carried/part, surePart*carried/part
 	if r.its.Weighted {
-		link = 0.8 * c.Weight
+		likely, sure = listedPart*c.Weight, listedPart*c.Weight
 	}
-	rate := coldRate * share * max(1, link) * part
-	depth := rate * float64(max(r.its.FallFor, 100*ms)) * max(0.2, (multiple-1)*coldBurst)
-	c.tokens, c.tokensAt = min(depth, c.tokens+rate*float64(r.now-c.tokensAt)), r.now
-	if c.tokens < depth || c.tokens >= work {
-		return c.tokens >= work
+	span, own := r.fallFor(), c.borne.rate(r.now)/part
+	bears := max(share*max(1, sure), own) * float64(span)
+	most := min(allowedPart*multiple*bears, mostAtOnce*max(share*likely*float64(span), bears)) * c.scale
+	left := most*part - c.sent.read(r.now, span)
+	if left >= work {
+		c.sent.add(r.now, span, work)
+		return true
 	}
-	// A full bucket too small for this lookup is staked on it, so that many routers together keep the mean; at a
-	// parent not on a fill that a few routers with luck at once would push it over with. An edge has no other in
-	// its place for what it holds, and its lookups are counted by their kind's mean.
-	bears := multiple * share * max(1, link) * float64(max(r.its.FallFor, 100*ms))
-	lucky := float64(r.chance.next())/(1<<32) < depth/work &&
-		(c.Kind != r.its.ParentKind || work < stakePart*bears)
-	if c.tokens = 0; lucky {
-		c.tokens = work
+	// What is left, where too small for this lookup, is staked on it, so that many routers together keep the
+	// mean, but not in crumbs, which would make all of it chance; at a parent not on a fill that a few routers
+	// with luck at once would push it over with. An edge has no other in its place for what it holds.
+	if left < min(stakeLeast*work, stakeFull*most*part) ||
+		c.Kind == r.its.ParentKind && work > stakePart*multiple*bears {
+		return false
+	}
+	c.sent.add(r.now, span, left)
+	return float64(r.chance.next())/(1<<32) < left/work
+}
+
+// fallFor is the span that the rule counts over.
+func (r *Router) fallFor() Micros { return max(r.its.FallFor, 100*ms) }
+
+// startWarming begins a slow start.
+func (c *Cache) startWarming(from, now Micros) {
+	c.coldFrom, c.scale, c.scaleAt, c.borne = from, 1, now, sum{}
+}
+
+// weigh learns from a transfer of a cold cache. One that is slow shows a link shared by more than it carries,
+// to every router alike; hence by time, so that a router that sees few learns as fast as the others.
+func (r *Router) weigh(c *Cache, took, work Micros) {
+	if c.coldFrom == 0 {
+		return
 	}
-	return lucky
+	since := min(1, 2*float64(r.now-c.scaleAt)/float64(r.fallFor()))
+	pace := float64(took) / float64(work+10*ms)
+	c.scale *= 1 + since*min(0.5, max(-0.5, fullPace-pace))
+	c.scale, c.scaleAt = min(1, max(leastScale, c.scale)), r.now
 }
 
 // carries follows what a warm cache of a group bears for this router.
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,5 +1,11 @@
 package logic
 
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
 // What the module remembers: plain types; all that is decided with them stands in the files that deploy/balancer.toml names
 // under policy.
 
@@ -13,15 +19,16 @@
 	lags          bool   // out for nothing but its times
 	outAt, nextAt Micros // since when; when the next trial may go
 	trial         *Send
-	strikes       int    // broken or refused connections (of a parent: failed fills) in a row
-	errors        int    // plain errors in a row
-	struckAt      Micros // sends from before then tell no more by breaking
-	heard         Micros // last good answer (of a parent: last good fill)
-	mute          int    // overdue sends since it was last heard, counted anew at each sweep
-	muteLooks     int    // those among them that asked for no fill
-	coldFrom      Micros // start of its warming; 0 once warm
-	tokens        float64
-	tokensAt      Micros
+	strikes       int     // broken or refused connections (of a parent: failed fills) in a row
+	errors        int     // plain errors in a row
+	struckAt      Micros  // sends from before then tell no more by breaking
+	heard         Micros  // last good answer (of a parent: last good fill)
+	mute          int     // overdue sends since it was last heard, counted anew at each sweep
+	muteLooks     int     // those among them that asked for no fill
+	coldFrom      Micros  // start of its warming; 0 once warm
+	sent          window  // while it warms: work sent to it, or staked
+	scale         float64 // while it warms: what it bears, as a part of what warm ones of its group do
+	scaleAt       Micros
 
 	open                int
 	sends               []*Send // these
@@ -42,6 +49,22 @@
 // Over tells whether the lookup has had its final answer.
 func (lk *Lookup) Over() bool { return lk.over }
 
+// group puts the listed caches in hash order, and by what they are: edges of the own location, parents, the origin.
+func (r *Router) group() {
+	slices.SortFunc(r.caches, func(a, b *Cache) int { return cmp.Compare(a.hash, b.hash) })
+	r.edges, r.parents, r.origin = nil, nil, nil
+	for _, c := range r.caches {
+		switch {
+		case c.Kind == r.its.OriginKind:
+			r.origin = c
+		case c.Kind == r.its.ParentKind:
+			r.parents = append(r.parents, c)
+		case c.Zone == r.its.Zone:
+			r.edges = append(r.edges, c)
+		}
+	}
+}
+
 // Lookup is a client's request while this router owes it an answer.
 type Lookup struct {
 	Door             string // the door's word for it
@@ -143,3 +166,23 @@
 
 // mwc is a multiply-with-carry generator.
 type mwc struct{ x, c uint32 }
+
+// Purged takes word of a purge of an object, or of a group where name is empty, made that long ago.
+func (r *Router) Purged(now Micros, name string, group int, ago Micros) {
+	r.now = now
+	key := uint64(group) // far below any hash
+	if name != "" {
+		key = hashOf(name)
+	}
+	r.purged[key] = max(r.purged[key], now-ago)
+}
+
+// halve ages the counts and drops what has none left, and purges that no copy can be older than.
+func (r *Router) halve() {
+	r.halveAt = r.now + halveEvery
+	for part, n := range r.counts {
+		r.counts[part] = n / 2
+	}
+	maps.DeleteFunc(r.counts, func(_ uint64, n float64) bool { return n < 1 })
+	maps.DeleteFunc(r.purged, func(_ uint64, at Micros) bool { return r.now > at+r.its.PurgeDone+second })
+}
