--- a/logic/coldfleet_test.go
+++ b/logic/coldfleet_test.go
@@ -353,9 +353,9 @@
 			borne = 0
 			for _, h := range w.hosts {
 				if c.parent {
-					borne += h.r.parentCarries
+					borne += h.r.parentCapacity
 				} else {
-					borne += h.r.edgeCarries
+					borne += h.r.edgeCapacity
 				}
 			}
 		}
--- a/logic/edge.go
+++ b/logic/edge.go
@@ -22,7 +22,7 @@
 	for _, c := range r.order(lk.part, r.edges) {
 		switch {
 		case c.State != Ready || c == lk.failedAt || !r.mayRepeat(lk, c, 0) || !lk.scope.edge(c):
-		case !r.trialDue(c, lk):
+		case !r.probeDue(c, lk):
 		case !r.warmEnough(c, lk.part):
 			wait = true
 		case float64(c.open)-r.fillsOpen(c.sends) >= part*c.limit || r.now < c.pauseTill:
@@ -30,7 +30,7 @@
 				return keep // two homes are enough: a third would fill what they hold
 			}
 			wait, part = true, roomToSpill
-		case !r.afford(c, max(float64(lk.work), lk.kind.mean(r.now))):
+		case !r.admitCold(c, max(float64(lk.work), lk.kind.mean(r.now))):
 			wait = true
 		default:
 			s.to = c
@@ -55,9 +55,9 @@
 	}
 	switch {
 	case got.end == Satisfied || got.end == Missed || got.remark >= SourceRefused:
-		r.hear(c, s)
+		r.noteAnswer(c, s)
 		if got.end == Satisfied {
-			r.weigh(c, got.took-got.waited, lk.work)
+			r.observePace(c, got.took-got.waited, lk.work)
 		}
 		if got.remark == Hit || got.remark == Aged {
 			c.took.add(r.now, float64(got.took))
@@ -68,7 +68,7 @@
 	case got.end == TurnedAway:
 		if c.heard = r.now; lk.missed != c { // where it took the look, only the fill was turned away
 			// Guards against a storm of sends where no hit times come: a cache that is full takes fewer.
-			lk.failedAt, c.limit = c, max(leastOpen/r.seats(), fullCut*min(c.limit, float64(c.open+1)))
+			lk.failedAt, c.limit = c, max(leastOpen/r.zoneRouters(), fullCut*min(c.limit, float64(c.open+1)))
 		}
 	case got.end == Unconnected || got.end == Reset:
 		// A reset alone is no death, and what is held there is worth a second send.
@@ -78,7 +78,7 @@
 		if s.at >= c.struckAt { // a connection breaks under many sends at once: one strike
 			c.struckAt = r.now
 			c.strikes++
-			r.strike(c, c.strikes, 2, "unreachable")
+			r.countFailures(c, c.strikes, 2, "unreachable")
 		}
 	case got.end == Errored && got.remark == Untold:
 		// Guards against a cache that fails all it gets, which is quick and would draw more. Errors have an account
@@ -87,9 +87,9 @@
 		if c.errors++; c.errors >= errorsMove {
 			lk.failedAt = c
 		}
-		r.strike(c, c.errors, errorsOut, "errors")
-	case got.end == Cancelled && c.trial == s:
-		r.strike(c, 1, 1, "trial failed")
+		r.countFailures(c, c.errors, errorsOut, "errors")
+	case got.end == Cancelled && c.probe == s:
+		r.countFailures(c, 1, 1, "trial failed")
 	}
 }
 
@@ -103,7 +103,7 @@
 	part := (c.took.read(r.now) + float64(40*ms)) / (c.ideal.read(r.now) + float64(160*ms))
 	switch {
 	case part > crowdedAt:
-		c.limit = max(leastOpen/r.seats(), min(c.limit, float64(c.open+1)*crowdedAt/part))
+		c.limit = max(leastOpen/r.zoneRouters(), min(c.limit, float64(c.open+1)*crowdedAt/part))
 	case float64(c.open+1) >= c.limit*roomToSpill:
 		c.limit *= 1.1
 	}
--- a/logic/fills.go
+++ b/logic/fills.go
@@ -18,7 +18,7 @@
 // where a look counts as much as the fill that follows it (rule 4), and most looks miss.
 func (r *Router) parent(s *Send) verdict {
 	lk, pressed := s.lk, r.pressedTill > r.now
-	if (pressed && s.to.coldFrom == 0 || s.to.mute > 0 || lk.aged) && !lk.write {
+	if (pressed && s.to.warmingSince == 0 || s.to.mute > 0 || lk.aged) && !lk.write {
 		if lk.missed == nil || lk.aged {
 			if s.source = s.to; !pressed {
 				s.how &^= Join // a quick miss shows that a cache with overdue fills is alive
@@ -32,8 +32,8 @@
 	straight := lk.write && r.origin != nil && r.origin.State == Ready && lk.scope.parent(r.origin)
 	for _, p := range r.order(lk.hash, r.parents) {
 		switch {
-		case straight || p.State != Ready || p == lk.failedBy || !r.trialDue(p, lk) || !lk.scope.parent(p):
-		case r.afford(p, float64(lk.work)):
+		case straight || p.State != Ready || p == lk.failedBy || !r.probeDue(p, lk) || !lk.scope.parent(p):
+		case r.admitCold(p, float64(lk.work)):
 			s.source = p
 			return pass
 		}
@@ -56,7 +56,7 @@
 	r.nextFill = r.turn(r.fills, min(got.took, lk.span()))
 	switch {
 	case got.remark >= NoFillPlace, got.end == TurnedAway && lk.missed == c:
-		r.press()
+		r.limitFills()
 	case filled || !r.its.HitsTold && r.timed(s, got): // where fills are not told, any send may be one; a
 		// late answer may be a hit's slow transfer: only a send that ends overdue unanswered is a late fill
 		if filled {
@@ -67,11 +67,11 @@
 		}
 		switch r.filled.add(r.now, 1); {
 		case got.end == Satisfied && got.took <= lk.span():
-			r.fills += 2 / r.fills / r.seats() / r.seats() // all together as one router would
+			r.fills += 2 / r.fills / r.zoneRouters() / r.zoneRouters() // all together as one router would
 		case got.end == Satisfied && !filled:
 		default:
 			if r.filledLate.add(r.now, 1); r.filledLate.v > latePart*(r.filled.v-manyFills) {
-				r.press()
+				r.limitFills()
 			}
 		}
 	}
@@ -95,20 +95,20 @@
 	}
 	switch {
 	case got.end == Satisfied && filled:
-		r.hear(p, s)
-		r.weigh(p, got.took-got.waited, lk.work)
-		p.borne.add(r.now, float64(min(lk.work, got.took)))
+		r.noteAnswer(p, s)
+		r.observePace(p, got.took-got.waited, lk.work)
+		p.carried.add(r.now, float64(min(lk.work, got.took)))
 	case got.remark == SourceRefused || got.remark == SourceLost:
 		p.died = p.died || got.remark == SourceLost
 		p.strikes++
-		r.strike(p, p.strikes, 3, "fills fail")
+		r.countFailures(p, p.strikes, 3, "fills fail")
 		lk.failedBy, lk.noJoin = p, true
 	case (got.end == TurnedAway || got.end == Errored) && got.remark == Untold || got.end == Missed ||
-		got.end == Cancelled && p.out:
+		got.end == Cancelled && p.ejected:
 		// Where only hits are told it may be the cache or the parent: the next send changes both.
 		lk.failedBy, lk.noJoin = p, true
-		if p.trial == s && got.end == Cancelled {
-			r.strike(p, 1, 1, "trial failed")
+		if p.probe == s && got.end == Cancelled {
+			r.countFailures(p, 1, 1, "trial failed")
 		}
 	}
 }
@@ -123,12 +123,12 @@
 	return n
 }
 
-// press notes that fills are too many for what is behind them.
-func (r *Router) press() {
+// limitFills notes that fills are too many for what is behind them.
+func (r *Router) limitFills() {
 	if r.now >= r.fillsAt+200*ms {
 		r.fillsAt = r.now
-		share := leastOpen * float64(max(len(r.edges), 1)) / r.seats()
-		share += math.Sqrt(share) * (1 - 1/r.seats()) // not all routers are busy at once
+		share := leastOpen * float64(max(len(r.edges), 1)) / r.zoneRouters()
+		share += math.Sqrt(share) * (1 - 1/r.zoneRouters()) // not all routers are busy at once
 		r.fills = max(share, 0.9*min(r.fills, r.fillsOpen(r.open)+1))
 	}
 	if r.pressedTill < r.now {
--- a/logic/host.go
+++ b/logic/host.go
@@ -69,7 +69,7 @@
 // Health tells of each cache whether it is out, and when it last gave a good answer (0: never).
 func (r *Router) Health(see func(c *Cache, heard Micros, out bool)) {
 	for _, c := range r.caches {
-		see(c, c.heard, c.out)
+		see(c, c.heard, c.ejected)
 	}
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,8 +64,9 @@
 	}
 	for _, c := range r.caches {
 		if o := was[c.Name]; o != nil && o != c {
-			c.coldFrom, c.sent, c.scale, c.scaleAt = max(c.coldFrom, o.coldFrom), o.sent, o.scale, o.scaleAt
-			c.out, c.outAt, c.nextAt, c.died, c.lags = o.out, o.outAt, o.nextAt, o.died, o.lags
+			c.warmingSince = max(c.warmingSince, o.warmingSince)
+			c.sent, c.scale, c.scaleAt = o.sent, o.scale, o.scaleAt
+			c.ejected, c.ejectedAt, c.nextProbe, c.died, c.lags = o.ejected, o.ejectedAt, o.nextProbe, o.died, o.lags
 		}
 	}
 	r.log("carried: %d counts, %d purges, %d caches", len(from.counts), len(from.purged), len(was))
@@ -86,10 +87,10 @@
 		}
 		named[c] = true
 		if row.Started > c.Started || c.Standing+row.Standing > Told && row.Started != c.Started {
-			c.startWarming(row.Started, now)
+			c.beginSlowStart(row.Started, now)
 		}
-		if row.Standing == Doubted && c.Standing != Doubted && !c.out {
-			c.out, c.outAt, c.nextAt = true, now, now // trials at once
+		if row.Standing == Doubted && c.Standing != Doubted && !c.ejected {
+			c.ejected, c.ejectedAt, c.nextProbe = true, now, now // trials at once
 		}
 		c.Row = row
 	}
@@ -155,8 +156,8 @@
 		return
 	}
 	r.host.Wake(sweepEvery, sweep)
-	r.carries(r.edges, &r.edgeCarries)
-	r.carries(r.parents, &r.parentCarries)
+	r.observeCapacity(r.edges, &r.edgeCapacity)
+	r.observeCapacity(r.parents, &r.parentCapacity)
 	r.findSilent()
 	r.pump()
 	if now >= r.halveAt || len(r.counts) > tableBound {
@@ -195,8 +196,8 @@
 func (r *Router) settle(s *Send, got *ending) {
 	lk := s.lk
 	for _, c := range []*Cache{s.to, s.source} {
-		if c.trial == s {
-			c.trial = nil
+		if c.probe == s {
+			c.probe = nil
 		}
 	}
 	if !got.end.NeverRan() && lk.ranTo == nil {
@@ -258,8 +259,8 @@
 	}
 	s.at = r.now
 	for _, t := range []*Cache{c, s.source} {
-		if t.out {
-			t.trial = s
+		if t.ejected {
+			t.probe = s
 		}
 	}
 	s.overdue = r.now + Micros(overduePart*float64(lk.span()))
@@ -277,7 +278,7 @@
 	its := func(o *Send) bool { return o == s }
 	r.open, s.to.sends = slices.DeleteFunc(r.open, its), slices.DeleteFunc(s.to.sends, its)
 	if got.end == Satisfied {
-		s.to.borne.add(r.now, float64(min(s.lk.work, got.took))) // less of a copy that the client holds
+		s.to.carried.add(r.now, float64(min(s.lk.work, got.took))) // less of a copy that the client holds
 	}
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -73,7 +73,7 @@
 		f, all := start(t)
 		f.relist(all[3], Ready, f.now)
 		f.relist(all[4], Ready, f.now)
-		f.r.press()
+		f.r.limitFills()
 		f.ask(1, "a")
 		if len(f.sends) != 1 || f.last().source != all[5] {
 			t.Fatalf("%d sends", len(f.sends))
@@ -203,26 +203,26 @@
 	t.Run("a cache that dies anew while it warms starts anew", func(t *testing.T) {
 		f, all := play(t, nil)
 		f.relist(all[0], Ready, f.now-5*second)
-		first := all[0].coldFrom
+		first := all[0].warmingSince
 		for range 2 {
 			f.now += 100 * ms
 			s := &Send{lk: f.ask(0, "a"), to: all[0], source: all[0], at: f.now}
 			f.r.edgeBack(s, &ending{end: Unconnected})
 		}
-		if !all[0].out {
+		if !all[0].ejected {
 			t.Fatal("two refused connections and not out")
 		}
 		f.now += 2 * second
-		all[0].trial = &Send{lk: f.ask(0, "b"), to: all[0], source: all[0], at: f.now}
-		f.r.hear(all[0], all[0].trial)
-		if all[0].coldFrom <= first {
-			t.Fatalf("warming since %d, before its death since %d", all[0].coldFrom, first)
+		all[0].probe = &Send{lk: f.ask(0, "b"), to: all[0], source: all[0], at: f.now}
+		f.r.noteAnswer(all[0], all[0].probe)
+		if all[0].warmingSince <= first {
+			t.Fatalf("warming since %d, before its death since %d", all[0].warmingSince, first)
 		}
 	})
 	t.Run("a cold cache is sent the whole lookup once, also while fills are pressed", func(t *testing.T) {
 		f, all := play(t, func(c *Charter) { c.ColdShare = 0.9 })
 		f.relist(all[0], Ready, f.now)
-		f.r.press()
+		f.r.limitFills()
 		for i := range 50 {
 			f.ask(0, fmt.Sprint(i))
 			if s := f.last(); s.to == all[0] && s.source == s.to {
@@ -302,7 +302,7 @@
 				t.Fatalf("sent on to %s after %d in a row", f.last().to.Name, bad.errors)
 			}
 		}
-		if f.ask(0, "o"); !bad.out || f.last().to == bad {
+		if f.ask(0, "o"); !bad.ejected || f.last().to == bad {
 			t.Error("still in")
 		}
 	})
@@ -320,7 +320,7 @@
 				}
 				f.r.Ended(f.now, s.lk, s.n, e, Untold, 5*ms, 0, true) // its client leaves: nothing more is asked of home
 			}
-			if home.out {
+			if home.ejected {
 				t.Errorf("%v put home out", mixed)
 			}
 			f.ask(0, "o")
@@ -365,13 +365,13 @@
 		f.now += 10 * ms
 		for _, s := range out {
 			f.end(s, Reset, Untold, 10*ms)
-			if again := f.last(); again.lk != s.lk || again.to != s.to || s.to.out || s.to.died {
-				t.Fatalf("%s went to %s after %s; out %v", s.lk.Door, again.to.Name, s.to.Name, s.to.out)
+			if again := f.last(); again.lk != s.lk || again.to != s.to || s.to.ejected || s.to.died {
+				t.Fatalf("%s went to %s after %s; out %v", s.lk.Door, again.to.Name, s.to.Name, s.to.ejected)
 			}
 		}
 		f.now += 10 * ms
 		again := f.last()
-		if f.end(again, Reset, Untold, 10*ms); !again.to.out {
+		if f.end(again, Reset, Untold, 10*ms); !again.to.ejected {
 			t.Error("in after a second break without an answer between")
 		}
 		if again.to.died {
@@ -380,22 +380,22 @@
 	})
 	t.Run("a silent cache is left once looks go unanswered, and a trial brings it back", func(t *testing.T) {
 		f, all := play(t, nil)
-		for i := 0; !all[0].out && i < 200; i++ {
+		for i := 0; !all[0].ejected && i < 200; i++ {
 			f.ask(0, fmt.Sprint(i))
 			if s := f.last(); s.to != all[0] {
 				f.end(s, Satisfied, Hit, 100*ms)
 			}
 			f.pass(120 * ms)
 		}
-		if !all[0].out {
+		if !all[0].ejected {
 			t.Fatal("never left")
 		}
-		for i := 0; all[0].out && i < 400; i++ {
+		for i := 0; all[0].ejected && i < 400; i++ {
 			f.ask(1, fmt.Sprint("x", i))
 			f.end(f.last(), Satisfied, Hit, 100*ms)
 			f.pass(120 * ms)
 		}
-		if all[0].out {
+		if all[0].ejected {
 			t.Fatal("never back")
 		}
 	})
@@ -414,8 +414,8 @@
 			f.pass(50 * ms)
 		}
 		for _, c := range all {
-			if c.out || looks == 0 {
-				t.Fatalf("%s out %v after %d looks", c.Name, c.out, looks)
+			if c.ejected || looks == 0 {
+				t.Fatalf("%s out %v after %d looks", c.Name, c.ejected, looks)
 			}
 		}
 	})
@@ -436,8 +436,8 @@
 				}
 				f.r.Woken(f.now, sweep)
 			}
-			if all[3].out != alone {
-				t.Fatalf("alone %v: out %v", alone, all[3].out)
+			if all[3].ejected != alone {
+				t.Fatalf("alone %v: out %v", alone, all[3].ejected)
 			}
 		}
 	})
@@ -537,7 +537,7 @@
 				f.pass(50 * ms)
 			}
 		}
-		if !all[3].out || !all[4].out {
+		if !all[3].ejected || !all[4].ejected {
 			t.Fatal("parents still in use")
 		}
 		if s := f.last(); s.source != all[5] {
@@ -601,8 +601,8 @@
 		sent := 0
 		for i := range 2000 {
 			f.now += 2 * ms
-			f.r.afford(all[0], float64(100*ms))
-			if i > 0 && f.r.afford(all[0], float64(100*ms)) {
+			f.r.admitCold(all[0], float64(100*ms))
+			if i > 0 && f.r.admitCold(all[0], float64(100*ms)) {
 				sent++
 			}
 		}
@@ -615,7 +615,7 @@
 		seats := func(told, fleet int) float64 {
 			f, _ := play(t, func(c *Charter) { c.Seats, c.Gateways, c.Zone = []int{told / 2}, told, 0 })
 			f.r.Fleet = fleet
-			return f.r.seats()
+			return f.r.zoneRouters()
 		}
 		if seats(12, 0) != 6 || seats(12, 12) != 6 || seats(12, 5) != 6 || seats(12, 24) != 12 {
 			t.Fatal(seats(12, 0), seats(12, 12), seats(12, 5), seats(12, 24))
@@ -668,14 +668,14 @@
 	t.Run("a parent silent for long returns cold, after a short pause warm", func(t *testing.T) {
 		for _, away := range []Micros{second, 5 * second} {
 			f, all := play(t, nil)
-			f.r.putOut(all[3], "silent")
+			f.r.eject(all[3], "silent")
 			f.now += away
-			for i := 0; all[3].out && i < 20; i++ {
+			for i := 0; all[3].ejected && i < 20; i++ {
 				f.ask(0, fmt.Sprint(i))
 				f.end(f.last(), Satisfied, Filled, 100*ms)
 			}
-			if all[3].out || (all[3].coldFrom > 0) != (away > coldAfter) {
-				t.Fatalf("after %d: out %v, cold from %d", away, all[3].out, all[3].coldFrom)
+			if all[3].ejected || (all[3].warmingSince > 0) != (away > coldAfter) {
+				t.Fatalf("after %d: out %v, cold from %d", away, all[3].ejected, all[3].warmingSince)
 			}
 		}
 	})
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -45,11 +45,11 @@
 			f.end(s, Satisfied, Untold, took)
 			f.pass(10 * ms)
 		}
-		if !slow.out {
+		if !slow.ejected {
 			t.Fatal("the slow cache is still in")
 		}
 		for _, c := range all[1:3] {
-			if c.out {
+			if c.ejected {
 				t.Fatalf("%s is out", c.Name)
 			}
 		}
@@ -67,8 +67,8 @@
 			f.end(s, Satisfied, Untold, took)
 			f.pass(10 * ms)
 		}
-		if !slow.out || all[4].out {
-			t.Fatalf("slow parent out %v, the other %v", slow.out, all[4].out)
+		if !slow.ejected || all[4].ejected {
+			t.Fatalf("slow parent out %v, the other %v", slow.ejected, all[4].ejected)
 		}
 	})
 	t.Run("where fills are not told, sends that end overdue unanswered press fills, late answers do not", func(t *testing.T) {
@@ -132,7 +132,7 @@
 			f.end(s, Satisfied, remark, took)
 			f.pass(10 * ms)
 		}
-		if all[0].out {
+		if all[0].ejected {
 			t.Fatal("a cache is out for the time of its fills")
 		}
 	})
@@ -166,7 +166,7 @@
 	old, was := play(t, nil)
 	old.r.Purged(old.now, "a", 3, 0)
 	old.relist(was[0], Ready, old.now) // warming
-	old.r.putOut(was[1], "test")
+	old.r.eject(was[1], "test")
 	was[2].limit = 2
 	for range 5 {
 		old.ask(0, "b")
@@ -178,8 +178,8 @@
 	if s := f.last(); s.oldest == 0 || s.oldest > 200*ms {
 		t.Fatalf("the first send after the move takes a copy %d us old, the purge was 100 ms ago", s.oldest)
 	}
-	if now[0].coldFrom == 0 || !now[1].out || now[2].limit != firstLimit || f.r.counts[mix(hashOf("b"), 1)] < 5 {
-		t.Fatalf("warming from %d, out %v, limit %.1f, count %.0f", now[0].coldFrom, now[1].out, now[2].limit,
+	if now[0].warmingSince == 0 || !now[1].ejected || now[2].limit != firstLimit || f.r.counts[mix(hashOf("b"), 1)] < 5 {
+		t.Fatalf("warming from %d, out %v, limit %.1f, count %.0f", now[0].warmingSince, now[1].ejected, now[2].limit,
 			f.r.counts[mix(hashOf("b"), 1)])
 	}
 	for i := range 50 { // the warming cache gets no more in the first second than it did before
--- a/logic/outlier.go
+++ b/logic/outlier.go
@@ -16,40 +16,40 @@
 	lagMultiple, lagFloor, lagPart = 3.0, 250 * ms, .1 // of others' mean; past it, of first bytes; of a budget
 )
 
-// hear notes a good answer; a good trial brings a cache back, and one that died warms up as if started then.
-func (r *Router) hear(c *Cache, s *Send) {
+// noteAnswer notes a good answer; a good probe readmits a cache, and one that died warms up as if started then.
+func (r *Router) noteAnswer(c *Cache, s *Send) {
 	c.heard, c.strikes, c.errors = r.now, 0, 0
-	if c.out && c.trial == s {
-		if c.died || c.coldFrom == 0 && c.Kind == r.its.ParentKind && r.now-c.outAt > coldAfter {
-			c.startWarming(r.now, r.now)
+	if c.ejected && c.probe == s {
+		if c.died || c.warmingSince == 0 && c.Kind == r.its.ParentKind && r.now-c.ejectedAt > coldAfter {
+			c.beginSlowStart(r.now, r.now)
 		}
-		c.out, c.recents = false, 0
-		r.log("%s back after %d us", c.Name, r.now-c.outAt)
+		c.ejected, c.recents = false, 0
+		r.log("%s back after %d us", c.Name, r.now-c.ejectedAt)
 	}
-	c.died = c.died && c.out
+	c.died = c.died && c.ejected
 }
 
-// strike weighs one account: so many failures in a row put the cache out, a failed trial puts the next off.
-func (r *Router) strike(c *Cache, n, most int, why string) {
-	if c.out {
-		c.nextAt, c.lags = r.now+trialEvery, false
+// countFailures weighs one account: so many in a row eject the cache, a failed probe puts the next one off.
+func (r *Router) countFailures(c *Cache, n, most int, why string) {
+	if c.ejected {
+		c.nextProbe, c.lags = r.now+trialEvery, false
 	} else if n >= most {
-		r.putOut(c, fmt.Sprintf("%s, %d in a row", why, n))
+		r.eject(c, fmt.Sprintf("%s, %d in a row", why, n))
 	}
 }
 
-func (r *Router) putOut(c *Cache, why string) {
-	c.out, c.outAt, c.lags = true, r.now, false
-	c.nextAt = r.now + trialEvery/2 + Micros(r.chance.next()%uint32(trialEvery/2))
+func (r *Router) eject(c *Cache, why string) {
+	c.ejected, c.ejectedAt, c.lags = true, r.now, false
+	c.nextProbe = r.now + trialEvery/2 + Micros(r.chance.next()%uint32(trialEvery/2))
 	r.log("%s out: %s", c.Name, why)
 }
 
-// trialDue tells whether a cache may have the lookup: one that is out gets one at a time, of no unusual size,
+// probeDue tells whether a cache may have the lookup: one that is out gets one at a time, of no unusual size,
 // or any, where it only lags and routes leave no other edge that is in (a panic threshold).
-func (r *Router) trialDue(c *Cache, lk *Lookup) bool {
-	in := func(o *Cache) bool { return !o.out && o.State == Ready && lk.scope.edge(o) }
-	return !c.out || c.lags && c.mute == 0 && !slices.ContainsFunc(r.edges, in) ||
-		c.trial == nil && r.now >= c.nextAt && float64(lk.work) <= 1.5*lk.kind.mean(r.now)
+func (r *Router) probeDue(c *Cache, lk *Lookup) bool {
+	in := func(o *Cache) bool { return !o.ejected && o.State == Ready && lk.scope.edge(o) }
+	return !c.ejected || c.lags && c.mute == 0 && !slices.ContainsFunc(r.edges, in) ||
+		c.probe == nil && r.now >= c.nextProbe && float64(lk.work) <= 1.5*lk.kind.mean(r.now)
 }
 
 // timed tells whether a send's time tells of where it went: it was answered, or ended overdue unanswered
@@ -62,12 +62,12 @@
 func (r *Router) timeAmong(p *Cache, group []*Cache, took, n, floor float64) {
 	i := p.recents % recentTimes
 	p.recentTook[i], p.recentN[i] = took, n
-	if p.recents++; p.recents < recentTimes || p.out {
+	if p.recents++; p.recents < recentTimes || p.ejected {
 		return
 	}
 	mine, others, heard, out := p.mean(), 0.0, 0.0, 1 // the unheard count as average
 	for _, o := range group {
-		if o.out {
+		if o.ejected {
 			out++
 		}
 		if o != p && o.recents > 0 {
@@ -76,7 +76,7 @@
 	}
 	others /= max(heard, 1)
 	if heard > 0 && 2*out <= len(group) && mine > max(lagMultiple*others, others+floor/n) {
-		r.putOut(p, fmt.Sprintf("lags, mean %.0f against %.0f", mine, others))
+		r.eject(p, fmt.Sprintf("lags, mean %.0f against %.0f", mine, others))
 		p.lags = p.Kind != r.its.ParentKind
 	}
 }
@@ -106,13 +106,13 @@
 		}
 	}
 	for _, c := range r.caches {
-		if !c.out && (c.muteLooks >= 2 || c.Kind == r.its.ParentKind && c.mute >= 3 && 3*c.mute > 2*mute) {
-			r.putOut(c, fmt.Sprintf("silent, %d overdue", c.mute))
+		if !c.ejected && (c.muteLooks >= 2 || c.Kind == r.its.ParentKind && c.mute >= 3 && 3*c.mute > 2*mute) {
+			r.eject(c, fmt.Sprintf("silent, %d overdue", c.mute))
 		}
 	}
 	for _, s := range r.open {
 		lk := s.lk
-		stuck := s.to.out && s.to.heard < s.at || s.source.out && s.source.heard < s.at
+		stuck := s.to.ejected && s.to.heard < s.at || s.source.ejected && s.source.heard < s.at
 		if stuck && r.now >= s.overdue && lk.deadline-r.now > lk.work && len(lk.sends) < r.its.SendLimit &&
 			lk.kind.Effect == Idempotent {
 			r.cancel(s)
--- a/logic/outlier_test.go
+++ b/logic/outlier_test.go
@@ -19,7 +19,7 @@
 			}
 			f.now += took
 			f.end(s, Satisfied, Hit, took)
-			if lagged.out && among == nil {
+			if lagged.ejected && among == nil {
 				break
 			}
 		}
@@ -30,37 +30,37 @@
 	}
 	t.Run("microseconds a KB are no lag, whatever their ratio", func(t *testing.T) {
 		f, all := play(t, nil)
-		if c := hits(f, all, 50, 2, nil); c.out {
+		if c := hits(f, all, 50, 2, nil); c.ejected {
 			t.Error("out by 48 us a KB of a budget of 400 ms")
 		}
 	})
 	t.Run("under a small and a large latency budget the same part of it is a lag", func(t *testing.T) {
 		for _, b := range []Micros{10 * ms, 400 * ms, 4 * second} {
 			f, all := play(t, budget(b))
-			if c := hits(f, all, b/20, b/100, nil); c.out {
+			if c := hits(f, all, b/20, b/100, nil); c.ejected {
 				t.Errorf("budget %d us: out by 4%% of it", b)
 			}
 			f, all = play(t, budget(b))
-			if c := hits(f, all, b/5, b/100, nil); !c.out {
+			if c := hits(f, all, b/5, b/100, nil); !c.ejected {
 				t.Errorf("budget %d us: in, though it lags by 19%% of it", b)
 			}
 		}
 	})
 	t.Run("no more than half of a location's caches are out when one more lags", func(t *testing.T) {
 		f, all := play(t, nil)
-		f.r.putOut(all[1], "unreachable")
-		f.r.putOut(all[2], "unreachable")
+		f.r.eject(all[1], "unreachable")
+		f.r.eject(all[2], "unreachable")
 		for range 2 * recentTimes {
 			f.r.timeAmong(all[1], f.r.edges, float64(ms), 1, 0)
 			f.r.timeAmong(all[0], f.r.edges, float64(second), 1, 0)
 		}
-		if all[0].out {
+		if all[0].ejected {
 			t.Error("the last one is put out for its times")
 		}
 	})
 	// lag puts out the first edge for its times.
 	lag := func(f *fake, all []*Cache) *Cache {
-		if c := hits(f, all, 100*ms, 5*ms, nil); !c.out || !c.lags {
+		if c := hits(f, all, 100*ms, 5*ms, nil); !c.ejected || !c.lags {
 			t.Fatal("it does not lag")
 		}
 		return all[0]
@@ -86,8 +86,8 @@
 	})
 	for what, ail := range map[string]func(f *fake, c *Cache){
 		"is silent":          func(_ *fake, c *Cache) { c.mute = 1 },
-		"fails its trial":    func(f *fake, c *Cache) { f.r.strike(c, 1, 1, "trial failed") },
-		"is unreachable too": func(f *fake, c *Cache) { f.r.putOut(c, "unreachable") },
+		"fails its trial":    func(f *fake, c *Cache) { f.r.countFailures(c, 1, 1, "trial failed") },
+		"is unreachable too": func(f *fake, c *Cache) { f.r.eject(c, "unreachable") },
 	} {
 		t.Run("one that lags and "+what+" is not used, though no other is left", func(t *testing.T) {
 			f, all := play(t, nil)
--- a/logic/shedding.go
+++ b/logic/shedding.go
@@ -11,7 +11,7 @@
 
 // pump sends on held lookups, most utility for their work first, and gives up at once those past helping.
 func (r *Router) pump() {
-	held, oldest, ahead, rate := r.held, Micros(0), 0.0, r.edgeCarries*float64(len(r.edges))
+	held, oldest, ahead, rate := r.held, Micros(0), 0.0, r.edgeCapacity*float64(len(r.edges))
 	r.held = nil
 	for _, lk := range held {
 		oldest = max(oldest, r.now-lk.arrived)
--- a/logic/slowstart.go
+++ b/logic/slowstart.go
@@ -17,41 +17,41 @@
 	leastScale = 0.125 // down to this part
 )
 
-// share is how much of its link a cold cache surely has by now; 1 once warm.
-func (r *Router) share(c *Cache) float64 {
+// warmShare is how much of its link a cold cache surely has by now; 1 once warm.
+func (r *Router) warmShare(c *Cache) float64 {
 	from, span := r.its.ColdShare, r.its.ColdFor
 	if c.Kind == r.its.ParentKind {
 		from, span = r.its.ParentColdShare, r.its.ParentColdFor
 	}
-	if c.coldFrom == 0 || r.now >= c.coldFrom+span {
-		c.coldFrom = 0
+	if c.warmingSince == 0 || r.now >= c.warmingSince+span {
+		c.warmingSince = 0
 		return 1
 	}
-	return from + (1-from)*float64(max(0, r.now-c.coldFrom))/float64(span)
+	return from + (1-from)*float64(max(0, r.now-c.warmingSince))/float64(span)
 }
 
 // warmEnough lets a warming cache's objects come home bit by bit, always the same ones first.
 func (r *Router) warmEnough(c *Cache, hash uint64) bool {
-	return c.coldFrom == 0 || float64(mix(hash, c.hash+1)>>40)/(1<<24) < r.share(c)
+	return c.warmingSince == 0 || float64(mix(hash, c.hash+1)>>40)/(1<<24) < r.warmShare(c)
 }
 
-// afford guards rule 4: this router's part of what a cold cache may be sent in any span of the rule's length.
+// admitCold guards rule 4: this router's part of what a cold cache may be sent in any span of the rule.
 // A link likely bears what is listed, else what warm ones of its group carry times the routers; it surely
 // bears a part of that, what it was seen to carry itself, or one transfer.
-func (r *Router) afford(c *Cache, work float64) bool {
-	share := r.share(c)
-	if c.coldFrom == 0 {
+func (r *Router) admitCold(c *Cache, work float64) bool {
+	share := r.warmShare(c)
+	if c.warmingSince == 0 {
 		return true
 	}
-	carried, multiple, part := r.edgeCarries, r.its.FallMultiple, 1/r.seats()
+	carried, multiple, part := r.edgeCapacity, r.its.FallMultiple, 1/r.zoneRouters()
 	if c.Kind == r.its.ParentKind {
-		carried, multiple, part = r.parentCarries, r.its.ParentFall, 1/r.routers()
+		carried, multiple, part = r.parentCapacity, r.its.ParentFall, 1/r.routers()
 	}
 	likely, sure := carried/part, surePart*carried/part
 	if r.its.Weighted {
 		likely, sure = listedPart*c.Weight, listedPart*c.Weight
 	}
-	span, own := r.fallFor(), c.borne.rate(r.now)/part
+	span, own := r.fallFor(), c.carried.rate(r.now)/part
 	bears := max(share*max(1, sure), own) * float64(span)
 	most := min(allowedPart*multiple*bears, mostAtOnce*max(share*likely*float64(span), bears)) * c.scale
 	left := most*part - c.sent.read(r.now, span)
@@ -73,15 +73,15 @@
 // fallFor is the span that the rule counts over.
 func (r *Router) fallFor() Micros { return max(r.its.FallFor, 100*ms) }
 
-// startWarming begins a slow start.
-func (c *Cache) startWarming(from, now Micros) {
-	c.coldFrom, c.scale, c.scaleAt, c.borne = from, 1, now, sum{}
+// beginSlowStart begins a slow start.
+func (c *Cache) beginSlowStart(from, now Micros) {
+	c.warmingSince, c.scale, c.scaleAt, c.carried = from, 1, now, sum{}
 }
 
-// weigh learns from a transfer of a cold cache. One that is slow shows a link shared by more than it carries,
-// to every router alike; hence by time, so that a router that sees few learns as fast as the others.
-func (r *Router) weigh(c *Cache, took, work Micros) {
-	if c.coldFrom == 0 {
+// observePace learns from a transfer of a cold cache. A slow one shows a link shared by more than it carries, to
+// every router alike; hence by time, so that a router that sees few learns as fast as the others.
+func (r *Router) observePace(c *Cache, took, work Micros) {
+	if c.warmingSince == 0 {
 		return
 	}
 	since := min(1, 2*float64(r.now-c.scaleAt)/float64(r.fallFor()))
@@ -90,12 +90,12 @@
 	c.scale, c.scaleAt = min(1, max(leastScale, c.scale)), r.now
 }
 
-// carries follows what a warm cache of a group bears for this router.
-func (r *Router) carries(group []*Cache, mean *float64) {
+// observeCapacity follows what a warm cache of a group bears for this router.
+func (r *Router) observeCapacity(group []*Cache, mean *float64) {
 	carried, n := 0.0, 0.0
 	for _, c := range group {
-		if c.coldFrom == 0 && !c.out {
-			carried, n = carried+c.borne.rate(r.now), n+1
+		if c.warmingSince == 0 && !c.ejected {
+			carried, n = carried+c.carried.rate(r.now), n+1
 		}
 	}
 	if n > 0 {
@@ -106,8 +106,8 @@
 // routers is how many there are: as told at the start, or more where a fleet that knows itself counts more.
 func (r *Router) routers() float64 { return float64(max(r.its.Gateways, r.Fleet, 1)) }
 
-// seats is how many routers share the location.
-func (r *Router) seats() float64 {
+// zoneRouters is how many routers share the location.
+func (r *Router) zoneRouters() float64 {
 	if r.its.Zone < len(r.its.Seats) {
 		return float64(max(r.its.Seats[r.its.Zone], 1)) * (r.routers() / float64(max(r.its.Gateways, 1)))
 	}
--- a/logic/standing_test.go
+++ b/logic/standing_test.go
@@ -25,11 +25,11 @@
 		f, all := play(t, nil)
 		c := home(f)
 		relist(f, all, c, OnTrial, f.now)
-		if c.coldFrom == 0 {
+		if c.warmingSince == 0 {
 			t.Fatal("it counts as warm")
 		}
 		relist(f, all, c, OnTrial, 0)
-		if c.coldFrom != 0 {
+		if c.warmingSince != 0 {
 			t.Error("it counts as cold")
 		}
 	})
@@ -38,7 +38,7 @@
 		c := home(f)
 		relist(f, all, c, OnTrial, f.now)
 		relist(f, all, c, Told, 0)
-		if c.coldFrom != 0 {
+		if c.warmingSince != 0 {
 			t.Error("it counts as cold")
 		}
 	})
@@ -47,7 +47,7 @@
 		c := home(f)
 		f.relist(c, Ready, f.now)
 		relist(f, all, c, Told, 0)
-		if c.coldFrom == 0 {
+		if c.warmingSince == 0 {
 			t.Error("it counts as warm")
 		}
 	})
@@ -62,11 +62,11 @@
 			t.Fatalf("first to %s, then to %s, in doubt is %s", trial.to.Name, f.last().to.Name, c.Name)
 		}
 		f.end(trial, Satisfied, Hit, 10*ms)
-		if c.out {
+		if c.ejected {
 			t.Error("it is out after a good trial")
 		}
 		relist(f, all, c, Doubted, 0)
-		if c.out {
+		if c.ejected {
 			t.Error("the same doubt told again puts it out again")
 		}
 	})
--- a/logic/state.go
+++ b/logic/state.go
@@ -15,20 +15,20 @@
 	hash uint64
 	Row
 
-	out, died     bool   // gets nothing but trials; died: will be cold when it returns
-	lags          bool   // out for nothing but its times
-	outAt, nextAt Micros // since when; when the next trial may go
-	trial         *Send
-	strikes       int     // broken or refused connections (of a parent: failed fills) in a row
-	errors        int     // plain errors in a row
-	struckAt      Micros  // sends from before then tell no more by breaking
-	heard         Micros  // last good answer (of a parent: last good fill)
-	mute          int     // overdue sends since it was last heard, counted anew at each sweep
-	muteLooks     int     // those among them that asked for no fill
-	coldFrom      Micros  // start of its warming; 0 once warm
-	sent          window  // while it warms: work sent to it, or staked
-	scale         float64 // while it warms: what it bears, as a part of what warm ones of its group do
-	scaleAt       Micros
+	ejected, died        bool   // gets nothing but trials; died: will be cold when it returns
+	lags                 bool   // out for nothing but its times
+	ejectedAt, nextProbe Micros // since when; when the next trial may go
+	probe                *Send
+	strikes              int     // broken or refused connections (of a parent: failed fills) in a row
+	errors               int     // plain errors in a row
+	struckAt             Micros  // sends from before then tell no more by breaking
+	heard                Micros  // last good answer (of a parent: last good fill)
+	mute                 int     // overdue sends since it was last heard, counted anew at each sweep
+	muteLooks            int     // those among them that asked for no fill
+	warmingSince         Micros  // start of its warming; 0 once warm
+	sent                 window  // while it warms: work sent to it, or staked
+	scale                float64 // while it warms: what it bears, as a part of what warm ones of its group do
+	scaleAt              Micros
 
 	open                int
 	sends               []*Send // these
@@ -36,7 +36,7 @@
 	limitAt             Micros
 	pauseTill           Micros // where the limit is under one: nothing before this
 	took, ideal         sum    // of hits: time taken, and their latency budgets
-	borne               sum    // sending time carried for this router
+	carried             sum    // sending time carried for this router
 	recents             int
 	recentTook, recentN [recentTimes]float64 // a parent's recent times, and what each is counted over
 }
@@ -146,8 +146,8 @@
 	open           []*Send
 	held           []*Lookup
 	overload       bool
-	edgeCarries    float64 // what a warm cache, a warm parent bears for this router, in transfers
-	parentCarries  float64
+	edgeCapacity   float64 // what a warm cache, a warm parent bears for this router, in transfers
+	parentCapacity float64
 	fills          float64 // limit of open fills, heeded while pressed
 	fillsAt        Micros  // when it was last cut
 	filled         sum     // fills of late, and those among them that were late
