--- a/config/config_test.go
+++ b/config/config_test.go
@@ -97,16 +97,18 @@
 func TestFleetSettingsAreCheckedWithTheirPlace(t *testing.T) {
 	for text, want := range map[string]string{
 		`{ fleet: { listen: '127.0.0.1:7946' } }`: "",
-		`{ fleet: {} }`:                                                       "fleet.listen",
-		`{ fleet: { listen: '0.0.0.0:7946' } }`:                               "fleet.listen",
-		`{ fleet: { listen: '10.0.0.4:7946' } }`:                              "key_file",
-		`{ fleet: { listen: '10.0.0.4:7946', key_file: '/k' } }`:              "",
-		`{ fleet: { listen: '127.0.0.1:7946', advertise: '10.0.0.4:7946' } }`: "fleet.advertise",
-		`{ fleet: { listen: '127.0.0.1:7946', seeds: ['gateway-1'] } }`:       "fleet.seeds[0]",
-		`{ fleet: { listen: '127.0.0.1:7946', probe_timeout_ms: 1000 } }`:     "fleet.probe_timeout_ms",
-		`{ fleet: { listen: '127.0.0.1:7946', probe_ms: 5 } }`:                "fleet.probe_ms",
-		`{ fleet: { listen: '127.0.0.1:7946', folder: 'here' } }`:             "fleet.folder",
-		`{ fleet: { listen: '127.0.0.1:7946', probe: 5 } }`:                   "fleet.probe: no such setting",
+		`{ fleet: {} }`:                                                                                 "fleet.listen",
+		`{ fleet: { listen: '0.0.0.0:7946' } }`:                                                         "fleet.listen",
+		`{ fleet: { listen: '10.0.0.4:7946' } }`:                                                        "key_file",
+		`{ fleet: { listen: '10.0.0.4:7946', key_file: '/k' } }`:                                        "",
+		`{ fleet: { listen: '127.0.0.1:7946', advertise: '10.0.0.4:7946' } }`:                           "fleet.advertise",
+		`{ fleet: { listen: '127.0.0.1:7946', seeds: ['gateway-1'] } }`:                                 "fleet.seeds[0]",
+		`{ fleet: { listen: '127.0.0.1:7946', seeds: ['10.0.0.4:7946' for i in std.range(1, 4096)] } }`: "",
+		`{ fleet: { listen: '127.0.0.1:7946', seeds: ['10.0.0.4:7946' for i in std.range(1, 4097)] } }`: "fleet.seeds: has 4097",
+		`{ fleet: { listen: '127.0.0.1:7946', probe_timeout_ms: 1000 } }`:                               "fleet.probe_timeout_ms",
+		`{ fleet: { listen: '127.0.0.1:7946', probe_ms: 5 } }`:                                          "fleet.probe_ms",
+		`{ fleet: { listen: '127.0.0.1:7946', folder: 'here' } }`:                                       "fleet.folder",
+		`{ fleet: { listen: '127.0.0.1:7946', probe: 5 } }`:                                             "fleet.probe: no such setting",
 	} {
 		_, err := Read("f.jsonnet", func(string) ([]byte, error) { return []byte(text), nil })
 		if want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
--- a/config/fleet.go
+++ b/config/fleet.go
@@ -34,7 +34,7 @@
 }
 
 const (
-	mostSeeds = 64
+	mostSeeds = 4096
 	mostPlace = 48 // bytes of a region's, zone's or site's name: membership.MostPlace
 )
 
--- a/door/extproc/serve.go
+++ b/door/extproc/serve.go
@@ -35,7 +35,7 @@
 	probeCaller = 20 * time.Second // a caller that says nothing is asked whether it is there
 	handshakeIn = 2 * time.Second
 	refuseIn    = 5 * time.Millisecond
-	mostConns   = 256   // of all callers
+	mostConns   = 1024  // of all callers
 	socketMode  = 0o660 // of a Unix socket: its owner and group may call
 	oddEvery    = 10 * time.Second
 )
--- a/fleet/broadcast/repair.go
+++ b/fleet/broadcast/repair.go
@@ -11,7 +11,7 @@
 	window      = 24 // sequences after the contiguous ones, some 5 s of them; more are left to reconciliation
 	jump        = 1024
 	history     = 24         // batches before the first that is heard of are asked for: some 5 s
-	mostOrigins = 64         // followed; the idlest goes
+	mostOrigins = 4096       // followed; the idlest goes
 	mostWanted  = 256        // batches asked for
 	mostBatches = 512        // kept for repair, 1,100 bytes each at most
 	mostTries   = 6          // then reconciliation has it
--- a/fleet/membership/shelf.go
+++ b/fleet/membership/shelf.go
@@ -82,7 +82,7 @@
 // Close gives the folder back.
 func (s *Shelf) Close() error { return s.record.Close() }
 
-const mostSeeds = 1000
+const mostSeeds = 4096
 
 // ReadSeeds reads a file of seeds: an IP and a port a line, # begins a remark. bad is the first line that is none; the others
 // are given all the same.
--- a/logic/outlier.go
+++ b/logic/outlier.go
@@ -16,7 +16,7 @@
 	lagMultiple, lagFloor, lagPart = 3.0, 250 * ms, .1 // of others' mean; past it, of first bytes; of a budget
 )
 
-// noteAnswer notes a good answer; a good probe readmits a cache, and one that died warms up as if started then.
+// noteAnswer notes a good answer; a good probe readmits a cache; one that died warms up as if started then.
 func (r *Router) noteAnswer(c *Cache, s *Send) {
 	c.heard, c.strikes, c.errors = r.now, 0, 0
 	if c.ejected && c.probe == s {
--- a/logic/slowstart.go
+++ b/logic/slowstart.go
@@ -78,8 +78,8 @@
 	c.warmingSince, c.scale, c.scaleAt, c.carried = from, 1, now, sum{}
 }
 
-// observePace learns from a transfer of a cold cache. A slow one shows a link shared by more than it carries, to
-// every router alike; hence by time, so that a router that sees few learns as fast as the others.
+// observePace learns from a transfer of a cold cache. A slow one shows a link shared by more than it carries,
+// to every router alike; hence by time, so that a router that sees few learns as fast as the others.
 func (r *Router) observePace(c *Cache, took, work Micros) {
 	if c.warmingSince == 0 {
 		return
--- a/memory/shares.go
+++ b/memory/shares.go
@@ -8,7 +8,7 @@
 )
 
 // MostHolders is how many holders of places are told apart; past it the newcomers share one.
-const MostHolders = 64
+const MostHolders = 1024
 
 // wantHalf is the span in which what a holder wanted beyond what it has is forgotten by half.
 const wantHalf = time.Second
@@ -143,7 +143,7 @@
 // up to all places.
 func (s *Shares) level(now time.Time) float64 {
 	left, weights := float64(s.most), 0.0
-	var wants [MostHolders + 1]float64
+	wants := make([]float64, len(s.holders))
 	for i, h := range s.holders {
 		if wants[i] = h.wants(now); wants[i] > 0 {
 			weights += h.Weight
--- a/memory/shares_test.go
+++ b/memory/shares_test.go
@@ -147,10 +147,18 @@
 			t.Errorf("%d of 10", n)
 		}
 	})
+	t.Run("a thousand callers are told apart", func(t *testing.T) {
+		s := NewShares(10)
+		for i := range 1000 {
+			if h := s.Holder(at(0), fmt.Sprint("c", i), 1); h.Name != fmt.Sprint("c", i) {
+				t.Fatalf("caller %d is taken for %s", i, h.Name)
+			}
+		}
+	})
 	t.Run("however many names, so many holders, and the gateway's own clients stay", func(t *testing.T) {
 		s := NewShares(10)
 		s.Holder(at(0), "clients", 1)
-		for i := range 1000 {
+		for i := range 3 * MostHolders {
 			s.Enter(at(i), s.Holder(at(i), fmt.Sprint("c", i), 1))
 		}
 		n, known := 0, false
