--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -28,7 +28,7 @@
 }
 
 func (f fleetSocket) ask(name string) (*membership.Report, error) {
-	a, err := socket{f.Socket, f.JSON, f.Wait}.call(operator.Call{Do: "fleet", Name: name})
+	a, err := socket(f).call(operator.Call{Do: "fleet", Name: name})
 	if err != nil {
 		return nil, err
 	}
--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -11,6 +11,7 @@
 package membership
 
 import (
+	"context"
 	crand "crypto/rand"
 	"encoding/binary"
 	"errors"
@@ -308,7 +309,7 @@
 	f.lines, f.lost = nil, 0
 	f.mu.Unlock()
 	for _, l := range lines {
-		f.parts.Log.Log(nil, l.level, l.event, l.args...)
+		f.parts.Log.Log(context.Background(), l.level, l.event, l.args...)
 	}
 	if lost > 0 {
 		f.parts.Log.Warn("fleet_lines_lost", "n", lost)
--- a/lab/day/cache.go
+++ b/lab/day/cache.go
@@ -43,9 +43,8 @@
 	fills    map[string]*fill
 	work     []workAt // sends lately, for rule 4
 	effects  map[string]int
-	keyed    map[string]bool // lookups whose effect this cache's circle knows
-	startNo  int             // number of the event that tells its late start
-	cleared  []purge         // purges that it has carried out itself
+	startNo  int     // number of the event that tells its late start
+	cleared  []purge // purges that it has carried out itself
 }
 
 type workAt struct {
@@ -55,12 +54,11 @@
 
 // copied is a copy of a part that the origin gave out at born.
 type copied struct {
-	ver     string
-	born    time.Time
-	size    int
-	used    uint64
-	rank    int
-	content string
+	ver  string
+	born time.Time
+	size int
+	used uint64
+	rank int
 }
 
 type fill struct {
--- a/lab/day/gateway.go
+++ b/lab/day/gateway.go
@@ -57,10 +57,7 @@
 
 // config is the text of its configuration file now.
 func (g *gateway) config() []byte {
-	items := []event{}
-	for _, e := range g.d.events {
-		items = append(items, e)
-	}
+	items := append([]event{}, g.d.events...)
 	known := any(map[string]any{"no": len(g.d.events), "items": items})
 	if g.d.Plan.Morning != nil {
 		known = g.d.known()
--- a/lab/day/trials.go
+++ b/lab/day/trials.go
@@ -17,7 +17,6 @@
 	Undone  time.Duration `json:"undone_ns"` // from its beginning; 0: never
 	Served  float64       `json:"served"`    // share of lookups that were satisfied, from its beginning to the day's end
 	at      time.Duration
-	applied bool
 	chance  *rand.Rand
 	first   []string
 }
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -218,24 +217,3 @@
 }
 
 func (p *process) socket() string { return filepath.Join(p.dir, "s") }
-
-// resident is the process's memory in bytes, 0 if it cannot be told.
-func (p *process) resident() int64 {
-	p.mu.Lock()
-	cmd := p.cmd
-	p.mu.Unlock()
-	if cmd == nil {
-		return 0
-	}
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
-			kb, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
-			return kb << 10
-		}
-	}
-	return 0
-}
--- a/lab/fleet/rig.go
+++ b/lab/fleet/rig.go
@@ -61,10 +61,10 @@
 
 // moment is what the rig saw at a time, if it differs from the moment before.
 type moment struct {
-	at           time.Duration
-	agree, told  bool
-	least, most  int // live members in the views of running gateways
-	up, expected int
+	at          time.Duration
+	agree, told bool
+	least, most int // live members in the views of running gateways
+	up          int
 }
 
 type mark struct {
--- a/limit/adaptive.go
+++ b/limit/adaptive.go
@@ -9,12 +9,11 @@
 // time now. While answers take their least the limit grows by its root, which is room for a queue; as they slow it shrinks in
 // proportion; an answer lost for want of room cuts it by a tenth, once a round trip.
 type Adaptive struct {
-	ceiling  int
-	limit    float64
-	least    float64 // seconds, of answers with few others out; drifts up so that a change for good is learnt
-	now      float64 // mean of late
-	cutAt    time.Time
-	searched time.Time
+	ceiling int
+	limit   float64
+	least   float64 // seconds, of answers with few others out; drifts up so that a change for good is learnt
+	now     float64 // mean of late
+	cutAt   time.Time
 }
 
 const (
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -190,12 +190,11 @@
 		now := 0
 		var streams []*Stream
 		type seen struct {
-			next    int // number of the router's next send
-			owed    map[int]bool
-			out     *Stream
-			over    bool // the router has ended it
-			told    bool
-			waiting bool // the router has sent and waits
+			next int // number of the router's next send
+			owed map[int]bool
+			out  *Stream
+			over bool // the router has ended it
+			told bool
 		}
 		of, live := map[*Lookup]*seen{}, []*Lookup{}
 		by := map[*Stream]*Lookup{}
--- a/route/steer/steer.go
+++ b/route/steer/steer.go
@@ -269,7 +269,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.g.Now()
-	shift := now.Sub(time.Now()) // the ground's clock may be off; leases are told in the machine's
+	shift := time.Until(now) // the ground's clock may be off; leases are told in the machine's
 	for name, lease := range leases {
 		if l := s.limits.Of(name); l != nil {
 			lease.Until = lease.Until.Add(shift)
--- a/store/keeper/keeper.go
+++ b/store/keeper/keeper.go
@@ -47,9 +47,8 @@
 	mu      sync.Mutex
 	state   *roster.State
 	pending [][]byte
-	bytes   int  // of pending
-	whole   bool // the next write is a snapshot
-	over    bool
+	bytes   int             // of pending
+	whole   bool            // the next write is a snapshot
 	ill     map[string]bool // as last told
 	kept    int64           // number of the last event on disk
 }
--- a/telemetry/trace_test.go
+++ b/telemetry/trace_test.go
@@ -51,7 +51,7 @@
 		for i, end := range []string{"turned_away", "satisfied"} {
 			attrs := map[string]string{}
 			for _, a := range all[i].Attributes {
-				attrs[string(a.Key)] = a.Value.Emit()
+				attrs[string(a.Key)] = a.Value.String()
 			}
 			if all[i].Parent.SpanID() != root.SpanContext.SpanID() || attrs["foldslip.end"] != end {
 				t.Errorf("%+v", attrs)
