--- a/logic/logic.go
+++ b/logic/logic.go
@@ -65,7 +65,9 @@
 	for _, c := range r.caches {
 		if o := was[c.Name]; o != nil && o != c {
 			c.warmingSince = max(c.warmingSince, o.warmingSince)
-			c.sent, c.scale, c.scaleAt = o.sent, o.scale, o.scaleAt
+			if o.warmingSince != 0 { // else it has learned nothing of this start
+				c.sent, c.scale, c.scaleAt = o.sent, o.scale, o.scaleAt
+			}
 			c.ejected, c.ejectedAt, c.nextProbe, c.died, c.lags = o.ejected, o.ejectedAt, o.nextProbe, o.died, o.lags
 		}
 	}
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -200,6 +200,17 @@
 	}
 }
 
+// A start that only the new settings' list tells of is not starved by what the router before knew of the cache: nothing.
+func TestCarryOfAStartNotKnownBefore(t *testing.T) {
+	old, _ := play(t, nil)
+	f, now := play(t, nil)
+	f.relist(now[0], Ready, f.now)
+	f.r.Carry(old.r)
+	if now[0].warmingSince == 0 || now[0].scale != 1 {
+		t.Fatalf("warming since %d, its budget at %.2f", now[0].warmingSince, now[0].scale)
+	}
+}
+
 // Hard cases of the new deployments, one story each.
 func TestMoveHardCases(t *testing.T) {
 	keyed := func(c *Charter) { // entry-post, issue-licence: marked against repeats, dropped for 6 s everywhere
