--- a/logic/edge.go
+++ b/logic/edge.go
@@ -30,7 +30,7 @@
 				return keep // two homes are enough: a third would fill what they hold
 			}
 			wait, part = true, roomToSpill
-		case !r.admitCold(c, max(float64(lk.work), lk.kind.mean(r.now))):
+		case !r.admitCold(s, c, max(float64(lk.work), lk.kind.mean(r.now))):
 			wait = true
 		default:
 			s.to = c
--- a/logic/fills.go
+++ b/logic/fills.go
@@ -33,7 +33,7 @@
 	for _, p := range r.order(lk.hash, r.parents) {
 		switch {
 		case straight || p.State != Ready || p == lk.failedBy || !r.probeDue(p, lk) || !lk.scope.parent(p):
-		case r.admitCold(p, float64(lk.work)):
+		case r.admitCold(s, p, float64(lk.work)):
 			s.source = p
 			return pass
 		}
@@ -82,7 +82,7 @@
 		return
 	}
 	if got.remark == Hit || got.remark == Aged {
-		p.sent.add(r.now, r.fallFor(), -float64(lk.work)) // no fill reached it
+		p.sent.takeBack(s.at, r.now, r.fallFor(), s.charge) // no fill reached it
 	}
 	// A parent's fills are timed to their first byte where that is told, else a KB; where nothing tells a fill,
 	// all sends that named it are, hits that passed it by too.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -601,8 +601,8 @@
 		sent := 0
 		for i := range 2000 {
 			f.now += 2 * ms
-			f.r.admitCold(all[0], float64(100*ms))
-			if i > 0 && f.r.admitCold(all[0], float64(100*ms)) {
+			f.r.admitCold(&Send{}, all[0], float64(100*ms))
+			if i > 0 && f.r.admitCold(&Send{}, all[0], float64(100*ms)) {
 				sent++
 			}
 		}
--- a/logic/measure.go
+++ b/logic/measure.go
@@ -48,6 +48,14 @@
 	w.slots[w.slot%(windowSlots+1)] += v
 }
 
+// takeBack undoes an add of the given instant, if the window still holds it.
+func (w *window) takeBack(at, now, span Micros, v float64) {
+	w.read(now, span)
+	if slot := at * windowSlots / span; slot >= w.slot-windowSlots {
+		w.slots[slot%(windowSlots+1)] -= v
+	}
+}
+
 func (m *mwc) next() uint32 {
 	t := uint64(698769069)*uint64(m.x) + uint64(m.c)
 	m.x, m.c = uint32(t), uint32(t>>32)
--- a/logic/slowstart.go
+++ b/logic/slowstart.go
@@ -37,10 +37,10 @@
 
 // admitCold guards rule 4: this router's part of what a cold cache may be sent in any span of the rule.
 // A link likely bears what is listed, else what warm ones of its group carry times the routers; it surely
-// bears a part of that, what it was seen to carry itself, or one transfer.
-func (r *Router) admitCold(c *Cache, work float64) bool {
+// bears a part of that, what it was seen to carry itself, or one transfer. The send notes what it was charged.
+func (r *Router) admitCold(s *Send, c *Cache, work float64) bool {
 	share := r.warmShare(c)
-	if c.warmingSince == 0 {
+	if s.charge = 0; c.warmingSince == 0 {
 		return true
 	}
 	carried, multiple, part := r.edgeCapacity, r.its.FallMultiple, 1/r.zoneRouters()
@@ -55,7 +55,7 @@
 	bears := max(share*max(1, sure), own) * float64(span)
 	most := min(allowedPart*multiple*bears, mostAtOnce*max(share*likely*float64(span), bears)) * c.scale
 	left := most*part - c.sent.read(r.now, span)
-	if left >= work {
+	if s.charge = min(left, work); left >= work {
 		c.sent.add(r.now, span, work)
 		return true
 	}
--- /dev/null
+++ b/logic/slowstart_test.go
@@ -0,0 +1,44 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestHitsGiveBackTheirCharge: a lookup that names a cold parent and turns out to be a hit at its edge never reached that parent. It gives
+// back what the parent's budget was charged, in the part of the window where it was charged: neither more than that (a staked fill is charged
+// less than its work), nor later, when the charge itself has left the window and the rest would be budget out of nothing.
+func TestHitsGiveBackTheirCharge(t *testing.T) {
+	for _, late := range []Micros{20 * ms, 900 * ms, 3 * second} {
+		t.Run(fmt.Sprintf("hits after %d ms", late/ms), func(t *testing.T) {
+			f, all := play(t, func(c *Charter) { c.Seats, c.Gateways = []int{20}, 20 })
+			parents := all[3:5]
+			for _, p := range parents {
+				f.relist(p, Ready, f.now)
+			}
+			staked, ended := 0, 0
+			for i := range 2000 {
+				f.now += 5 * ms
+				f.ask(0, fmt.Sprint("o", i))
+				for ended < len(f.sends) && f.now >= f.sends[ended].lk.sends[f.sends[ended].n].at+late {
+					s := f.sends[ended]
+					if ended++; s.source.Kind != 1 || s.lk.over {
+						continue
+					}
+					if charge := s.lk.sends[s.n].charge; charge < float64(s.lk.work) {
+						staked++
+					}
+					f.end(s, Satisfied, Hit, late)
+				}
+				for _, p := range parents {
+					if charged := p.sent.read(f.now, f.r.fallFor()); charged < -1 {
+						t.Fatalf("%d us after the start: %.0f us of work charged to %s", f.now-100*second, charged, p.Name)
+					}
+				}
+			}
+			if staked == 0 {
+				t.Fatal("no fill was staked: the story shows nothing")
+			}
+		})
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -99,6 +99,7 @@
 	how         How
 	oldest      Micros
 	at, overdue Micros
+	charge      float64 // work that the slow start of its source was charged with; 0 of a warm one
 	cancelled   bool
 }
 
