--- a/door/extproc/extproc_test.go
+++ b/door/extproc/extproc_test.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := grpc.NewServer(grpc.MaxRecvMsgSize(MostMessage))
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(MostMessage), grpc.WaitForHandlers(true)) // as Serve makes it
 	extprocv3.RegisterExternalProcessorServer(server, p.door)
 	go server.Serve(at)
 	life, ended := clock.NewLife(nil), make(chan error)
