--- a/lab/fleet/rig_test.go
+++ b/lab/fleet/rig_test.go
@@ -123,7 +123,7 @@
 		`{ gateways: 3, steps: [{ at_ms: 1, do: 'explode' }] }`:                                              "steps[0].do",
 		`{ gateways: 3, steps: [{ at_ms: 1, do: 'kill', who: ['n4'] }] }`:                                    `"n4" is nobody`,
 		`{ gateways: 3, steps: [{ at_ms: 1, do: 'start', who: ['@x'] }] }`:                                   `"@x" is nobody`,
-		`{ gateways: 1025, steps: [] }`:                                                                        "gateways",
+		`{ gateways: 1025, steps: [] }`:                                                                      "gateways",
 		`{ gateways: 3, stps: [] }`:                                                                          "stps: no such setting",
 		`{ gateways: 3, steps: [{ at_ms: 5, do: 'heal' }, { at_ms: 1, do: 'heal' }] }`:                       "before the step before it",
 		`{ gateways: 3, load: { per_second: 5 }, steps: [] }`:                                                "load.per_second",
