--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	mostGateways = 1024 // what the rig has addresses for: hostsInBlock x blocksOfGateways
+	mostGateways = 1024 // the rig's runs of blocks have hosts for 2,500
 	mostCaches   = 1024
 	mostSteps    = 200
 	mostTime     = 30 * time.Minute
--- a/logic/hardfleet_test.go
+++ b/logic/hardfleet_test.go
@@ -8,7 +8,7 @@
 // The hard cases of TestColdFleet: caches from 0.3 to 2.5 of the mean, the cold one among them at any place, links of 1 to 40
 // transfers that all transfers on them share, a load of 0.4 to 1.3 of what the location bears, and each in three of ten runs: a cold
 // cache that starts anew while it warms, routers whose lists are silent for seconds over the start, and a part of the routers (a zone) that is
-// cut off from the cold cache, or lost and started anew. What a cold cache can do is its share of its link, at least the share that the settings name.
+// cut off from the cold cache, and in half of these runs starts anew at the end. What a cold cache can do is its share of its link, at least the share that the settings name.
 
 // hardFleet is what a hard case adds to a coldWorld.
 type hardFleet struct {
@@ -25,7 +25,7 @@
 type cutZone struct {
 	routers    int
 	from, till Micros
-	lost       bool // the routers themselves are gone meanwhile, and start anew
+	lost       bool // its routers start anew at the end, knowing nothing
 }
 
 // askedLimiter is the central limiter that knows the link of a cold parent, before the fills that the fleet really asks for: those of
