--- a/logic/coldfleet_test.go
+++ b/logic/coldfleet_test.go
@@ -55,18 +55,23 @@
 	windows, over, central, chance int
 	runs, fell                     int     // runs with any window over
 	sent, rate, ideal              float64 // work, in us: sent by the fleet; what its rate allows; sent by the central bucket
+	asked                          float64 // and by the limiter before the fills that a hard case's parent is really asked for
 }
 
 func (t *tally) add(o tally) {
 	t.windows, t.over, t.central, t.chance = t.windows+o.windows, t.over+o.over, t.central+o.central, t.chance+o.chance
 	t.runs, t.fell, t.sent, t.rate = t.runs+o.runs, t.fell+o.fell, t.sent+o.sent, t.rate+o.rate
-	t.ideal += o.ideal
+	t.ideal, t.asked = t.ideal+o.ideal, t.asked+o.asked
 }
 
 func (t tally) String() string {
 	of := func(n int) float64 { return 100 * float64(n) / float64(max(t.windows, 1)) }
-	return fmt.Sprintf("windows over %7.4f%%  central %7.4f%%  chance %7.4f%%  runs over %5.2f%%  used %.2f, central %.2f", of(t.over), of(t.central),
+	text := fmt.Sprintf("windows over %7.4f%%  central %7.4f%%  chance %7.4f%%  runs over %5.2f%%  used %.2f, central %.2f", of(t.over), of(t.central),
 		of(t.chance), 100*float64(t.fell)/float64(max(t.runs, 1)), t.sent/max(t.rate, 1), t.ideal/max(t.rate, 1))
+	if t.asked > 0 {
+		text += fmt.Sprintf("  of what is really asked %.2f", t.sent/t.asked)
+	}
+	return text
 }
 
 type coldEvent struct {
@@ -438,9 +443,7 @@
 		}
 		e.do()
 	}
-	if c.hard > 0 && c.parent {
-		t.rate = w.fleet.asked.sent
-	}
+	t.asked = w.fleet.asked.sent
 	for _, s := range w.sent {
 		if s.at >= w.started+2*second {
 			t.sent += s.work
--- a/logic/hardfleet_test.go
+++ b/logic/hardfleet_test.go
@@ -29,7 +29,7 @@
 }
 
 // askedLimiter is the central limiter that knows the link of a cold parent, before the fills that the fleet really asks for: those of
-// objects whose home is this parent.
+// objects whose home is this parent. It is told beside the verdict, which takes demand by its formula.
 type askedLimiter struct {
 	tokens float64
 	at     Micros
@@ -152,11 +152,14 @@
 	})
 }
 
-// demand is what the fleet asks of a cold edge, in transfers, where arrivals bring that much work: a location's last edge
-// gets its share of the objects. In the other cases it is without bound; at a parent of a hard case askedLimiter counts it.
+// demand is what the fleet asks of the cold cache, in transfers, where arrivals bring that much work: a location's last edge
+// gets its share of the objects, a parent its part of the misses. In the other cases it is without bound.
 func (f *hardFleet) demand(w *coldWorld, at Micros, arriving float64) float64 {
-	if w.hard == 0 || w.parent {
+	switch {
+	case w.hard == 0:
 		return math.Inf(1)
+	case w.parent:
+		return (1 - w.hits) * arriving * w.pace / float64(len(w.links)-w.caches)
 	}
 	return w.share(at) * arriving * w.pace
 }
