Broadcast: a batch frame without purges is refused instead of ending the gateway

What callers saw: with fleet.broadcast on, one 13-byte frame from a member ends the process (index out of range [-1]); all its open lookups are lost.

Cause: frameReader.batch took a count of 0; handleBatch forwards by the age of the last purge, purges[len-1].

Change: the reader refuses a batch without purges, as it does sequence 0, so handleBatch's invariant holds for all callers. The other readers of the fleet were read for the same: none indexes by a peer's count without a check.

--- a/internal/fleet/broadcast/frame.go
+++ b/internal/fleet/broadcast/frame.go
@@ -116,7 +116,7 @@
 type batch struct {
 	id         batchID
 	originTier tier
-	purges     []Purge // by issue
+	purges     []Purge // by issue, at least one
 	frame      []byte
 }
 
@@ -126,8 +126,11 @@
 	return appendPurges(append(b, byte(originTier)), purges)
 }
 
+// batch reads a batch. One without purges is not read: no gateway sends one, and handleBatch goes by the last purge's age.
 func (r *frameReader) batch(frame []byte) batch {
-	return batch{id: r.batchID(), originTier: r.tier(), purges: r.purges(), frame: frame}
+	b := batch{id: r.batchID(), originTier: r.tier(), purges: r.purges(), frame: frame}
+	r.failed = r.failed || len(b.purges) == 0
+	return b
 }
 
 func (r *frameReader) tier() tier {
--- a/internal/fleet/broadcast/frame_test.go
+++ b/internal/fleet/broadcast/frame_test.go
@@ -113,6 +113,18 @@
 	return n
 }
 
+// TestBatchWithoutPurgesIsRefused guards against the panic of a gateway that received a batch frame without purges (index -1).
+func TestBatchWithoutPurgesIsRefused(t *testing.T) {
+	frame, _ := encodeBatch(batchID{7, 1}, root, nil)
+	node := twoNodeSite()
+	if learned, err := node.HandleFrame("gw-0000", frame, 1); err == nil || len(learned) > 0 {
+		t.Errorf("the frame is taken: learned %v, error %v", learned, err)
+	}
+	if node.stats.UnreadableFrames != 1 || len(node.stored) > 0 || len(node.TakeMessages()) > 0 {
+		t.Errorf("an unreadable frame is kept or forwarded: %+v", node.stats)
+	}
+}
+
 // TestLongestRepairRequest expects a request for maxRepairsPerFrame batches to fit a frame.
 func TestLongestRepairRequest(t *testing.T) {
 	ids := make([]batchID, maxRepairsPerFrame)
