Limits: a permit goes back to the quotas that lent it, under any changes and undos

What callers saw: a change that takes `open` from a limit of a pool, route or tenant ends the gateway at the next end of a lookup under it (nil dereference). If it is undone first, open lookups are counted below zero and a limit of 3 admits 4. A limit that vanished with its pool and came back by an undo began at 0 with its lookups still open.

Cause: without MaxOpen a limit had no quotas, and a later MaxOpen made new ones; Permit.Release gave back to whatever the limit had then. Its latency sample went to the Adaptive of the moment in the same way.

Change: a limit has one Quotas for its life, unlimited where there is no MaxOpen, so each permit has one lender. Set.Carry keeps a limit that was taken away, limiting nothing, until its lookups have ended. A permit remembers the Adaptive that admitted it and is released once.

--- a/internal/admission/quotas.go
+++ b/internal/admission/quotas.go
@@ -16,6 +16,9 @@
 	idleDemand     = 0.5              // lookups; a claimant with none open and less demand may be forgotten
 )
 
+// Unlimited is the capacity of quotas that admit every lookup and count what is open.
+const Unlimited = math.MaxInt
+
 // overflowName is the claimant that newcomers share when there are MaxClaimants.
 const overflowName = "others"
 
@@ -131,7 +134,7 @@
 	switch {
 	case free <= 0:
 		return false
-	case len(q.claimants) < 2:
+	case q.capacity == Unlimited || len(q.claimants) < 2:
 		return true
 	}
 	if age := now.Sub(q.levelAt); age < 0 || age >= levelLifetime {
--- a/internal/fleet/broadcast/frame_test.go
+++ b/internal/fleet/broadcast/frame_test.go
@@ -115,7 +115,13 @@
 
 // TestBatchWithoutPurgesIsRefused guards against the panic of a gateway that received a batch frame without purges (index -1).
 func TestBatchWithoutPurgesIsRefused(t *testing.T) {
-	frame, _ := encodeBatch(batchID{7, 1}, root, nil)
+	frame := []byte{
+		Kind, frameBatch,
+		1, 2, 3, 4, 5, 6, 7, 8, // origin
+		1, // number of the batch
+		0, // tier
+		0, // number of purges
+	}
 	node := twoNodeSite()
 	if learned, err := node.HandleFrame("gw-0000", frame, 1); err == nil || len(learned) > 0 {
 		t.Errorf("the frame is taken: learned %v, error %v", learned, err)
--- a/internal/limit/fleet.go
+++ b/internal/limit/fleet.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"golang.org/x/time/rate"
-
-	"foldslip/internal/admission"
 )
 
 // minFleetByteBurst is what a gateway's part of a fleet's byte rate may be over at once: no object is larger.
@@ -62,17 +60,11 @@
 	if wasFleetWide {
 		lease = l.fleet.lease
 	}
-	lookups, bytes, quotas := l.lookups, l.bytes, l.quotas
+	lookups, bytes := l.lookups, l.bytes
 	gatewaySpec := Spec{RetryRatio: spec.RetryRatio}
 	l.setSpec(now, gatewaySpec)
 	l.lookups = leasedBucket(lookups, wasFleetWide, spec.LookupsPerSecond)
 	l.bytes = leasedBucket(bytes, wasFleetWide, spec.BytesPerSecond)
-	if spec.MaxOpen > 0 {
-		l.quotas = quotas
-		if quotas == nil {
-			l.quotas = admission.NewQuotas(0)
-		}
-	}
 	l.spec = spec
 	l.SetLease(now, lease)
 }
@@ -110,9 +102,7 @@
 func (l *Limit) setAmounts(now time.Time, amounts Amounts) {
 	setRate(now, l.lookups, amounts.LookupsPerSecond, minLookupBurst)
 	setRate(now, l.bytes, amounts.BytesPerSecond, minFleetByteBurst)
-	if l.quotas != nil {
-		l.quotas.Resize(amounts.MaxOpen)
-	}
+	l.quotas.Resize(openCapacity(l.spec, amounts.MaxOpen))
 }
 
 // setRate changes a bucket's rate and keeps its tokens.
@@ -131,8 +121,8 @@
 // Usage returns what was requested and admitted, for those who share a fleet's limit.
 func (l *Limit) Usage() Usage {
 	usage := l.fleet.usage
-	if l.quotas != nil {
-		usage.Open = l.quotas.Open()
+	if l.spec.MaxOpen > 0 {
+		usage.Open = l.Open()
 	}
 	usage.RequestedOpen = usage.Open + l.fleet.rejectedForOpen
 	l.fleet.rejectedForOpen = 0
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -54,17 +54,17 @@
 	Rejections map[Reason]uint64
 
 	spec     Spec
-	lookups  *rate.Limiter // nil: no limit, as those that follow
-	bytes    *rate.Limiter
-	quotas   *admission.Quotas // open lookups, divided among tenants
-	adaptive *Adaptive
+	lookups  *rate.Limiter     // nil: no limit
+	bytes    *rate.Limiter     // nil: no limit
+	quotas   *admission.Quotas // open lookups, divided among tenants; the same for the life of the limit, as permits go back to it
+	adaptive *Adaptive         // nil: MaxOpen is fixed
 	retries  *RetryBudget
 	fleet    fleetState
 }
 
 // New returns the limit of a thing.
 func New(now time.Time, name string, spec Spec) *Limit {
-	l := &Limit{Name: name, Rejections: map[Reason]uint64{}}
+	l := &Limit{Name: name, Rejections: map[Reason]uint64{}, quotas: admission.NewQuotas(admission.Unlimited)}
 	l.setSpec(now, spec)
 	return l
 }
@@ -72,13 +72,8 @@
 // Spec returns the limits that hold.
 func (l *Limit) Spec() Spec { return l.spec }
 
-// Open returns how many lookups are open.
-func (l *Limit) Open() int {
-	if l.quotas == nil {
-		return 0
-	}
-	return l.quotas.Open()
-}
+// Open returns how many lookups are open, also where they are not limited.
+func (l *Limit) Open() int { return l.quotas.Open() }
 
 // setSpec changes the limits and keeps what has been used.
 func (l *Limit) setSpec(now time.Time, spec Spec) {
@@ -94,14 +89,7 @@
 }
 
 func (l *Limit) setMaxOpen(spec Spec) {
-	switch {
-	case spec.MaxOpen <= 0:
-		l.quotas = nil
-	case l.quotas == nil:
-		l.quotas = admission.NewQuotas(spec.MaxOpen)
-	default:
-		l.quotas.Resize(spec.MaxOpen)
-	}
+	l.quotas.Resize(openCapacity(spec, spec.MaxOpen))
 	switch {
 	case !spec.Adaptive || spec.MaxOpen <= 0:
 		l.adaptive = nil
@@ -112,6 +100,14 @@
 	}
 }
 
+// openCapacity returns how many lookups may be open where a limit on them allows maxOpen now.
+func openCapacity(spec Spec, maxOpen int) int {
+	if spec.MaxOpen <= 0 {
+		return admission.Unlimited
+	}
+	return maxOpen
+}
+
 func (l *Limit) setRetryRatio(ratio float64) {
 	switch {
 	case ratio == 0:
@@ -143,7 +139,8 @@
 // Permit is a lookup that was admitted. Release must be called at its end.
 type Permit struct {
 	limit      *Limit
-	claimant   *admission.Claimant // nil: open lookups are not limited, or it was released
+	claimant   *admission.Claimant // of the limit's quotas; nil: it was released
+	adaptive   *Adaptive           // that admitted it; nil: none did
 	admittedAt time.Time
 }
 
@@ -153,7 +150,7 @@
 		l.expireLease(now)
 		l.fleet.usage.request(bytes)
 	}
-	permit := &Permit{limit: l, admittedAt: now}
+	permit := &Permit{limit: l, adaptive: l.adaptive, admittedAt: now}
 	if !l.acquireOpen(now, permit, tenant, weight) {
 		l.fleet.rejectedForOpen++
 		return nil, l.reject(OpenExceeded), l.openRetryAfter()
@@ -171,11 +168,8 @@
 	return permit, Allowed, 0
 }
 
-// acquireOpen takes one of the tenant's quota of open lookups, if they are limited.
+// acquireOpen takes one of the tenant's quota of open lookups.
 func (l *Limit) acquireOpen(now time.Time, permit *Permit, tenant string, weight float64) bool {
-	if l.quotas == nil {
-		return true
-	}
 	if l.adaptive != nil {
 		l.quotas.Resize(l.adaptive.Limit())
 	}
@@ -221,18 +215,24 @@
 	return reason
 }
 
-func (p *Permit) releaseOpen(now time.Time) {
-	if p.claimant != nil {
-		p.limit.quotas.Release(now, p.claimant)
-		p.claimant = nil
+// releaseOpen gives the open lookup back and reports whether it was held.
+func (p *Permit) releaseOpen(now time.Time) bool {
+	if p.claimant == nil {
+		return false
 	}
+	p.limit.quotas.Release(now, p.claimant)
+	p.claimant = nil
+	return true
 }
 
-// Release ends the lookup: isSuccess if its response came, isOverload if it was late or failed for want of capacity.
+// Release ends the lookup: isSuccess if its response came, isOverload if it was late or failed for want of capacity. Only the first call counts.
 func (p *Permit) Release(now time.Time, isSuccess, isOverload bool) {
-	p.releaseOpen(now)
-	if p.limit.adaptive != nil {
-		p.limit.adaptive.Observe(now, Sample{Latency: now.Sub(p.admittedAt), Open: p.limit.quotas.Open() + 1, IsSuccess: isSuccess, IsOverload: isOverload})
+	openWithIt := p.limit.quotas.Open()
+	if !p.releaseOpen(now) {
+		return
+	}
+	if p.adaptive != nil && p.adaptive == p.limit.adaptive {
+		p.adaptive.Observe(now, Sample{Latency: now.Sub(p.admittedAt), Open: openWithIt, IsSuccess: isSuccess, IsOverload: isOverload})
 	}
 }
 
--- a/internal/limit/set.go
+++ b/internal/limit/set.go
@@ -3,26 +3,51 @@
 import "time"
 
 // Set is the limits of a configuration, by name.
-type Set struct{ byName map[string]*Limit }
+type Set struct {
+	byName map[string]*Limit
+	// retired are limits that a change took away while lookups were open under them. They limit nothing, and count until the lookups have
+	// ended, so that an undo of the change finds them open. There are at most as many as open lookups.
+	retired map[string]*Limit
+}
 
 // NewSet returns the limits of the first configuration.
 func NewSet(now time.Time, specs map[string]Spec) *Set { return (&Set{}).Carry(now, specs) }
 
 // Carry returns the limits of the next configuration. A limit of the same name is the same one, so that a permit of the set before can be
-// released at any time.
+// released at any time, and a lookup that is open stays counted whatever changes come before its end.
 func (s *Set) Carry(now time.Time, specs map[string]Spec) *Set {
-	next := &Set{byName: make(map[string]*Limit, len(specs))}
+	next := &Set{byName: make(map[string]*Limit, len(specs)), retired: map[string]*Limit{}}
 	for name, spec := range specs {
-		if l := s.byName[name]; l != nil {
+		if l := s.known(name); l != nil {
 			l.setSpec(now, spec)
 			next.byName[name] = l
 			continue
 		}
 		next.byName[name] = New(now, name, spec)
 	}
+	next.retire(now, s.byName)
+	next.retire(now, s.retired)
 	return next
 }
 
+// known returns the limit of a name, also a retired one, nil if there is none.
+func (s *Set) known(name string) *Limit {
+	if l := s.byName[name]; l != nil {
+		return l
+	}
+	return s.retired[name]
+}
+
+// retire keeps those of the set before that this one does not have and that lookups are open under.
+func (s *Set) retire(now time.Time, before map[string]*Limit) {
+	for name, l := range before {
+		if s.byName[name] == nil && l.Open() > 0 {
+			l.setSpec(now, Spec{})
+			s.retired[name] = l
+		}
+	}
+}
+
 // EachFleetWide calls a function for each limit of the whole fleet, in no order.
 func (s *Set) EachFleetWide(visit func(name string, l *Limit)) {
 	for name, l := range s.byName {
