Limits: a rate that was the fleet's brings no full bucket when it becomes the gateway's

What callers saw: a change that takes fleet: true from a rate limit on a gateway without a lease admits half a second's worth at once, at each change.

Cause: resizeBucket takes the part left of the old bucket as tokens / burst; a fleet's bucket without a lease has burst 0, 0/0 is NaN, and NaN cast to int is not above 0, so nothing counted as used. Found while looking for the fault of permits elsewhere.

Change: a bucket that can hold nothing has nothing left. Test: TestALimitThatWasTheFleetsBringsNoBurst, failed on the parent ("a bucket that was empty is full after the change"), passes 20 of 20.

--- a/internal/limit/fleet_test.go
+++ b/internal/limit/fleet_test.go
@@ -81,3 +81,15 @@
 		t.Error("still the fleet's")
 	}
 }
+
+// TestALimitThatWasTheFleetsBringsNoBurst guards against a full bucket where a limit of the fleet without a lease becomes this gateway's.
+func TestALimitThatWasTheFleetsBringsNoBurst(t *testing.T) {
+	s := NewSet(timeAt(0), map[string]Spec{"p": {LookupsPerSecond: 10, FleetWide: true}})
+	s = s.Carry(timeAt(0), map[string]Spec{"p": {LookupsPerSecond: 10}})
+	if _, reason, _ := admit(s.Find("p"), 0); reason != LookupRateExceeded {
+		t.Error("a bucket that was empty is full after the change")
+	}
+	if _, reason, _ := admit(s.Find("p"), 100); reason != Allowed {
+		t.Error(reason)
+	}
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -119,7 +119,8 @@
 	}
 }
 
-// resizeBucket returns a token bucket of another rate, nil for no limit. The part of the old one that had been used is used of the new one.
+// resizeBucket returns a token bucket of another rate, nil for no limit. The part of the old one that had been used is used of the new one; one
+// that could hold nothing (of a fleet's limit without a lease) counts as used up.
 func resizeBucket(now time.Time, before *rate.Limiter, perSecond, minBurst float64) *rate.Limiter {
 	if perSecond <= 0 {
 		return nil
@@ -129,7 +130,10 @@
 	if before == nil {
 		return resized
 	}
-	left := before.TokensAt(now) / float64(before.Burst())
+	left := 0.0
+	if before.Burst() > 0 {
+		left = before.TokensAt(now) / float64(before.Burst())
+	}
 	if used := int(math.Ceil(float64(burst) * (1 - left))); used > 0 {
 		resized.AllowN(now, min(burst, used))
 	}
