Discovery: damaged lines no longer make the watch take the next event for one it holds

What callers saw: after two damaged lines on the watch, at any distance, the next event is dropped in silence.

Cause: an unusable event ended the session once and was skipped "when it came again" by LastEvent++; again meant only that no event had come in between, so any second damaged line stood for the event to come.

What came again counts as nothing by itself; the next event's number, or the number of the last one there is, passes over as many as came again in this session.

--- a/internal/discovery/event.go
+++ b/internal/discovery/event.go
@@ -83,12 +83,13 @@
 // isComplete reports whether the event brings the complete endpoint list.
 func (e *event) isComplete() bool { return e.Endpoints != nil && e.Endpoints.Complete }
 
-// checkNumber reports whether the event is the next one after the last held; false without an error if it is held already.
-func (e *event) checkNumber(last int64) (isNext bool, err error) {
+// checkNumber reports whether the event is the next one after the last held, but for so many whose numbers may be missing; false without an
+// error if it is held already.
+func (e *event) checkNumber(last, missing int64) (isNext bool, err error) {
 	switch number := *e.Number; {
 	case number <= last:
 		return false, nil
-	case number != last+1:
+	case number > last+1+missing:
 		return false, fmt.Errorf("%w: %d follows %d", errGap, number, last)
 	}
 	return true, nil
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -71,7 +71,7 @@
 	dispatcher     *dispatch.Dispatcher
 	registry       *cacheregistry.Registry
 	purges         *purgelog.Log
-	rejectedEvent  int64        // the number of the event that could not be used when it came last
+	unusable       unusableLines
 	silentSessions int          // in a row, without a line
 	wakeup         env.Notifier // hasMoved is set, or the watch ends
 
@@ -199,6 +199,7 @@
 	}
 	defer conn.Close()
 	defer session.OnEnd(func() { conn.Close() })()
+	w.unusable.beginSession()
 	timeout := w.silenceTimeout()
 	conn.SetDeadline(w.env.Now().Add(timeout))
 	if _, err := fmt.Fprintf(conn, requestFormat, w.LastEvent); err != nil {
@@ -225,8 +226,8 @@
 	}
 }
 
-// handleSessionLine handles a line of a session; it returns a reason if the session must end. An event that cannot be used ends the session
-// once; when it comes again it is skipped, since the events after it matter more.
+// handleSessionLine handles a line of a session; it returns a reason if the session must end. A line that cannot be used ends the session
+// once; when it comes again alike it is passed over, and the number of an event may be missing after it.
 func (w *Watch) handleSessionLine(line []byte) (reason string) {
 	err := w.handleLine(line, fromSession)
 	if err == nil {
@@ -238,11 +239,9 @@
 		return "gap"
 	case errors.Is(err, errRenumbered):
 		return "renumbered"
-	case w.rejectedEvent != w.LastEvent+1:
-		w.rejectedEvent = w.LastEvent + 1
+	case !w.unusable.add(line, w.LastEvent):
 		return "bad_line"
 	}
-	w.LastEvent++
 	return ""
 }
 
