Test beds: processes side by side no longer share fixed loopback addresses

Cause: gateways of scale runs listened on 127.66.x.y:10080, those of the rig's tests in fixed networks.

--- a/internal/lab/fleet/rig_test.go
+++ b/internal/lab/fleet/rig_test.go
@@ -15,9 +15,6 @@
 // program is the path of the gateway's program, built by TestMain.
 var program string
 
-// testNetwork is the first of the tests' networks. The rig's command takes lower ones, so that it can run beside the tests.
-const testNetwork = 120
-
 // TestMain builds the program whose processes the tests start.
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "foldslip-rig")
@@ -32,7 +29,13 @@
 		fmt.Println("FAIL: the program cannot be built:", err)
 		os.Exit(1)
 	}
+	claimed, err := claimNetworks()
+	if err != nil {
+		fmt.Println("FAIL:", err)
+		os.Exit(1)
+	}
 	code := m.Run()
+	claimed.Close()
 	os.RemoveAll(dir)
 	os.Exit(code)
 }
--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -21,17 +22,29 @@
 }
 
 const (
-	realPort     = 10080
 	realMemoryMB = 192 // its configured limit, as in the fleet's rig
 	stopTimeout  = 15 * time.Second
 )
 
-// startReal writes a gateway's configuration into a folder and starts it, with a listen address of its own, 127.66.x.y.
+// freeAddress returns the address 127.66.x.y of a gateway with a port that nobody listens on there, so that measurements may run side by side.
+func freeAddress(i int) (string, error) {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.66.%d.%d:0", i>>8, i&255))
+	if err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
+// startReal writes a gateway's configuration into a folder and starts it, with a listen address of its own.
 func startReal(program, dir string, i int, watch string, known, settings json.RawMessage) (*realGateway, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
-	text, err := json.Marshal(map[string]any{"name": fmt.Sprintf("g%04d", i), "listen": fmt.Sprintf("127.66.%d.%d:%d", i>>8, i&255, realPort),
+	addr, err := freeAddress(i)
+	if err != nil {
+		return nil, err
+	}
+	text, err := json.Marshal(map[string]any{"name": fmt.Sprintf("g%04d", i), "listen": addr,
 		"seed": fmt.Sprintf("%x", i+1), "limits": map[string]any{"cores": 1, "memory_mb": realMemoryMB, "sockets": 1024}, "bulletin": watch, "known": known,
 		"settings": settings})
 	if err != nil {
