--- a/internal/lab/scenario/checkattempts.go
+++ b/internal/lab/scenario/checkattempts.go
@@ -144,7 +144,20 @@
 	})
 }
 
-// connectionEnded notes that a connection has ended at either side: all attempts on it have ended.
+// connectionEndedAtCache notes that a cache has ended a connection: all attempts on it have ended. Their gateway knows it once the end has
+// arrived, which a split network delays.
+func (c *checker) connectionEndedAtCache(conn *cacheConn) {
+	if conn.end == nil { // a proxy's request, which has no simulated connection
+		c.connectionEnded(conn)
+		return
+	}
+	for _, a := range conn.attempts {
+		a.inFlight = false
+	}
+	conn.end.OnEndArrived = func() { c.connectionEnded(conn) }
+}
+
+// connectionEnded notes that a gateway knows of a connection's end: all attempts on it have ended.
 func (c *checker) connectionEnded(conn *cacheConn) {
 	for _, a := range conn.attempts {
 		c.attemptEnded(a)
--- a/internal/lab/simenv/conn.go
+++ b/internal/lab/simenv/conn.go
@@ -81,8 +81,10 @@
 	case s.reset:
 		c.reset = true
 		c.received = nil
+		c.peer.endArrived()
 	case s.fin:
 		c.eof = true
+		c.peer.endArrived()
 	default:
 		c.received = append(c.received, s.data...)
 		if c.peer.OnArrived != nil {
@@ -199,7 +201,11 @@
 		if c.closed || c.fin || c.reset {
 			return 0
 		}
-		return c.writeNow(b)
+		n := c.writeNow(b)
+		if n == 0 {
+			c.process.lastBlocked = c.sim.now
+		}
+		return n
 	}
 }
 
--- a/internal/lab/simenv/conn_test.go
+++ b/internal/lab/simenv/conn_test.go
@@ -139,3 +139,76 @@
 		t.Errorf("%d bytes, %v", written, writeErr)
 	}
 }
+
+// TestAbortAcrossASplitDeliversNothing guards against a simulated network that delivers, after a cut, what a reset connection had written: a
+// plain close does, as the kernel goes on to send.
+func TestAbortAcrossASplitDeliversNothing(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		end      func(conn net.Conn)
+		received int
+		closed   string
+	}{
+		{"Abort", env.Abort, 0, "closed, reset true"},
+		{"Close", func(conn net.Conn) { conn.Close() }, 3, "closed, reset false"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newEchoSimulation(t, 3, func(e env.Environment, dial dialFunc) {
+				conn, _ := dial()
+				e.NewNotifier().Wait(2 * time.Second)
+				io.WriteString(conn, "xyz")
+				c.end(conn)
+				e.NewNotifier().Wait(10 * time.Second)
+			})
+			s.After(time.Second, func() { s.Split("near", "far") })
+			s.After(5*time.Second, func() { s.Heal("near", "far") })
+			s.Run(time.Minute)
+			if s.echo.received != c.received || s.echo.closed != c.closed {
+				t.Errorf("%d bytes arrived, %s", s.echo.received, s.echo.closed)
+			}
+		})
+	}
+}
+
+// TestEndArrivesOnceASplitHeals guards against a checker that takes a connection's end for known to a process before it has arrived.
+func TestEndArrivesOnceASplitHeals(t *testing.T) {
+	var arrivedAt time.Duration
+	s := newEchoSimulation(t, 4, func(e env.Environment, dial dialFunc) {
+		dial()
+		e.NewNotifier().Wait(10 * time.Second)
+	})
+	s.After(time.Second, func() {
+		s.Split("near", "far")
+		s.echo.end.OnEndArrived = func() { arrivedAt = s.Now() }
+		s.echo.end.Reset()
+	})
+	s.After(5*time.Second, func() { s.Heal("near", "far") })
+	s.Run(time.Minute)
+	if arrivedAt < 5*time.Second || arrivedAt > 6*time.Second {
+		t.Errorf("arrived at %v", arrivedAt)
+	}
+}
+
+// TestNonBlockingWriteThatTakesNothingCountsAsBlocked guards against a checker that takes a line behind a peer that reads nothing for one that was
+// held back.
+func TestNonBlockingWriteThatTakesNothingCountsAsBlocked(t *testing.T) {
+	taken := 0
+	var s *echoSimulation
+	s = newEchoSimulation(t, 6, func(e env.Environment, dial dialFunc) {
+		c, _ := dial()
+		io.WriteString(c, "x")
+		e.NewNotifier().Wait(time.Second)
+		write := e.NonBlockingWriter(c)
+		for range 1000 {
+			taken += write(make([]byte, 10))
+		}
+	})
+	s.After(500*time.Millisecond, func() {
+		s.echo.end.Stalled = true
+		s.echo.end.Window = 300
+	})
+	s.Run(time.Minute)
+	if taken != 300 || s.process.LastBlocked() < time.Second {
+		t.Errorf("%d bytes taken, last blocked at %v", taken, s.process.LastBlocked())
+	}
+}
--- a/internal/lab/simenv/end.go
+++ b/internal/lab/simenv/end.go
@@ -27,6 +27,8 @@
 	Window  int  // bytes from the process that may be on their way or not taken; 0: the usual
 	// OnArrived, if it is set, is called with what reaches the process.
 	OnArrived func(b []byte)
+	// OnEndArrived, if it is set, is called when this side's end or reset reaches the process.
+	OnEndArrived func()
 	// ResetAfterIn, when above 0, resets the connection after so many more bytes towards the process; ResetAfterOut likewise from it.
 	ResetAfterIn, ResetAfterOut int
 
@@ -145,6 +147,12 @@
 	e.conn.in.send(segment{reset: true})
 }
 
+func (e *End) endArrived() {
+	if e.OnEndArrived != nil {
+		e.OnEndArrived()
+	}
+}
+
 // IsClosed reports whether the connection has ended at this side.
 func (e *End) IsClosed() bool { return e.closed }
 
--- a/internal/lab/simenv/process.go
+++ b/internal/lab/simenv/process.go
@@ -79,7 +79,7 @@
 	return p.lastDialed
 }
 
-// LastBlocked is when a write last waited for a peer that reads nothing.
+// LastBlocked is when a write last waited for a peer that reads nothing, or a write that does not wait found that it would have to.
 func (p *Process) LastBlocked() time.Duration {
 	if p.blockedWrites > 0 {
 		return p.sim.now
