--- a/internal/lab/scenario/cachesend.go
+++ b/internal/lab/scenario/cachesend.go
@@ -24,6 +24,16 @@
 	ended                                bool
 }
 
+// firstByteAt is when the gateway wrote the first byte of the request's line; now where no attempt of it is known.
+func (r *attemptRequest) firstByteAt() time.Duration {
+	for _, a := range r.conn.attempts {
+		if a.lookup.id == r.id {
+			return a.firstByteAt
+		}
+	}
+	return r.conn.cache.scenario.sim.Now()
+}
+
 func (request *attemptRequest) key() string { return partKey(request.object, request.part) }
 
 func (request *attemptRequest) kindSettings() *lookupKind { return &lookupKinds[request.kindIndex] }
