--- a/internal/fleet/view/leave.go
+++ b/internal/fleet/view/leave.go
@@ -12,7 +12,7 @@
 //	and for each of at most maxLeaveRecords members: 8 bytes NameKey, 8 bytes incarnation
 //
 // The detector's report that a member is gone does not say whether it left or died. A gateway that leaves says so in its metadata first, but
-// gossip may bring the detector's report to a peer before the metadata, which is then too old to be taken. So whoever knows passes it on.
+// gossip may bring the detector's report to a peer before the metadata, which is then too old to be taken. So each gateway that knows passes it on.
 const (
 	// LeaveNoticeKind is the first byte of leave notices.
 	LeaveNoticeKind = 6
--- a/internal/limit/permit_property_test.go
+++ b/internal/limit/permit_property_test.go
@@ -10,13 +10,13 @@
 
 // permitModel is what a limit should hold while changes, undos, leases, admissions and releases come in any order.
 type permitModel struct {
-	now     time.Time
-	set     *Set
-	spec    Spec
-	exists  bool // the configuration has the limit
-	lease   Lease
-	held    []heldPermit
-	retired []*Permit // released
+	now      time.Time
+	set      *Set
+	spec     Spec
+	exists   bool // the configuration has the limit
+	lease    Lease
+	held     []heldPermit
+	released []*Permit
 }
 
 // heldPermit is a permit and the largest limit that was in force since it was taken.
@@ -111,14 +111,14 @@
 	}
 	i := rapid.IntRange(0, len(m.held)-1).Draw(t, "permit")
 	m.held[i].permit.Release(m.now, rapid.Bool().Draw(t, "success"), rapid.Bool().Draw(t, "overload"))
-	m.retired = append(m.retired, m.held[i].permit)
+	m.released = append(m.released, m.held[i].permit)
 	m.held = append(m.held[:i], m.held[i+1:]...)
 }
 
 // releaseAgain releases a permit a second time, which must do nothing.
 func (m *permitModel) releaseAgain(t *rapid.T) {
-	if len(m.retired) > 0 {
-		rapid.SampledFrom(m.retired).Draw(t, "released").Release(m.now, true, true)
+	if len(m.released) > 0 {
+		rapid.SampledFrom(m.released).Draw(t, "released").Release(m.now, true, true)
 	}
 }
 
--- a/internal/limit/set.go
+++ b/internal/limit/set.go
@@ -5,9 +5,9 @@
 // Set is the limits of a configuration, by name.
 type Set struct {
 	byName map[string]*Limit
-	// retired are limits that a change took away while lookups were open under them. They limit nothing, and count until the lookups have
+	// draining are limits that a change took away while lookups were open under them. They limit nothing, and count until the lookups have
 	// ended, so that an undo of the change finds them open. There are at most as many as open lookups.
-	retired map[string]*Limit
+	draining map[string]*Limit
 }
 
 // NewSet returns the limits of the first configuration.
@@ -16,7 +16,7 @@
 // Carry returns the limits of the next configuration. A limit of the same name is the same one, so that a permit of the set before can be
 // released at any time, and a lookup that is open stays counted whatever changes come before its end.
 func (s *Set) Carry(now time.Time, specs map[string]Spec) *Set {
-	next := &Set{byName: make(map[string]*Limit, len(specs)), retired: map[string]*Limit{}}
+	next := &Set{byName: make(map[string]*Limit, len(specs)), draining: map[string]*Limit{}}
 	for name, spec := range specs {
 		if l := s.known(name); l != nil {
 			l.setSpec(now, spec)
@@ -25,25 +25,25 @@
 		}
 		next.byName[name] = New(now, name, spec)
 	}
-	next.retire(now, s.byName)
-	next.retire(now, s.retired)
+	next.drain(now, s.byName)
+	next.drain(now, s.draining)
 	return next
 }
 
-// known returns the limit of a name, also a retired one, nil if there is none.
+// known returns the limit of a name, also one that drains, nil if there is none.
 func (s *Set) known(name string) *Limit {
 	if l := s.byName[name]; l != nil {
 		return l
 	}
-	return s.retired[name]
+	return s.draining[name]
 }
 
-// retire keeps those of the set before that this one does not have and that lookups are open under.
-func (s *Set) retire(now time.Time, before map[string]*Limit) {
+// drain keeps those of the set before that this one does not have and that lookups are open under.
+func (s *Set) drain(now time.Time, before map[string]*Limit) {
 	for name, l := range before {
 		if s.byName[name] == nil && l.Open() > 0 {
 			l.setSpec(now, Spec{})
-			s.retired[name] = l
+			s.draining[name] = l
 		}
 	}
 }
