--- a/internal/lab/scenario/cachesend.go
+++ b/internal/lab/scenario/cachesend.go
@@ -25,13 +25,13 @@
 }
 
 // firstByteAt is when the gateway wrote the first byte of the request's line; now where no attempt of it is known.
-func (r *attemptRequest) firstByteAt() time.Duration {
-	for _, a := range r.conn.attempts {
-		if a.lookup.id == r.id {
+func (request *attemptRequest) firstByteAt() time.Duration {
+	for _, a := range request.conn.attempts {
+		if a.lookup.id == request.id {
 			return a.firstByteAt
 		}
 	}
-	return r.conn.cache.scenario.sim.Now()
+	return request.conn.cache.scenario.sim.Now()
 }
 
 func (request *attemptRequest) key() string { return partKey(request.object, request.part) }
--- a/internal/lab/simenv/conn_test.go
+++ b/internal/lab/simenv/conn_test.go
@@ -193,8 +193,7 @@
 // held back.
 func TestNonBlockingWriteThatTakesNothingCountsAsBlocked(t *testing.T) {
 	taken := 0
-	var s *echoSimulation
-	s = newEchoSimulation(t, 6, func(e env.Environment, dial dialFunc) {
+	s := newEchoSimulation(t, 6, func(e env.Environment, dial dialFunc) {
 		c, _ := dial()
 		io.WriteString(c, "x")
 		e.NewNotifier().Wait(time.Second)
