--- a/internal/lab/scenario/found_test.go
+++ b/internal/lab/scenario/found_test.go
@@ -6,10 +6,10 @@
 	"testing"
 )
 
-// TestFoundPlansKeepTheRules guards against the failures that the plans in testdata/found showed, each the smallest that broke a rule before its
+// TestFoundPlansKeepTheRules guards against the failures that the plans in testdata/regressions showed, each the smallest that broke a rule before its
 // fault was mended. A file is named for the fault and the seed that found it (docs/incidents).
 func TestFoundPlansKeepTheRules(t *testing.T) {
-	paths, err := filepath.Glob("testdata/found/*.json")
+	paths, err := filepath.Glob("testdata/regressions/*.json")
 	if err != nil || len(paths) == 0 {
 		t.Fatalf("%v, %v", paths, err)
 	}
