--- a/review/2/testdata/main.go
+++ b/review/2/testdata/main.go
@@ -139,8 +139,8 @@
 		kind := site.Kinds[n%2]
 		r := &stand.Request{ID: stand.NewID(), Kind: kind.Name, Object: fmt.Sprintf("%016x", (n*7+i)%60), Part: 1, Group: 3,
 			Allow: kind.Deadline / 2, KB: 20}
-		at := time.Now()
 		conn.Write(r.Text())
+		at := time.Now()
 		answer := conn.Read1(at, at.Add(r.Allow+lostAfter+slack))
 		seen := result{took: answer.Took, status: fmt.Sprint(answer.Status), inFlood: at.Sub(begin) > floodsAt-time.Second}
 		switch {
