--- a/review/testdata/stand/bulletin.go
+++ b/review/testdata/stand/bulletin.go
@@ -20,10 +20,12 @@
 	changed  chan struct{}
 	conns    map[net.Conn]bool
 	listener net.Listener
-	silent   bool
-	Asked    []time.Time
+	place    int // number of the address, from 0
 }
 
+// movedFor is how long connections to an address stay open and silent once the bulletin has left it.
+const movedFor = 1500 * time.Millisecond
+
 // NewBulletin opens a bulletin whose first event is the complete list of caches.
 func NewBulletin(caches []*Cache) (*Bulletin, error) {
 	b := &Bulletin{changed: make(chan struct{}), conns: map[net.Conn]bool{}}
@@ -104,6 +106,22 @@
 // Up opens the port again.
 func (b *Bulletin) Up() error { return b.listen(b.Addr) }
 
+// Next opens the next address, at which the bulletin will tell the same events. The returned function leaves the one before.
+func (b *Bulletin) Next() (leave func(), err error) {
+	before := b.listener
+	if err := b.listen("127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		before.Close()
+		b.place++
+		close(b.changed) // wakes the connections, which say nothing more
+		b.changed = make(chan struct{})
+	}, nil
+}
+
 func (b *Bulletin) serve(conn net.Conn) {
 	defer conn.Close()
 	line, err := bufio.NewReader(conn).ReadString('\n')
@@ -116,12 +134,17 @@
 	}
 	b.mu.Lock()
 	b.conns[conn] = true
-	b.Asked = append(b.Asked, time.Now())
+	place := b.place
 	b.mu.Unlock()
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	for {
 		b.mu.Lock()
+		if place != b.place {
+			b.mu.Unlock()
+			time.Sleep(movedFor)
+			return
+		}
 		changed := b.changed
 		var pending []json.RawMessage
 		if after < len(b.events) {
