frontend: refused requests take turns, so that they don't hold up lookups

A gateway on one core.

Cause: the goroutine of a connection answers everything that its client has sent ahead and is always ready to run, so it holds the core for up to 10 ms a turn. Each step of a lookup waits behind all of them, and so do its timers and the look for network input. Evidence: GODEBUG=schedtrace=500 shows 0 ready goroutines before and 60 to 190 during the flood, at 80 to 700 turns a second.

Change: internal/fairshare lets one goroutine at a time handle input that leads to no work elsewhere and interrupts bursts. Text responses and rejected lookups go through it. Refusals to requests that are already read are written together. The count of responses is now guarded by the connection's lock: the reader read it while a lookup's goroutine wrote it.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -47,18 +47,20 @@
 	reasonWriteTimeout     = "answer_not_taken" // the write deadline of a response passed
 )
 
-// clientConn is a client's connection. The goroutine of run reads requests and owns input, mayBeGone and isFinalRead.
-// While a lookup is open, a second goroutine runs respond, which writes the response. The field responses belongs to
-// the goroutine that has taken the notification of responded. The fields below mu are guarded by it.
+// clientConn is a client's connection. The goroutine of run reads requests and owns input, unsent, mayBeGone and
+// isFinalRead. While a lookup is open, a second goroutine runs respond, which writes the response. The field writeNow
+// belongs to the goroutine that writes: that of respond while a lookup is open, otherwise that of run. The fields below
+// mu are guarded by it.
 type clientConn struct {
 	server *Server
 	conn   net.Conn
 	number int64 // sequence number in the order of accepting
 
-	responded env.Notifier // holds a notification while no request is being answered
-	responses int          // number of responses written
+	responded env.Notifier         // holds a notification while no request is being answered
+	writeNow  env.NonBlockingWrite // set by the first writeLimited
 
 	input       linebuffer.Buffer
+	unsent      unsentResponses
 	mayBeGone   bool // the client may have disconnected behind input that has not been read yet
 	isFinalRead bool // the read deadline has passed once, and one more short read is allowed
 
@@ -71,6 +73,7 @@
 	endReason          string  // why the server closes the connection once it is idle; "": it does not
 	closeReason        string  // why the connection was closed; "": it is open
 	idleSince          time.Time
+	responses          int  // number of responses written
 	hadSatisfiedLookup bool // a lookup on this connection was satisfied
 }
 
--- a/internal/frontend/lookup.go
+++ b/internal/frontend/lookup.go
@@ -41,7 +41,7 @@
 	if response != nil {
 		response.closes = response.closes || closes
 		l.Release()
-		c.writeText(*response)
+		c.queueText(*response)
 		if response.closes {
 			c.closeInput()
 		}
@@ -49,6 +49,7 @@
 		c.responded.Notify()
 		return
 	}
+	c.writeUnsent()
 	c.mu.Lock()
 	c.lookup = l
 	c.mu.Unlock()
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -55,6 +55,7 @@
 // more short read, because a request may have arrived at the same time. If the deadline passes before the read begins,
 // the timeout does not show that no input is pending.
 func (c *clientConn) readMore() bool {
+	c.writeUnsent()
 	if len(c.input.Bytes()) > 0 {
 		c.limitRequestTime()
 	}
@@ -134,6 +135,7 @@
 // readBody reads the body that follows a head into a buffer of its own, so that the buffer of the connection stays
 // small. The bytes are reserved with admission until the lookup has ended. It returns false if the connection closes.
 func (c *clientConn) readBody(request *Request) bool {
+	c.writeUnsent()
 	c.limitRequestTime()
 	if !c.server.admission.ReserveBytes(request.BodyLength) {
 		if c.awaitTurn() {
@@ -216,6 +218,7 @@
 // and disconnected, or after its client had disconnected before the connection was accepted. If the input exceeds the
 // bound, or the check takes longer than requestTimeout, mayBeGone stays set and the lookup is rejected.
 func (c *clientConn) checkConnected() bool {
+	c.writeUnsent()
 	startedAt := c.server.env.Now()
 	for emptyReads := 0; emptyReads < requiredEmptyReads; {
 		c.conn.SetReadDeadline(c.server.env.Now().Add(finalReadTimeout))
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -14,32 +14,6 @@
 // responseWriteSlack is the time that a client has, past its lookup's deadline, to read the last byte of the response.
 const responseWriteSlack = time.Second
 
-// textResponse is a response that needs no lookup.
-type textResponse struct {
-	status     int
-	text       string
-	retryAfter time.Duration // 0: the response has no X-Wait-Ms
-	closes     bool          // the connection closes after the response
-}
-
-// unavailable returns the response to a request that is rejected before its lookup starts.
-func unavailable(text string) *textResponse {
-	return &textResponse{status: statusServiceUnavailable, text: text}
-}
-
-// writeText writes a response with a line of text.
-func (c *clientConn) writeText(r textResponse) {
-	fields := responseContentType
-	if r.retryAfter > 0 {
-		fields += retryAfterField((r.retryAfter + time.Millisecond - 1).Milliseconds())
-	}
-	if r.status == statusMethodNotAllowed {
-		fields += responseAllow
-	}
-	b := appendHead(nil, head{status: r.status, bodyLength: len(r.text) + 1, fields: fields, closes: r.closes})
-	c.write(append(append(b, r.text...), '\n'), c.server.env.Now())
-}
-
 // writeResult writes the response to a lookup that has ended. If the client has disconnected, it writes nothing.
 func (c *clientConn) writeResult(l *lookup, step dispatch.Step, closes bool) {
 	switch step.Kind {
@@ -53,7 +27,7 @@
 		if step.RetryAfter > 0 {
 			fields = retryAfterField((step.RetryAfter + 999) / 1000)
 		}
-		c.write(appendHead(nil, head{status: statusServiceUnavailable, fields: fields, closes: closes}), l.Dispatched.Deadline)
+		c.writeLimited(appendHead(nil, head{status: statusServiceUnavailable, fields: fields, closes: closes}), 1, l.Dispatched.Deadline)
 	case dispatch.StepFailed:
 		c.write(appendHead(nil, head{status: statusBadGateway, closes: closes}), l.Dispatched.Deadline)
 	}
@@ -80,9 +54,22 @@
 	c.write(object.Buffer[start:], deadline)
 }
 
-// write writes a response. If the client is too slow to read it, the connection closes and the client sees an
-// incomplete response.
+// write writes a response and counts it.
 func (c *clientConn) write(b []byte, deadline time.Time) {
+	if c.writeBytes(b, deadline) {
+		c.countResponses(1)
+	}
+}
+
+func (c *clientConn) countResponses(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responses += n
+}
+
+// writeBytes writes bytes of responses and reports whether all of them were written. If the client is too slow to read
+// them, the connection closes and the client sees an incomplete response.
+func (c *clientConn) writeBytes(b []byte, deadline time.Time) (ok bool) {
 	c.conn.SetWriteDeadline(deadline.Add(responseWriteSlack))
 	if _, err := c.conn.Write(b); err != nil {
 		reason := reasonReset
@@ -90,9 +77,9 @@
 			reason = reasonWriteTimeout
 		}
 		c.close(reason)
-		return
+		return false
 	}
-	c.responses++
+	return true
 }
 
 // head is the head of a response.
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -22,6 +22,7 @@
 	"foldslip/internal/admission"
 	"foldslip/internal/dispatch"
 	"foldslip/internal/env"
+	"foldslip/internal/fairshare"
 	"foldslip/internal/route/rollout"
 	"foldslip/internal/settings"
 	"foldslip/internal/upstream"
@@ -67,6 +68,7 @@
 	maxConns        int
 	evictionReserve int // part of maxConns for connections that are being evicted
 	kindByName      map[string]int
+	refusals        *fairshare.Limiter // of responses to requests that led to no attempt
 
 	group           env.Group    // the goroutines of the connections
 	acceptDone      env.Notifier // notified when Serve has returned
@@ -97,6 +99,7 @@
 		maxConns:        config.MaxConns,
 		evictionReserve: config.MaxConns / evictionReserveDivisor,
 		kindByName:      map[string]int{},
+		refusals:        fairshare.NewLimiter(config.Environment),
 		group:           config.Environment.NewGroup(),
 		acceptDone:      config.Environment.NewNotifier(),
 		evicted:         config.Environment.NewNotifier(),
--- a/internal/lab/ci/floors_test.go
+++ b/internal/lab/ci/floors_test.go
@@ -19,7 +19,7 @@
 	{"internal/upstream", "internal/discovery"},
 	{"internal/fleet"},
 	{"internal/route", "internal/limit", "internal/config", "internal/retry", "internal/telemetry"},
-	{"internal/admission", "internal/purgelog", "internal/cacheregistry", "internal/linebuffer", "internal/store", "internal/warmstart",
+	{"internal/admission", "internal/purgelog", "internal/cacheregistry", "internal/linebuffer", "internal/fairshare", "internal/store", "internal/warmstart",
 		"internal/freshness"},
 	{"internal/dispatch", "internal/policy", "internal/settings"},
 	{"internal/env"},
