upstream: responses to no attempt take turns, so that they don't hold up lookups

Seen by callers: beside 20 caches that send responses to no attempt without a pause, usual lookups got no answer within half a second of their time.

The reader of a connection to a cache handles stray responses for as long as there are some, and each step of a lookup waits behind 20 such readers for 10 ms each.

Change: a response to no open attempt takes a turn of the pool's limiter. A response to an attempt doesn't, since the attempts that are open bound their number. A limiter pauses for as long as the burst lasted, where an item is long.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -20,10 +20,10 @@
 )
 
 const (
-	// maxBurst is the time after which a burst is interrupted.
+	// maxBurst is the time after which a burst is interrupted for as long as it lasted, but at most for maxPause. The
+	// kernel does not time shorter waits for network input.
 	maxBurst = time.Millisecond
-	// burstPause is the length of an interruption. The kernel does not time shorter waits for network input.
-	burstPause = time.Millisecond
+	maxPause = 10 * time.Millisecond
 	// burstGap is the time between two items after which they belong to different bursts. It is longer than it takes to
 	// write a small response and to read the next request.
 	burstGap = 250 * time.Microsecond
@@ -54,11 +54,12 @@
 func (l *Limiter) Acquire() {
 	l.waitTurn()
 	now := l.env.Now()
+	burst := now.Sub(l.burstStartedAt)
 	switch {
 	case now.Sub(l.releasedAt) > burstGap:
 		l.burstStartedAt = now
-	case now.Sub(l.burstStartedAt) >= maxBurst:
-		l.pause.Wait(burstPause)
+	case burst >= maxBurst:
+		l.pause.Wait(min(burst, maxPause))
 		l.burstStartedAt = l.env.Now()
 	}
 }
--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -21,31 +21,52 @@
 	floodDuration    = 4 * time.Second
 	floodClients     = 100 // clients that send refused requests at full speed
 	floodAhead       = 300 // requests that such a client has sent without an answer
+	floodCaches      = 20  // caches that send stray responses at full speed
 	usualClients     = 20
 	usualPause       = 100 * time.Millisecond // between the lookups of a usual client
-	usualAllowedMS   = 500                    // time that a usual client allows for a lookup
+	usualAllowed     = 500 * time.Millisecond // time that a usual client allows for a lookup
+	segmentObjective = 400 * time.Millisecond // latency objective of the object kind in the example's configuration
 	// lostAfter is the time past a lookup's own time at which the platform counts it as lost.
 	lostAfter = 500 * time.Millisecond
 )
 
-// Lookups beside clients that pipeline refused requests without a pause: each lookup is answered before it counts as
-// lost. Guards against goroutines that answer one client's pipelined requests and never let those of lookups run.
+// Lookups beside clients that pipeline refused requests without a pause: each lookup is answered within its latency
+// objective. Guards against goroutines that answer one client's pipelined requests and never let those of lookups run.
 func TestLookupsBesidePipelinedRefusals(t *testing.T) {
 	for name, refused := range map[string]refusedRequest{
-		"unknown object kind": {"GET /call/nokind/o/part-1 HTTP/1.1\r\nHost: x\r\nX-Job-Id: %016x\r\n\r\n", []int{http.StatusNotFound}},
-		"hardly any time allowed": {"GET /call/segment/o/part-1 HTTP/1.1\r\nHost: x\r\nX-Job-Id: %016x\r\nX-Allow-Ms: 1\r\n\r\n",
-			[]int{http.StatusServiceUnavailable, http.StatusBadGateway}}, // rejected at once, but for the few that find a cache idle
+		"unknown object kind": {
+			format:   "GET /call/nokind/o/part-1 HTTP/1.1\r\nHost: x\r\nX-Job-Id: %016x\r\n\r\n",
+			statuses: []int{http.StatusNotFound},
+		},
+		"the same lookup again, with hardly any time": {
+			format:   "GET /call/segment/o/part-1 HTTP/1.1\r\nHost: x\r\nX-Job-Id: %016x\r\nX-Allow-Ms: 2\r\n\r\n",
+			sameID:   true,
+			statuses: []int{http.StatusServiceUnavailable, http.StatusBadGateway, http.StatusConflict, http.StatusOK},
+		},
 	} {
 		t.Run(name, func(t *testing.T) { testLookupsBeside(t, refused) })
 	}
 }
 
-// refusedRequest is a request that is not satisfied.
+// refusedRequest is a request that is refused, if not always then mostly.
 type refusedRequest struct {
 	format   string // with a verb for the lookup's id
+	sameID   bool   // a client always sends the same id
 	statuses []int  // possible statuses of the response
 }
 
+// text returns the text of the next floodAhead requests of a client.
+func (r refusedRequest) text(firstID uint64) string {
+	var b strings.Builder
+	for n := range uint64(floodAhead) {
+		if r.sameID {
+			n = 0
+		}
+		fmt.Fprintf(&b, r.format, firstID+n)
+	}
+	return b.String()
+}
+
 // testLookupsBeside starts a gateway and checks the lookups of usual clients beside clients that send refused requests.
 func testLookupsBeside(t *testing.T, refused refusedRequest) {
 	g := startGatewayWith(t, floodDescriptors, nil, func(edge int, request standin.Request) {
@@ -57,14 +78,11 @@
 	for i := range floodClients {
 		clients.Go(func() { refusals.Add(pipelineRequests(t, g.addr, refused, uint64(i)<<16, until)) })
 	}
-	var satisfied atomic.Int64
-	for i := range usualClients {
-		clients.Go(func() { satisfied.Add(sendLookupsInTime(t, g.addr, uint64(i+1)<<32, until)) })
-	}
+	seen := sendUsualLookups(t, g.addr, until)
 	clients.Wait()
-	t.Logf("%d satisfied lookups beside %d refused requests", satisfied.Load(), refusals.Load())
-	if satisfied.Load() == 0 || refusals.Load() < floodClients*floodAhead {
-		t.Error("expected satisfied lookups, and as many refused requests as the bad clients sent first")
+	t.Logf("%+v beside %d refused requests", seen, refusals.Load())
+	if seen.satisfied == 0 || seen.longest > segmentObjective || refusals.Load() < floodClients*floodAhead {
+		t.Errorf("expected satisfied lookups, none slower than %v, and as many refused requests as the bad clients sent first", segmentObjective)
 	}
 }
 
@@ -80,7 +98,7 @@
 	conn.SetDeadline(until)
 	answered := make(chan struct{}, floodAhead)
 	defer close(answered)
-	go sendAhead(conn, refused.format, firstID, answered)
+	go sendAhead(conn, refused.text(firstID), answered)
 	in := bufio.NewReaderSize(conn, 64<<10)
 	for {
 		response, err := http.ReadResponse(in, nil)
@@ -98,19 +116,15 @@
 }
 
 // sendAhead sends floodAhead requests, and as many further ones as it receives from answered, until the channel is
-// closed. A request has the id of the one that was sent floodAhead requests before.
-func sendAhead(to io.Writer, format string, firstID uint64, answered <-chan struct{}) {
-	var once strings.Builder
-	for n := range uint64(floodAhead) {
-		fmt.Fprintf(&once, format, firstID+n)
-	}
-	size := once.Len() / floodAhead // the same for each request
-	requests := once.String() + once.String()
-	io.WriteString(to, once.String())
+// closed. The text has floodAhead requests of equal length, which are sent in turn.
+func sendAhead(to io.Writer, text string, answered <-chan struct{}) {
+	io.WriteString(to, text)
+	size := len(text) / floodAhead
+	twice := text + text
 	next := 0
 	for range answered {
 		n := 1 + receivePending(answered)
-		io.WriteString(to, requests[next*size:(next+n)*size])
+		io.WriteString(to, twice[next*size:(next+n)*size])
 		next = (next + n) % floodAhead
 	}
 }
@@ -131,31 +145,93 @@
 	return n
 }
 
+// usualLookups is what usual clients saw of their lookups.
+type usualLookups struct {
+	satisfied int
+	longest   time.Duration // from a lookup to its answer
+}
+
+// sendUsualLookups sends the lookups of the usual clients until a time.
+func sendUsualLookups(t *testing.T, addr string, until time.Time) (all usualLookups) {
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	for i := range usualClients {
+		clients.Go(func() {
+			seen := sendLookupsInTime(t, addr, uint64(i+1)<<32, until)
+			mu.Lock()
+			defer mu.Unlock()
+			all.satisfied += seen.satisfied
+			all.longest = max(all.longest, seen.longest)
+		})
+	}
+	clients.Wait()
+	return all
+}
+
 // sendLookupsInTime sends lookups one at a time until a time and checks that each is answered before it counts as lost.
-// It returns the number of satisfied ones.
-func sendLookupsInTime(t *testing.T, addr string, firstID uint64, until time.Time) (satisfied int64) {
+func sendLookupsInTime(t *testing.T, addr string, firstID uint64, until time.Time) (seen usualLookups) {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Error(err)
-		return 0
+		return seen
 	}
 	defer conn.Close()
 	in := bufio.NewReader(conn)
 	for id := firstID; time.Now().Before(until); id++ {
 		sentAt := time.Now()
-		conn.SetDeadline(sentAt.Add(usualAllowedMS*time.Millisecond + lostAfter))
+		conn.SetDeadline(sentAt.Add(usualAllowed + lostAfter))
 		fmt.Fprintf(conn, "GET /call/segment/o%d/part-1 HTTP/1.1\r\nHost: x\r\nX-Job-Id: %016x\r\nX-Allow-Ms: %d\r\nX-Group: 1\r\nX-Ram-Kb: 20\r\n\r\n",
-			id%60, id, usualAllowedMS)
+			id%60, id, usualAllowed.Milliseconds())
 		response, err := http.ReadResponse(in, nil)
 		if err != nil {
-			t.Errorf("no answer %v after a lookup that allows %d ms: %v", time.Since(sentAt).Round(time.Millisecond), usualAllowedMS, err)
-			return satisfied
+			t.Errorf("no answer %v after a lookup that allows %v: %v", time.Since(sentAt).Round(time.Millisecond), usualAllowed, err)
+			return seen
 		}
+		seen.longest = max(seen.longest, time.Since(sentAt))
 		io.Copy(io.Discard, response.Body)
 		if response.StatusCode == http.StatusOK {
-			satisfied++
+			seen.satisfied++
 		}
 		time.Sleep(usualPause)
 	}
-	return satisfied
+	return seen
+}
+
+// Lookups beside caches that send responses to no attempt without a pause: each lookup is answered before it counts as
+// lost. Guards against goroutines that read one cache's stray responses and never let others run.
+func TestLookupsBesideStrayResponses(t *testing.T) {
+	answer := func(edge int, request standin.Request) {
+		time.AfterFunc(40*time.Millisecond, func() { answerHit(edge, request) })
+	}
+	g := startGatewayWith(t, floodDescriptors, nil, answer)
+	until := time.Now().Add(floodDuration)
+	var flooding sync.Map // by connection
+	var floods sync.WaitGroup
+	var endpoints []standin.Endpoint
+	for i := range floodCaches {
+		cache := must(standin.NewCache("127.0.0.1:0", func(request standin.Request) {
+			if _, isFlooding := flooding.LoadOrStore(request.Conn, true); !isFlooding {
+				floods.Go(func() { sendStrays(request.Conn, until) })
+			}
+			answer(0, request)
+		}))
+		defer cache.Close()
+		endpoints = append(endpoints, standin.Endpoint{ID: fmt.Sprint("flood", i), HostPort: cache.Addr, Locality: "town", Flavor: "edge", Phase: "up", Size: 1})
+	}
+	g.discovery.Announce(standin.EndpointList(false, endpoints...))
+	seen := sendUsualLookups(t, g.addr, until)
+	floods.Wait()
+	t.Logf("%+v", seen)
+	if seen.satisfied == 0 {
+		t.Error("expected satisfied lookups")
+	}
+}
+
+// sendStrays sends responses to no attempt until a time.
+func sendStrays(conn *standin.Conn, until time.Time) {
+	strays := strings.Repeat("00000000000000ff NONE - 0\r\n\r\n", 100)
+	conn.SetWriteDeadline(until)
+	for time.Now().Before(until) {
+		conn.Send(strays)
+	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -19,6 +19,7 @@
 	"foldslip/internal/cacheregistry"
 	"foldslip/internal/dispatch"
 	"foldslip/internal/env"
+	"foldslip/internal/fairshare"
 	"foldslip/internal/purgelog"
 	"foldslip/internal/settings"
 )
@@ -48,6 +49,7 @@
 	registry   *cacheregistry.Registry
 	purges     *purgelog.Log
 	maxConns   int
+	strays     *fairshare.Limiter // of responses to no open attempt
 
 	mu        sync.Mutex
 	conns     map[string][]*cacheConn // by connKey
@@ -68,6 +70,7 @@
 		registry:   config.Registry,
 		purges:     config.Purges,
 		maxConns:   config.MaxConns,
+		strays:     fairshare.NewLimiter(config.Environment),
 		conns:      map[string][]*cacheConn{},
 		group:      config.Environment.NewGroup(),
 	}
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -70,6 +70,8 @@
 func (c *cacheConn) handleResponse(r response, invalid error) (closeReason string) {
 	a := c.attemptFor(r.id)
 	if a == nil {
+		c.pool.strays.Acquire() // a cache that sends them without a pause must not hold up the attempts at others
+		c.pool.strays.Release()
 		return ""
 	}
 	// An object without a version or a creation time is not a copy. Only a lookup that runs at the origin may get it.
