admin: requests take turns, so that they don't hold up lookups

Seen by callers: beside eight admin connections that send requests without a pause, lookups took 0.53 to 0.83 s on a gateway on one core, over their latency objective of 0.4 s and past the 0.5 s that their clients allowed.

Cause: as with refused requests: eight goroutines that are always ready, for 10 ms a turn each.

Change: a limiter lets one request at a time be handled.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -4,6 +4,8 @@
 // nothing. Only the gateway's own user and root may send requests. The socket's mode enforces this, and the
 // server also asks the kernel for the caller's user id.
 //
+// Requests are handled one at a time.
+//
 // A server is bounded by maxConnections open connections, maxLineBytes for a request and requestTimeout for reading and
 // answering it. It runs until the gateway's lifetime ends or the gateway drains.
 package admin
@@ -21,6 +23,7 @@
 
 	"foldslip/internal/config"
 	"foldslip/internal/env"
+	"foldslip/internal/fairshare"
 	"foldslip/internal/fleet/broadcast/driver"
 	"foldslip/internal/fleet/gossip"
 	"foldslip/internal/fleet/membership"
@@ -50,6 +53,7 @@
 	services Services
 	listener net.Listener
 	slots    chan struct{} // holds an element for each open connection
+	turns    *fairshare.Limiter
 }
 
 // Open listens on the Unix socket at path. The caller must call Run to serve it.
@@ -58,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{e, services, listener, make(chan struct{}, maxConnections)}, nil
+	return &Server{e, services, listener, make(chan struct{}, maxConnections), fairshare.NewLimiter(e)}, nil
 }
 
 // Run accepts and serves connections until the lifetime ends or Drain is called.
@@ -134,7 +138,10 @@
 			}
 			return
 		}
-		if err := write(s.Handle(request)); err != nil {
+		s.turns.Acquire() // operators' requests must not hold up lookups
+		response := s.Handle(request)
+		s.turns.Release()
+		if err := write(response); err != nil {
 			return
 		}
 	}
--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 	floodClients     = 100 // clients that send refused requests at full speed
 	floodAhead       = 300 // requests that such a client has sent without an answer
 	floodCaches      = 20  // caches that send stray responses at full speed
+	adminClients     = 8   // connections that send admin requests at full speed
 	usualClients     = 20
 	usualPause       = 100 * time.Millisecond // between the lookups of a usual client
 	usualAllowed     = 500 * time.Millisecond // time that a usual client allows for a lookup
@@ -235,3 +237,52 @@
 		conn.Send(strays)
 	}
 }
+
+// Lookups beside admin connections that send requests without a pause: each lookup is answered within its latency
+// objective. Guards against goroutines that answer one operator's requests and never let others run.
+func TestLookupsBesideAdminRequests(t *testing.T) {
+	dir := t.TempDir()
+	socket := filepath.Join(dir, "admin")
+	writeOperatorConfig(t, fmt.Sprintf(`{ routing: { folder: %q, socket: %q, pools: { all: { names: ['c0', 'c1'] } },
+routes: [{ name: 'all', to: [{ pool: 'all' }] }] } }`, filepath.Join(dir, "versions"), socket))
+	g := startGatewayWith(t, floodDescriptors, nil, func(edge int, request standin.Request) {
+		time.AfterFunc(40*time.Millisecond, func() { answerHit(edge, request) })
+	})
+	until := time.Now().Add(floodDuration)
+	var clients sync.WaitGroup
+	var answers atomic.Int64
+	for range adminClients {
+		clients.Go(func() { answers.Add(pipelineAdminRequests(t, socket, until)) })
+	}
+	seen := sendUsualLookups(t, g.addr, until)
+	clients.Wait()
+	t.Logf("%+v beside %d admin requests", seen, answers.Load())
+	if seen.satisfied == 0 || seen.longest > segmentObjective || answers.Load() < adminClients {
+		t.Errorf("expected satisfied lookups, none slower than %v, and answers to admin requests", segmentObjective)
+	}
+}
+
+// pipelineAdminRequests sends requests to an admin socket without waiting for the answers, until a time. It returns the
+// number of answers.
+func pipelineAdminRequests(t *testing.T, socket string, until time.Time) (answers int64) {
+	conn, err := net.Dial("unix", socket)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	defer conn.Close()
+	conn.SetDeadline(until)
+	requests := strings.Repeat(`{"do":"text","no":1}`+"\n", 100)
+	go func() {
+		for err := error(nil); err == nil; {
+			_, err = io.WriteString(conn, requests)
+		}
+	}()
+	in := bufio.NewReader(conn)
+	for {
+		if _, err := in.ReadSlice('\n'); err != nil {
+			return answers
+		}
+		answers++
+	}
+}
