rollout: at a reload an unchanged file leaves the routes that were changed by hand

Cause: ApplyFile took a file for changed if it differs from the confirmed version. The file as it was last read is meant. For the same reason a change of the file that a guard or its timeout had rolled back was applied again.

Change: the controller keeps the routes of the file as it was last read and not refused, after a restart those of the newest confirmed version that came from the file. An unchanged file changes nothing. A refused one is checked again at the next reload, as the endpoint list may have changed.

--- a/internal/config/change/versions.go
+++ b/internal/config/change/versions.go
@@ -238,6 +238,17 @@
 	return history
 }
 
+// LastConfirmedBy returns the configuration of the newest retained version that is or was confirmed and that one of the
+// authors proposed. It returns nil if there is none. The caller must not modify the configuration.
+func (v *Versions) LastConfirmedBy(authors ...string) []byte {
+	for _, candidate := range slices.Backward(v.versions) {
+		if candidate.stage == Confirmed && slices.Contains(authors, candidate.author) {
+			return candidate.text
+		}
+	}
+	return nil
+}
+
 // Confirmed returns the version that was confirmed last.
 func (v *Versions) Confirmed() uint64 { return v.confirmed }
 
--- a/internal/gateway/reload_test.go
+++ b/internal/gateway/reload_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -62,3 +65,46 @@
 		c.response(t)
 	}
 }
+
+// An operators' file that did not change leaves the routes that operators changed by hand, even if it names a cache that
+// has left the endpoint list since. Guards against a comparison of the file with the confirmed routes, where the file as
+// it was last read is meant.
+func TestReloadOfAnUnchangedFileKeepsRoutesChangedByHand(t *testing.T) {
+	dir := t.TempDir()
+	socket := filepath.Join(dir, "admin")
+	file := func(name, cache string) string {
+		path := filepath.Join(dir, name)
+		must(0, os.WriteFile(path, fmt.Appendf(nil, `{ routing: { folder: %q, socket: %q, pools: { some: { names: ['%s'] } },
+routes: [{ name: 'all', to: [{ pool: 'some' }] }] } }`, filepath.Join(dir, "versions"), socket, cache), 0o600))
+		return path
+	}
+	t.Setenv("FOLDSLIP_SETTINGS", file("operators.jsonnet", "c0"))
+	var counts edgeCounts
+	g := startGateway(t, counts.handle)
+	for _, args := range [][]string{
+		{"propose", file("changed.jsonnet", "c1"), "--author", "ada", "--reason", "c0 goes"}, {"apply", "2", "--within", "10m"}, {"confirm", "2"},
+	} {
+		command := exec.Command(program, append(append([]string{"config"}, args...), "--socket", socket)...)
+		if out, err := command.CombinedOutput(); err != nil {
+			t.Fatalf("foldslip config %s: %v: %s", args[0], err, out)
+		}
+	}
+	g.signal(syscall.SIGHUP)
+	g.waitLogged("event=reloaded")
+	counts.expectAllAt(g, 1)
+	gone := g.endpoints[0]
+	gone.Phase = "removed"
+	g.discovery.Announce(standin.EndpointList(false, gone))
+	g.discovery.Announce(`{"recall":{"item":"x","issued":1764576000123}}`)
+	g.discovery = must(standin.NewDiscovery("127.0.0.1:0", 3))
+	time.Sleep(100 * time.Millisecond) // for the events to arrive
+	must(0, os.Rename(g.writeConfig(), g.configPath))
+	g.signal(syscall.SIGHUP)
+	if after := mustReceive(t, g.discovery.Subscribed); after != 3 {
+		t.Errorf("resumed after event %d, expected 3", after)
+	}
+	counts.expectAllAt(g, 1)
+	if strings.Contains(g.log.String(), "event=reload_failed") || strings.Contains(g.log.String(), "version=3") {
+		t.Errorf("the unchanged file counts as a change:\n%s", g.log.String())
+	}
+}
--- a/internal/route/rollout/controller.go
+++ b/internal/route/rollout/controller.go
@@ -49,6 +49,7 @@
 	mu        sync.Mutex // guards the fields below; held while a snapshot is written, but not while a step is appended
 	endpoints map[string]pools.Cache
 	versions  *change.Versions
+	lastFile  []byte                  // routes of the operators' file as it was last read and not refused
 	tables    map[uint64]*pools.Table // tables of the active versions
 	limits    *limit.Set
 	guard     *change.Guard
@@ -79,6 +80,9 @@
 		c.Close()
 		return nil, err
 	}
+	if c.lastFile = c.versions.LastConfirmedBy(settingsAuthor, fileAuthor); c.lastFile == nil {
+		c.lastFile = text
+	}
 	return c, nil
 }
 
--- a/internal/route/rollout/file_test.go
+++ b/internal/route/rollout/file_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foldslip/internal/config/change"
+	"foldslip/internal/lab/simenv"
 )
 
 // applyFile applies a file with routes to a location and checks the stage of the returned step.
@@ -66,4 +67,57 @@
 		}
 		requireRouted(t, c, firstTown)
 	})
+	t.Run("an unchanged file leaves routes that were changed by hand since", func(t *testing.T) {
+		c := openController(t, newTestEnv(), nil, routesTo("town"))
+		applyByHand(t, c, 1, "hill")
+		if step := applyFile(t, c, "town", change.Confirmed); step.Version != 2 {
+			t.Errorf("step %+v, expected the version that was confirmed by hand", step)
+		}
+		requireRouted(t, c, secondHill)
+		other := routesTo("town")
+		other.Routes[0].MaxAgeMS = 5
+		if step := requireStep(t)(c.ApplyFile(other, time.Minute)); step.Version != 3 || step.Stage != change.Applied {
+			t.Errorf("step %+v, expected the changed file to be applied", step)
+		}
+	})
+	t.Run("an unchanged file is not applied again after its change was rolled back", func(t *testing.T) {
+		e := newTestEnv()
+		c := openController(t, e, nil, routesTo("town"))
+		applyFile(t, c, "hill", change.Applied)
+		e.now = e.now.Add(time.Minute)
+		c.Tick()
+		applyFile(t, c, "hill", change.Confirmed)
+		requireRouted(t, c, firstTown)
+	})
+	t.Run("a file that was refused is checked again", func(t *testing.T) {
+		c := openController(t, newTestEnv(), nil, routesTo("town"))
+		applyFile(t, c, "nowhere", change.RolledBack)
+		if step := applyFile(t, c, "nowhere", change.RolledBack); len(step.Findings) == 0 {
+			t.Errorf("step %+v, expected the findings of a second check", step)
+		}
+	})
+	t.Run("after a restart an unchanged file changes nothing, and a changed one is applied", func(t *testing.T) {
+		directory := simenv.NewDirectory()
+		c := openController(t, newTestEnv(), directory, routesTo("town"))
+		applyByHand(t, c, 1, "hill")
+		c.Close()
+		c = openController(t, newTestEnv(), directory, routesTo("town"))
+		applyFile(t, c, "town", change.Confirmed)
+		requireRouted(t, c, secondHill)
+		c.Close()
+		edited := routesTo("town")
+		edited.Routes[0].MaxAgeMS = 5 // while the gateway was down
+		c = openController(t, newTestEnv(), directory, edited)
+		if step := requireStep(t)(c.ApplyFile(edited, time.Minute)); step.Stage != change.Applied {
+			t.Errorf("step %+v, expected the changed file to be applied", step)
+		}
+	})
+}
+
+// applyByHand proposes routes to a location, applies them and confirms them.
+func applyByHand(t *testing.T, c *Controller, parent uint64, location string) {
+	t.Helper()
+	step := requireStep(t)(c.Propose(parent, routesTo(location), "ada", "sale"))
+	requireStep(t)(c.Apply(step.Version, time.Minute))
+	requireStep(t)(c.Confirm(step.Version))
 }
