gateway: a reload applies each part on its own, discovery's address first

Cause: instance.reload was all or nothing. It returned at the first refused part, before Watch.SetAddr.

Change: the platform's file, each service and the routes take effect or are refused on their own. Discovery's address is taken from the platform's file even if its other settings cannot be used. Service.PrepareReload is now Service.Reload. The external processor applies its table and its certificates one by one. A test that checked a prepared reload checks the applied one, and in addition what is applied beside a refused part. An address that is no host:port is refused.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// PrepareReload returns a function that does nothing, since no setting of the server can change in a reload.
-func (s *Server) PrepareReload(*config.Config) (func(), error) { return func() {}, nil }
+// Reload does nothing, since no setting of the server can change in a reload.
+func (s *Server) Reload(*config.Config) error { return nil }
 
 // Drain stops accepting connections. Open connections are still served.
 func (s *Server) Drain() { s.listener.Close() }
--- a/internal/extproc/extprocgrpc/listener.go
+++ b/internal/extproc/extprocgrpc/listener.go
@@ -38,7 +38,7 @@
 	anomalyLogInterval = 10 * time.Second
 )
 
-// ErrNeedsRestart is returned by PrepareReload for a configuration that a running Listener cannot apply.
+// ErrNeedsRestart is returned by Reload for a configuration that a running Listener cannot apply.
 var ErrNeedsRestart = errors.New("external_processor: removing it, changing listen, or turning tls on or off requires a restart")
 
 // Listener is a Service and the address on which it listens. Create it with Listen and serve it with Run.
@@ -172,30 +172,45 @@
 	}
 }
 
-// PrepareReload checks a new configuration and returns a function that applies it: later requests use
-// the new table, and new connections use the new certificates. Open streams and lookups continue.
-func (l *Listener) PrepareReload(configuration *config.Config) (apply func(), err error) {
+// Reload applies the parts of a new configuration that can be used: later requests use the new table, and new
+// connections use the new certificates. Open streams and lookups continue. Reload returns an error for each part that
+// is refused, which stays as it is.
+func (l *Listener) Reload(configuration *config.Config) error {
 	updated := configuration.ExternalProcessor
-	if updated == nil || updated.Listen != l.address || (updated.TLS != nil) != (l.certificates != nil) {
-		return nil, ErrNeedsRestart
+	if updated == nil {
+		return ErrNeedsRestart
 	}
-	table, err := route.Compile(updated.Table, l.kinds)
+	var needsRestart error
+	if updated.Listen != l.address || (updated.TLS != nil) != (l.certificates != nil) {
+		needsRestart = ErrNeedsRestart
+	}
+	if err := errors.Join(needsRestart, l.reloadTable(updated.Table), l.reloadCertificates(updated.TLS)); err != nil {
+		return err
+	}
+	l.environment.Log().Info("extproc_reloaded", "kind", "external_processor", "rules", len(updated.Table))
+	return nil
+}
+
+func (l *Listener) reloadTable(rules []config.LookupRule) error {
+	table, err := route.Compile(rules, l.kinds)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	certificates := l.certificates
-	if updated.TLS != nil {
-		if certificates, err = LoadCertificates(updated.TLS); err != nil {
-			return nil, err
-		}
+	l.SetTable(table)
+	return nil
+}
+
+// reloadCertificates replaces the certificates, if the Listener has any and the new configuration names some.
+func (l *Listener) reloadCertificates(files *config.TLS) error {
+	if l.certificates == nil || files == nil {
+		return nil
 	}
-	return func() {
-		l.SetTable(table)
-		if l.certificates != nil {
-			l.certificates.ReplaceWith(certificates)
-		}
-		l.environment.Log().Info("extproc_reloaded", "kind", "external_processor", "rules", len(updated.Table))
-	}, nil
+	certificates, err := LoadCertificates(files)
+	if err != nil {
+		return err
+	}
+	l.certificates.ReplaceWith(certificates)
+	return nil
 }
 
 // Drain announces the shutdown to callers through health checks and
--- a/internal/extproc/extprocgrpc/listener_test.go
+++ b/internal/extproc/extprocgrpc/listener_test.go
@@ -124,25 +124,47 @@
 	replaced.Close()
 }
 
-// TestPrepareReload checks that a reload cannot change the listen address, and that a new table is applied.
-func TestPrepareReload(t *testing.T) {
-	configuration := &config.ExternalProcessor{Listen: "unix:" + filepath.Join(t.TempDir(), "listener")}
-	l := startListener(t, configuration)
-	other := *configuration
-	other.Listen = "127.0.0.1:1"
-	if _, err := l.PrepareReload(&config.Config{ExternalProcessor: &other}); !errors.Is(err, ErrNeedsRestart) {
-		t.Error(err)
-	}
-	other = *configuration
-	other.Table = []config.LookupRule{{Path: "/other", Kind: "segment", Object: "o", ID: "header:x-job-id"}}
-	apply, err := l.PrepareReload(&config.Config{ExternalProcessor: &other})
-	if err != nil {
-		t.Fatal(err)
-	}
-	apply()
-	if result, err := lookUp(t, configuration.Listen, insecure.NewCredentials(), "b1", "hit"); err != nil || result.Status != 404 {
-		t.Errorf("got %+v, %v; expected status 404", result, err)
+// TestReload checks that a reload cannot change the listen address, and that a new table is applied. A refused part does
+// not keep the table from taking effect: this guards against good settings that are left unused because others cannot
+// be used.
+func TestReload(t *testing.T) {
+	for name, change := range map[string]struct {
+		change func(*config.ExternalProcessor)
+		want   error
+	}{
+		"a new table is applied":                          {func(*config.ExternalProcessor) {}, nil},
+		"a new table is applied beside a changed address": {func(x *config.ExternalProcessor) { x.Listen = "127.0.0.1:1" }, ErrNeedsRestart},
+		"a new table is applied beside TLS":               {func(x *config.ExternalProcessor) { x.TLS = &config.TLS{} }, ErrNeedsRestart},
+	} {
+		t.Run(name, func(t *testing.T) {
+			configuration := &config.ExternalProcessor{Listen: "unix:" + filepath.Join(t.TempDir(), "listener")}
+			l := startListener(t, configuration)
+			other := *configuration
+			other.Table = []config.LookupRule{{Path: "/other", Kind: "segment", Object: "o", ID: "header:x-job-id"}}
+			change.change(&other)
+			if err := l.Reload(&config.Config{ExternalProcessor: &other}); !errors.Is(err, change.want) {
+				t.Errorf("error %v, expected %v", err, change.want)
+			}
+			if result, err := lookUp(t, configuration.Listen, insecure.NewCredentials(), "b1", "hit"); err != nil || result.Status != 404 {
+				t.Errorf("got %+v, %v; expected status 404", result, err)
+			}
+		})
 	}
+	t.Run("a table that cannot be used, and no settings at all, change nothing", func(t *testing.T) {
+		configuration := &config.ExternalProcessor{Listen: "unix:" + filepath.Join(t.TempDir(), "listener")}
+		l := startListener(t, configuration)
+		other := *configuration
+		other.Table = []config.LookupRule{{Path: "other"}}
+		if err := l.Reload(&config.Config{ExternalProcessor: &other}); err == nil {
+			t.Error("a table without a usable path was not refused")
+		}
+		if err := l.Reload(&config.Config{}); !errors.Is(err, ErrNeedsRestart) {
+			t.Errorf("error %v without settings, expected %v", err, ErrNeedsRestart)
+		}
+		if result, err := lookUp(t, configuration.Listen, insecure.NewCredentials(), "b1", "hit"); err != nil || result.Kind != client.Satisfied {
+			t.Errorf("got %+v, %v; expected a satisfied lookup", result, err)
+		}
+	})
 }
 
 // TestTLS checks callers with and without a valid certificate, the reload
@@ -178,12 +200,10 @@
 		defer conn.Close()
 		attempt := func(_ context.Context, d client.Decision) client.AttemptOutcome {
 			trusted.issue("listener", trusted) // a new certificate under the same name
-			apply, err := l.PrepareReload(&config.Config{ExternalProcessor: configuration})
-			if err != nil {
+			if err := l.Reload(&config.Config{ExternalProcessor: configuration}); err != nil {
 				t.Error(err)
 				return client.AttemptOutcome{}
 			}
-			apply()
 			if result, err := lookUp(t, addr, creds(trusted, "edge"), "d", "hit"); err != nil || result.Kind != client.Satisfied {
 				t.Errorf("lookup after the reload not satisfied: %+v, %v", result, err)
 			}
@@ -196,9 +216,27 @@
 	})
 	t.Run("key file that others may read is refused", func(t *testing.T) {
 		os.Chmod(dir+"/listener.key", 0o644)
-		if _, err := l.PrepareReload(&config.Config{ExternalProcessor: configuration}); err == nil || !strings.Contains(err.Error(), "chmod 600") {
+		if err := l.Reload(&config.Config{ExternalProcessor: configuration}); err == nil || !strings.Contains(err.Error(), "chmod 600") {
 			t.Error(err)
 		}
+		if result, err := lookUp(t, addr, creds(trusted, "edge"), "e", "hit"); err != nil || result.Kind != client.Satisfied {
+			t.Errorf("lookup after the refused reload not satisfied: %+v, %v", result, err)
+		}
+	})
+	t.Run("certificates are reloaded beside a table that cannot be used", func(t *testing.T) {
+		os.Chmod(dir+"/listener.key", 0o600)
+		renewed := newAuthority(t, t.TempDir())
+		renewed.issue("listener", renewed)
+		renewed.issue("edge", renewed)
+		other := *configuration
+		other.TLS = &config.TLS{Cert: renewed.dir + "/listener.crt", Key: renewed.dir + "/listener.key", ClientCA: renewed.dir + "/ca.crt"}
+		other.Table = []config.LookupRule{{Path: "other"}}
+		if err := l.Reload(&config.Config{ExternalProcessor: &other}); err == nil {
+			t.Error("a table without a usable path was not refused")
+		}
+		if result, err := lookUp(t, addr, renewed.clientCredentials(renewed, "edge"), "f", "hit"); err != nil || result.Kind != client.Satisfied {
+			t.Errorf("lookup with the renewed certificates not satisfied: %+v, %v", result, err)
+		}
 	})
 }
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"strconv"
 
 	"foldslip/internal/config"
@@ -104,32 +105,47 @@
 // loadConfiguration reads the platform's configuration file and, if one is named,
 // the operators' configuration file. Environment variables name both files.
 func loadConfiguration(environment env.Environment) (*configuration, error) {
-	operators := &config.Config{}
-	if path := environment.Getenv(envSettings); path != "" {
-		var err error
-		if operators, err = configfile.Read(path, environment.ReadFile); err != nil {
-			return nil, err
-		}
-		environment.ReleaseMemory() // the Jsonnet evaluator used about 2 MB that are no longer needed
-	}
-	return readPlatformConfig(environment, platformFile{
-		path:   environment.Getenv(envRouterConfig),
-		name:   environment.Getenv(envRouterName),
-		listen: environment.Getenv(envRouterListen),
-	}, operators)
+	operators, err := readOperatorsConfig(environment)
+	if err != nil {
+		return nil, err
+	}
+	return readPlatformConfig(environment, platformFileOf(environment), operators)
+}
+
+// readOperatorsConfig reads the operators' configuration file. Without a file the configuration is empty.
+func readOperatorsConfig(environment env.Environment) (*config.Config, error) {
+	path := environment.Getenv(envSettings)
+	if path == "" {
+		return &config.Config{}, nil
+	}
+	defer environment.ReleaseMemory() // the Jsonnet evaluator used about 2 MB that are no longer needed
+	return configfile.Read(path, environment.ReadFile)
 }
 
 // platformFile names the platform's configuration file. A name
 // or listen that is not empty overrides the value in the file.
 type platformFile struct{ path, name, listen string }
 
-// readPlatformConfig reads and checks the platform's configuration file. The known
-// events may be missing only if the operators configure a stored endpoint list.
+func platformFileOf(environment env.Environment) platformFile {
+	return platformFile{
+		path:   environment.Getenv(envRouterConfig),
+		name:   environment.Getenv(envRouterName),
+		listen: environment.Getenv(envRouterListen),
+	}
+}
+
+// readPlatformConfig reads and checks the platform's configuration file.
 func readPlatformConfig(environment env.Environment, file platformFile, operators *config.Config) (*configuration, error) {
 	text, err := environment.ReadFile(file.path)
 	if err != nil {
 		return nil, err
 	}
+	return parsePlatformConfig(file, text, operators)
+}
+
+// parsePlatformConfig parses and checks the content of the platform's configuration file. The known
+// events may be missing only if the operators configure a stored endpoint list.
+func parsePlatformConfig(file platformFile, text []byte, operators *config.Config) (*configuration, error) {
 	platform := &platformConfig{}
 	if err := json.Unmarshal(text, platform); err != nil {
 		return nil, fmt.Errorf("%s: %w", file.path, err)
@@ -153,3 +169,18 @@
 	}
 	return &configuration{platform: platform, settings: parsed, seed: seed, operators: operators}, nil
 }
+
+// parseDiscoveryAddr returns the address of discovery in the content of the platform's configuration file. It ignores
+// everything else in the file.
+func parseDiscoveryAddr(file platformFile, text []byte) (addr string, err error) {
+	var platform struct {
+		DiscoveryAddr string `json:"bulletin"`
+	}
+	if err := json.Unmarshal(text, &platform); err != nil {
+		return "", fmt.Errorf("%s: %w", file.path, err)
+	}
+	if _, _, err := net.SplitHostPort(platform.DiscoveryAddr); err != nil {
+		return "", &ConfigError{file.path, fmt.Sprintf("bulletin: %v, expected host:port", err)}
+	}
+	return platform.DiscoveryAddr, nil
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -232,9 +232,8 @@
 	}
 }
 
-// PrepareReload returns a function that changes nothing. The fleet rereads
-// its seed file on its own. All other settings take effect at the next start.
-func (s *fleetService) PrepareReload(*config.Config) (func(), error) { return func() {}, nil }
+// Reload changes nothing. The fleet rereads its seed file on its own. All other settings take effect at the next start.
+func (s *fleetService) Reload(*config.Config) error { return nil }
 
 // Drain starts to leave the fleet. It does not wait.
 func (s *fleetService) Drain() { close(s.stop) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,8 +61,8 @@
 type Service interface {
 	// Run serves until the lifetime ends.
 	Run(lifetime *env.Lifetime) error
-	// PrepareReload checks a new configuration without changing anything. apply puts the configuration into effect.
-	PrepareReload(operators *config.Config) (apply func(), err error)
+	// Reload puts the parts of a new configuration into effect that can be used, and returns an error for the others.
+	Reload(operators *config.Config) error
 	// Drain stops accepting new work. Work in progress continues. Drain does not wait.
 	Drain()
 	// Wait waits for the work in progress to end.
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -35,41 +35,65 @@
 			}
 			continue
 		}
-		if err := g.reload(); err != nil {
+		for _, err := range g.reload() {
 			g.env.Log().Warn("reload_failed", "error", err.Error())
 		}
 	}
 }
 
-// reload reads the configuration again. Either all services and the routes apply their settings,
-// or none of them does. The discovery watch moves to the new address of discovery. All other
-// settings take effect at the next start. A configuration that cannot be used changes nothing.
-func (g *instance) reload() error {
-	loaded, err := loadConfiguration(g.env)
+// reload reads the configuration files again. Each part takes effect on its own: the address of discovery, the settings
+// of each service and the routes. A part that cannot be used is refused and stays as it is, and the other parts take
+// effect all the same. reload returns an error for each part that was refused.
+func (g *instance) reload() (refused []error) {
+	reloads := []func() error{g.reloadPlatform}
+	operators, err := readOperatorsConfig(g.env)
 	if err != nil {
-		return err
-	}
-	var applies []func()
-	for _, service := range g.services {
-		apply, err := service.PrepareReload(loaded.operators)
-		if err != nil {
-			return err
+		refused = append(refused, err)
+	} else {
+		for _, service := range g.services {
+			reloads = append(reloads, func() error { return service.Reload(operators) })
 		}
-		applies = append(applies, apply)
+		reloads = append(reloads, func() error { return g.reloadRoutes(operators.Routing) })
 	}
-	if g.routes != nil && loaded.operators.Routing != nil {
-		if err := applyRoutes(g.routes, loaded.operators.Routing); err != nil {
-			return err
+	for _, reload := range reloads {
+		if err := reload(); err != nil {
+			refused = append(refused, err)
 		}
 	}
-	before, after := g.config.platform, loaded.platform
-	needsRestart := after.Limits != before.Limits || after.Listen != before.Listen || !bytes.Equal(after.Settings, before.Settings)
-	g.env.Log().Info("reloaded", "discovery", after.DiscoveryAddr, "restart_wanted", needsRestart)
-	g.watch.SetAddr(after.DiscoveryAddr)
-	for _, apply := range applies {
-		apply()
+	return refused
+}
+
+// reloadPlatform reads the platform's configuration file again. The discovery watch moves to the address of discovery in
+// the file, even if other settings cannot be used: these take effect at the next start only.
+func (g *instance) reloadPlatform() error {
+	file := platformFileOf(g.env)
+	text, err := g.env.ReadFile(file.path)
+	if err != nil {
+		return err
 	}
-	return nil
+	addr, err := parseDiscoveryAddr(file, text)
+	if err != nil {
+		return err
+	}
+	g.watch.SetAddr(addr)
+	loaded, err := parsePlatformConfig(file, text, g.config.operators)
+	needsRestart := err == nil && g.needsRestart(loaded.platform)
+	g.env.Log().Info("reloaded", "discovery", addr, "restart_wanted", needsRestart)
+	return err
+}
+
+// needsRestart reports whether a platform configuration differs in settings that take effect at the next start.
+func (g *instance) needsRestart(after *platformConfig) bool {
+	before := g.config.platform
+	return after.Limits != before.Limits || after.Listen != before.Listen || !bytes.Equal(after.Settings, before.Settings)
+}
+
+// reloadRoutes applies the routes of a reloaded file, if the gateway has routes and the file contains any.
+func (g *instance) reloadRoutes(routing *config.Routing) error {
+	if g.routes == nil || routing == nil {
+		return nil
+	}
+	return applyRoutes(g.routes, routing)
 }
 
 // applyRoutes applies the routes of a reloaded file.
--- a/internal/gateway/reload_test.go
+++ b/internal/gateway/reload_test.go
@@ -66,6 +66,39 @@
 	}
 }
 
+// At SIGHUP the gateway moves to the new discovery address even if another part of the configuration cannot be used:
+// the operators' routes, their whole file or the platform's other settings. Guards against purges that are missed
+// because the gateway stays at an address that discovery has left.
+func TestReloadMovesDiscoveryBesideRefusedSettings(t *testing.T) {
+	const routes = "{ routing: { pools: { some: { names: ['%s'] } }, routes: [{ name: 'all', to: [{ pool: 'some' }] }] } }"
+	for name, refused := range map[string]struct {
+		operators string         // the operators' file at SIGHUP
+		platform  map[string]any // changes of the platform's file
+		logged    string
+	}{
+		"routes":                {operators: fmt.Sprintf(routes, "c7"), logged: "c7 is not in the list"},
+		"the operators' file":   {operators: "{ routing: ", logged: "operators.jsonnet"},
+		"the platform's seed":   {operators: fmt.Sprintf(routes, "c0"), platform: map[string]any{"seed": "zz"}, logged: "seed is not hex digits"},
+		"the platform's limits": {operators: fmt.Sprintf(routes, "c0"), platform: map[string]any{"limits": "none"}, logged: "limits"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "operators.jsonnet")
+			must(0, os.WriteFile(path, fmt.Appendf(nil, routes, "c0"), 0o600))
+			t.Setenv("FOLDSLIP_SETTINGS", path)
+			g := startGateway(t, answerHit)
+			g.discovery = must(standin.NewDiscovery("127.0.0.1:0", 1))
+			must(0, os.WriteFile(path, []byte(refused.operators), 0o600))
+			must(0, os.Rename(g.writeConfig(refused.platform), g.configPath))
+			g.signal(syscall.SIGHUP)
+			if after := mustReceive(t, g.discovery.Subscribed); after != 1 {
+				t.Errorf("resumed after event %d, expected 1", after)
+			}
+			g.waitLogged("event=reload_failed")
+			g.waitLogged(refused.logged)
+		})
+	}
+}
+
 // An operators' file that did not change leaves the routes that operators changed by hand, even if it names a cache that
 // has left the endpoint list since. Guards against a comparison of the file with the confirmed routes, where the file as
 // it was last read is meant.
--- a/internal/lab/scenario/extprocserver.go
+++ b/internal/lab/scenario/extprocserver.go
@@ -124,8 +124,8 @@
 	return p.group.Wait()
 }
 
-func (p *extprocServer) PrepareReload(*config.Config) (func(), error) { return func() {}, nil }
-func (p *extprocServer) Drain()                                       { p.listener.Close() }
+func (p *extprocServer) Reload(*config.Config) error { return nil }
+func (p *extprocServer) Drain()                      { p.listener.Close() }
 func (p *extprocServer) Wait() {
 	for p.OpenLookups() > 0 {
 		p.environment.NewNotifier().Wait(10 * time.Millisecond)
