discovery: the valid parts of an event that is invalid in another part are applied

What callers would see: copies older than a purge, or attempts at a draining cache, where the event that tells of it also names an endpoint that this gateway cannot use, such as one of a new machine type. Shown by the test, not on real processes.

Cause: the whole event was skipped, as in the reload: good news unused because other news was refused.

Change: the first time such a line still ends the session, since it may have been damaged on its way. When the same bytes come again, the purge and the valid endpoints are applied. An event that was refused for its purge had registered its caches; the purge is checked first now.

Measured: TestValidPartsOfAnInvalidEventAreApplied fails before in its first four cases and passes now.

--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -80,21 +80,23 @@
 }
 
 // apply applies an event to the purge log, the dispatcher, the registry and the stored list, and calls the callbacks.
-// If one of its endpoints is invalid, no part of the event is applied.
+// If its purge or one of its endpoints is invalid, no part of the event is applied.
 func (w *Watch) apply(e *event, from source) error {
-	list, removed, err := w.parseEndpoints(e.Endpoints)
-	if err != nil {
-		return err
-	}
 	var purges []dispatch.Purge
 	if e.Purge != nil {
 		parsed, err := e.Purge.parse()
 		if err != nil {
 			return err
 		}
-		w.purges.Record(parsed.Object, parsed.Group, parsed.IssuedAt)
 		purges = append(purges, parsed)
 	}
+	list, removed, err := w.parseEndpoints(e.Endpoints)
+	if err != nil {
+		return err
+	}
+	for _, p := range purges {
+		w.purges.Record(p.Object, p.Group, p.IssuedAt)
+	}
 	if w.OnUpdate != nil {
 		w.OnUpdate(w.storedUpdate(e))
 	}
--- a/internal/discovery/unusable.go
+++ b/internal/discovery/unusable.go
@@ -12,7 +12,7 @@
 // unusableLines tracks the invalid lines that were received after the last applied event. A line that is received for
 // the first time may have been damaged in transit, or may not be an event at all. The session ends, and a new session
 // delivers the event again. If an identical line is received again, it may be an event that is invalid at its source.
-// It is skipped and its number may be missing, so that it does not block the events after it.
+// It is skipped but for its valid parts and its number may be missing, so that it does not block the events after it.
 type unusableLines struct {
 	after    int64    // number of the last applied event when the lines were received
 	rejected []uint64 // hashes of the lines that ended a session
--- a/internal/discovery/unusable_test.go
+++ b/internal/discovery/unusable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -67,3 +68,51 @@
 			reasons, w.LastEvent)
 	}
 }
+
+// TestValidPartsOfAnInvalidEventAreApplied guards against a purge or a drain that is missed because the same event
+// contains an endpoint that this gateway cannot use. The line counts as damaged until it is received again.
+func TestValidPartsOfAnInvalidEventAreApplied(t *testing.T) {
+	const valid = `{"id":"s-1","host_port":"10.1.0.9:10080","locality":"east","flavor":"std","cell":2,"phase":"draining","size":4}`
+	const purge = `"recall":{"item":"o41","issued":1764576000123}`
+	for name, c := range map[string]struct {
+		line           string
+		purged, listed bool
+	}{
+		"a purge and a drain beside an unknown machine type": {`{"no":41,"roster":{"members":[` + strings.Replace(valid, "std", "new", 1) + `,` + valid + `]},` + purge + `}`, true, true},
+		"a purge beside a field of another type":             {`{"no":41,"roster":{"members":[{"id":7}]},` + purge + `}`, true, false},
+		"a purge beside a list that is none":                 {`{"no":41,"roster":"none",` + purge + `}`, true, false},
+		"a list beside an invalid purge":                     {`{"no":41,"roster":{"complete":true,"members":[` + valid + `]},"recall":{}}`, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestWatch(t)
+			if reasons := handleSessionLines(w, c.line); len(reasons) != 1 || w.LastEvent != 40 || w.registry.Find("s-1") != nil {
+				t.Errorf("received once: sessions ended with %v, last event %d; expected one end, last event 40 and no cache", reasons, w.LastEvent)
+			}
+			if reasons := handleSessionLines(w, c.line, "41"); len(reasons) > 0 || w.LastEvent != 41 {
+				t.Errorf("received again: sessions ended with %v, last event %d; expected no end and last event 41", reasons, w.LastEvent)
+			}
+			if issuedAt, _ := w.purges.InForce("o41", 0); issuedAt.IsZero() == c.purged {
+				t.Errorf("the purge was issued at %v, expected it to be applied: %v", issuedAt, c.purged)
+			}
+			if isListed := w.registry.Find("s-1") != nil; isListed != c.listed {
+				t.Errorf("the cache is registered: %v, expected %v", isListed, c.listed)
+			}
+			if reasons := handleSessionLines(w, purgeLine(42)); len(reasons) > 0 || w.LastEvent != 42 {
+				t.Errorf("the next event: sessions ended with %v, last event %d; expected no end and last event 42", reasons, w.LastEvent)
+			}
+		})
+	}
+	t.Run("after an invalid event without valid parts, both numbers are passed over", func(t *testing.T) {
+		const invalid = `{"no":41,"roster":{"members":[{"id":"","phase":"up"}]}}`
+		partly := `{"no":42,"roster":"none",` + purge + `}`
+		w := newTestWatch(t)
+		if reasons := handleSessionLines(w, invalid, invalid, partly, invalid, partly, purgeLine(43)); len(reasons) != 2 || w.LastEvent != 43 {
+			t.Errorf("sessions ended with %v, last event %d; expected two ends and last event 43", reasons, w.LastEvent)
+		}
+		w = newTestWatch(t)
+		handleSessionLines(w, partly)
+		if handleSessionLines(w, partly); w.LastEvent != 40 {
+			t.Errorf("last event %d after event 42 without event 41, expected 40", w.LastEvent)
+		}
+	})
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -237,7 +237,8 @@
 
 // handleSessionLine handles a line of a session. It returns a reason if the session must end. Missing events and
 // restarted event numbers end the session. Any other invalid line ends it only the first time the line is received.
-// If an identical line is received again, it is skipped, and one event number may then be missing after it.
+// If an identical line is received again, it is skipped but for the parts that are valid, and one event number may then
+// be missing after it.
 func (w *Watch) handleSessionLine(line []byte) (reason string) {
 	err := w.handleLine(line, fromSession)
 	if err == nil {
@@ -252,6 +253,7 @@
 	case !w.unusable.add(line, w.LastEvent):
 		return "bad_line"
 	}
+	w.applyUsableParts(line)
 	return ""
 }
 
