testbed: one builder of the gateway's program for the tests of three packages

internal/gateway, lab/scale and lab/fleet each held the same lines in TestMain. testbed.BuildProgram serves all three; the fleet's tests now remove their directory when they cannot claim networks, too.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"foldslip/example/standin"
+	"foldslip/internal/lab/testbed"
 )
 
 const (
@@ -38,20 +39,10 @@
 // TestMain builds the program. The tests start it and connect to it
 // over sockets. All other processes of the system are stand-ins.
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "foldslip")
-	if err == nil {
-		program = filepath.Join(dir, "foldslip")
-		var out []byte
-		if out, err = exec.Command("go", "build", "-o", program, "foldslip/cmd/foldslip").CombinedOutput(); err != nil {
-			err = fmt.Errorf("%w: %s", err, out)
-		}
-	}
-	if err != nil {
-		fmt.Println("FAIL: the program cannot be built:", err)
-		os.Exit(1)
-	}
+	var remove func()
+	program, remove = testbed.BuildProgram()
 	code := m.Run()
-	os.RemoveAll(dir)
+	remove()
 	os.Exit(code)
 }
 
--- a/internal/lab/fleet/rig_test.go
+++ b/internal/lab/fleet/rig_test.go
@@ -3,13 +3,12 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
 
 	"foldslip/internal/config"
+	"foldslip/internal/lab/testbed"
 )
 
 // program is the path of the gateway program that TestMain builds.
@@ -17,26 +16,17 @@
 
 // TestMain builds the gateway program that the tests start, and claims loopback networks for this process.
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "foldslip-rig")
-	if err == nil {
-		program = filepath.Join(dir, "foldslip")
-		var out []byte
-		if out, err = exec.Command("go", "build", "-o", program, "foldslip/cmd/foldslip").CombinedOutput(); err != nil {
-			err = fmt.Errorf("%w: %s", err, out)
-		}
-	}
-	if err != nil {
-		fmt.Println("FAIL: build the gateway program:", err)
-		os.Exit(1)
-	}
+	var remove func()
+	program, remove = testbed.BuildProgram()
 	claimed, err := claimNetworks()
 	if err != nil {
+		remove()
 		fmt.Println("FAIL:", err)
 		os.Exit(1)
 	}
 	code := m.Run()
 	claimed.Close()
-	os.RemoveAll(dir)
+	remove()
 	os.Exit(code)
 }
 
--- a/internal/lab/scale/hollow_test.go
+++ b/internal/lab/scale/hollow_test.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"foldslip/internal/lab/testbed"
 )
 
 var program string
@@ -21,20 +23,10 @@
 		}
 		os.Exit(0)
 	}
-	dir, err := os.MkdirTemp("", "foldslip-scale")
-	if err == nil {
-		program = filepath.Join(dir, "foldslip")
-		var out []byte
-		if out, err = exec.Command("go", "build", "-o", program, "foldslip/cmd/foldslip").CombinedOutput(); err != nil {
-			err = fmt.Errorf("%w: %s", err, out)
-		}
-	}
-	if err != nil {
-		fmt.Println("FAIL: building the gateway's program:", err)
-		os.Exit(1)
-	}
+	var remove func()
+	program, remove = testbed.BuildProgram()
 	code := m.Run()
-	os.RemoveAll(dir)
+	remove()
 	os.Exit(code)
 }
 
