--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -58,6 +58,25 @@
 	})
 }
 
+// FuzzRepeatedLine checks that any line that is received twice either leaves the last event unchanged or advances it by
+// one, and that a purge of the event after it is not lost.
+func FuzzRepeatedLine(f *testing.F) {
+	f.Add([]byte(endpointEvent))
+	f.Add([]byte(`{"no":41,"roster":{"complete":true,"members":[{"id":"a"},{}]},"recall":{"item":"k","issued":1764576000123}}`))
+	f.Fuzz(func(t *testing.T, line []byte) {
+		w := newTestWatch(t)
+		handleSessionLines(w, string(line), string(line))
+		if w.LastEvent != 40 && w.LastEvent != 41 {
+			t.Fatalf("last event %d, expected 40 or 41", w.LastEvent)
+		}
+		next := w.LastEvent + 1
+		handleSessionLines(w, purgeLine(next))
+		if w.LastEvent != next {
+			t.Errorf("last event %d after event %d, expected that it is applied", w.LastEvent, next)
+		}
+	})
+}
+
 // TestSilenceTimeout checks the silence timeout and the excess over the drain grace for several drain graces. A new
 // session should begin half a second before the grace is over, as far as lines that arrive every second allow it. If
 // the grace is shorter than 1.25 s plus the time of a resync, it cannot be kept for an event directly after the last
