gateway: the flood test waits for the answer to each request, not for a number in 4 s

That bound was one on the machine's speed.

Now the bad clients stop sending after 4 s and read until each request that they sent is answered. That is stricter: every refused request keeps its answer.

--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -83,13 +83,13 @@
 	seen := sendUsualLookups(t, g.addr, until)
 	clients.Wait()
 	t.Logf("%+v beside %d refused requests", seen, refusals.Load())
-	if 2*seen.satisfied < seen.sent || refusals.Load() < floodClients*floodAhead {
-		t.Error("expected that most lookups are satisfied, and as many refused requests as the bad clients sent first")
+	if seen.satisfied == 0 || 2*seen.satisfied < seen.sent {
+		t.Error("expected that most lookups are satisfied")
 	}
 }
 
-// pipelineRequests sends floodAhead requests, and a further one as soon as one is answered, until a time. It checks the
-// statuses and returns the number of answers.
+// pipelineRequests sends floodAhead requests, and a further one as soon as one is answered, until a time. It checks that
+// each of them is answered, and its status. It returns the number of answers.
 func pipelineRequests(t *testing.T, addr string, refused refusedRequest, firstID uint64, until time.Time) (answers int64) {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
@@ -97,14 +97,15 @@
 		return 0
 	}
 	defer conn.Close()
-	conn.SetDeadline(until)
+	conn.SetDeadline(until.Add(2 * waitTimeout))
 	answered := make(chan struct{}, floodAhead)
 	defer close(answered)
 	go sendAhead(conn, refused.text(firstID), answered)
 	in := bufio.NewReaderSize(conn, 64<<10)
-	for {
+	for sent := int64(floodAhead); answers < sent; answers++ {
 		response, err := http.ReadResponse(in, nil)
-		if err != nil { // the deadline
+		if err != nil {
+			t.Errorf("%d of %d pipelined requests were answered: %v", answers, sent, err)
 			return answers
 		}
 		if !slices.Contains(refused.statuses, response.StatusCode) {
@@ -112,9 +113,12 @@
 			return answers
 		}
 		io.Copy(io.Discard, response.Body)
-		answers++
-		answered <- struct{}{}
+		if time.Now().Before(until) {
+			answered <- struct{}{}
+			sent++
+		}
 	}
+	return answers
 }
 
 // sendAhead sends floodAhead requests, and as many further ones as it receives from answered, until the channel is
