admin: queries don't wait for a step that is being written to disk

Seen by reading the change again: since requests take turns, a step of a route change held its turn while it was written to disk, so that with a slow disk queries of the fleet, the limits and the routes waited as well.

Change: a step takes its turn and gives it back before it is carried out. Queries, which do no I/O, keep theirs.

--- a/internal/admin/handle.go
+++ b/internal/admin/handle.go
@@ -9,6 +9,28 @@
 	"foldslip/internal/route/rollout"
 )
 
+// handleInTurn carries out a request when it is its turn, so that operators who send requests without a pause do not hold
+// up lookups. A step of a route change may wait for the disk. It gives its turn back first, so that queries do not wait
+// for the disk as well.
+func (s *Server) handleInTurn(request Request) Response {
+	s.turns.Acquire()
+	if !isQuery(request.Command) {
+		s.turns.Release()
+		return s.Handle(request)
+	}
+	defer s.turns.Release()
+	return s.Handle(request)
+}
+
+// isQuery reports whether a command changes nothing.
+func isQuery(command string) bool {
+	switch command {
+	case CommandFleet, CommandLimits, CommandBroadcast, CommandHistory, CommandText, CommandPlan:
+		return true
+	}
+	return false
+}
+
 // Handle carries out a request and returns the response to it.
 func (s *Server) Handle(request Request) Response {
 	switch request.Command {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -4,7 +4,7 @@
 // nothing. Only the gateway's own user and root may send requests. The socket's mode enforces this, and the
 // server also asks the kernel for the caller's user id.
 //
-// Requests are handled one at a time.
+// Requests are handled one at a time, except for steps of route changes, which may wait for the disk.
 //
 // A server is bounded by maxConnections open connections, maxLineBytes for a request and requestTimeout for reading and
 // answering it. It runs until the gateway's lifetime ends or the gateway drains.
@@ -52,8 +52,8 @@
 	env      env.Environment
 	services Services
 	listener net.Listener
-	slots    chan struct{} // holds an element for each open connection
-	turns    *fairshare.Limiter
+	slots    chan struct{}      // holds an element for each open connection
+	turns    *fairshare.Limiter // of requests
 }
 
 // Open listens on the Unix socket at path. The caller must call Run to serve it.
@@ -138,10 +138,7 @@
 			}
 			return
 		}
-		s.turns.Acquire() // operators' requests must not hold up lookups
-		response := s.Handle(request)
-		s.turns.Release()
-		if err := write(response); err != nil {
+		if err := write(s.handleInTurn(request)); err != nil {
 			return
 		}
 	}
