gateway: a reload moves to discovery's new address before it reads the operators' file

Seen by reading the change again: applied the platform's part first, but read and evaluated the operators' file before it. A template that takes long, or a file on a disk that doesn't answer, kept the gateway at the old address.

Change: the platform's file is read and applied before the operators' file is opened.

--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -42,24 +42,24 @@
 }
 
 // reload reads the configuration files again. Each part takes effect on its own: the address of discovery, the settings
-// of each service and the routes. A part that cannot be used is refused and stays as it is, and the other parts take
+// of each service and the routes, in this order. A part that cannot be used is refused and stays as it is, and the other parts take
 // effect all the same. reload returns an error for each part that was refused.
 func (g *instance) reload() (refused []error) {
-	reloads := []func() error{g.reloadPlatform}
-	operators, err := readOperatorsConfig(g.env)
-	if err != nil {
+	if err := g.reloadPlatform(); err != nil {
 		refused = append(refused, err)
-	} else {
-		for _, service := range g.services {
-			reloads = append(reloads, func() error { return service.Reload(operators) })
-		}
-		reloads = append(reloads, func() error { return g.reloadRoutes(operators.Routing) })
 	}
-	for _, reload := range reloads {
-		if err := reload(); err != nil {
+	operators, err := readOperatorsConfig(g.env) // may take long
+	if err != nil {
+		return append(refused, err)
+	}
+	for _, service := range g.services {
+		if err := service.Reload(operators); err != nil {
 			refused = append(refused, err)
 		}
 	}
+	if err := g.reloadRoutes(operators.Routing); err != nil {
+		refused = append(refused, err)
+	}
 	return refused
 }
 
--- a/internal/gateway/reload_test.go
+++ b/internal/gateway/reload_test.go
@@ -99,6 +99,23 @@
 	}
 }
 
+// The gateway moves to the new discovery address before it reads the operators' file, whose evaluation may take long.
+// Guards against purges that are missed meanwhile.
+func TestReloadMovesDiscoveryBeforeItReadsTheOperatorsFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "operators.jsonnet")
+	must(0, os.WriteFile(path, []byte("{}"), 0o600))
+	t.Setenv("FOLDSLIP_SETTINGS", path)
+	g := startGateway(t, answerHit)
+	g.discovery = must(standin.NewDiscovery("127.0.0.1:0", 1))
+	must(0, os.Rename(g.writeConfig(), g.configPath))
+	must(0, os.Remove(path))
+	must(0, syscall.Mkfifo(path, 0o600)) // reading it waits for a writer
+	g.signal(syscall.SIGHUP)
+	mustReceive(t, g.discovery.Subscribed)
+	must(0, os.WriteFile(path, []byte("{ routing: "), 0o600))
+	g.waitLogged("event=reload_failed")
+}
+
 // An operators' file that did not change leaves the routes that operators changed by hand, even if it names a cache that
 // has left the endpoint list since. Guards against a comparison of the file with the confirmed routes, where the file as
 // it was last read is meant.
