frontend: unsent refusals leave no buffer behind, and an expired deadline doesn't pass the limiter

Seen by reading the change again: a connection kept a buffer of up to some 4 KB for its refusals once it had any, and the write deadline of an earlier lookup, once expired, sent the next refusal past the limiter of refusals.

Change: the buffer goes with the write; the write deadline is set before the write that doesn't wait.

--- a/internal/frontend/textresponse.go
+++ b/internal/frontend/textresponse.go
@@ -63,9 +63,9 @@
 	if c.unsent.count == 0 {
 		return
 	}
-	c.writeLimited(c.unsent.bytes, c.unsent.count, c.server.env.Now())
-	c.unsent.bytes = c.unsent.bytes[:0]
-	c.unsent.count = 0
+	unsent := c.unsent
+	c.unsent = unsentResponses{} // most connections never have unsent responses again
+	c.writeLimited(unsent.bytes, unsent.count, c.server.env.Now())
 }
 
 // writeLimited writes responses that led to no attempt once the server's limiter allows it: a client that sends such
@@ -75,6 +75,7 @@
 	if c.writeNow == nil {
 		c.writeNow = c.nonBlockingWriter()
 	}
+	c.conn.SetWriteDeadline(deadline.Add(responseWriteSlack)) // an expired deadline would stop writeNow
 	c.server.refusals.Acquire()
 	n := c.writeNow(b)
 	c.server.refusals.Release()
