rollout, extprocgrpc: two tests that had grown long are split

The cases of unchanged files are TestApplyUnchangedFile, those of renewed certificates TestCertificatesAreReloadedBesideAnUnusableTable, which also checks now that the earlier ones are refused. No case is gone.

--- a/internal/extproc/extprocgrpc/listener_test.go
+++ b/internal/extproc/extprocgrpc/listener_test.go
@@ -223,21 +223,34 @@
 			t.Errorf("lookup after the refused reload not satisfied: %+v, %v", result, err)
 		}
 	})
-	t.Run("certificates are reloaded beside a table that cannot be used", func(t *testing.T) {
-		os.Chmod(dir+"/listener.key", 0o600)
-		renewed := newAuthority(t, t.TempDir())
-		renewed.issue("listener", renewed)
-		renewed.issue("edge", renewed)
-		other := *configuration
-		other.TLS = &config.TLS{Cert: renewed.dir + "/listener.crt", Key: renewed.dir + "/listener.key", ClientCA: renewed.dir + "/ca.crt"}
-		other.Table = []config.LookupRule{{Path: "other"}}
-		if err := l.Reload(&config.Config{ExternalProcessor: &other}); err == nil {
-			t.Error("a table without a usable path was not refused")
-		}
-		if result, err := lookUp(t, addr, renewed.clientCredentials(renewed, "edge"), "f", "hit"); err != nil || result.Kind != client.Satisfied {
-			t.Errorf("lookup with the renewed certificates not satisfied: %+v, %v", result, err)
-		}
-	})
+}
+
+// TestCertificatesAreReloadedBesideAnUnusableTable guards against certificates that expire because the table of the same
+// configuration cannot be used.
+func TestCertificatesAreReloadedBesideAnUnusableTable(t *testing.T) {
+	before, renewed := newAuthority(t, t.TempDir()), newAuthority(t, t.TempDir())
+	for _, a := range []*authority{before, renewed} {
+		a.issue("listener", a)
+		a.issue("edge", a)
+	}
+	filesOf := func(a *authority) *config.TLS {
+		return &config.TLS{Cert: a.dir + "/listener.crt", Key: a.dir + "/listener.key", ClientCA: a.dir + "/ca.crt"}
+	}
+	addr := freeAddr()
+	configuration := &config.ExternalProcessor{Listen: addr, TLS: filesOf(before)}
+	l := startListener(t, configuration)
+	other := *configuration
+	other.TLS = filesOf(renewed)
+	other.Table = []config.LookupRule{{Path: "other"}}
+	if err := l.Reload(&config.Config{ExternalProcessor: &other}); err == nil {
+		t.Error("a table without a usable path was not refused")
+	}
+	if result, err := lookUp(t, addr, renewed.clientCredentials(renewed, "edge"), "a", "hit"); err != nil || result.Kind != client.Satisfied {
+		t.Errorf("lookup with the renewed certificates not satisfied: %+v, %v", result, err)
+	}
+	if result, err := lookUp(t, addr, before.clientCredentials(before, "edge"), "b", "hit"); err == nil {
+		t.Errorf("lookup with the earlier certificates was not refused: %+v", result)
+	}
 }
 
 // TestBrokenStreamsEjectNoCache guards against ejecting a cache because a caller breaks off many streams during
--- a/internal/route/rollout/file_test.go
+++ b/internal/route/rollout/file_test.go
@@ -19,6 +19,7 @@
 	return step
 }
 
+// TestApplyFile checks what a reload of the operators' file does to the routes.
 func TestApplyFile(t *testing.T) {
 	t.Run("a reload applies the file, a second one confirms it, a third changes nothing", func(t *testing.T) {
 		e := newTestEnv()
@@ -67,6 +68,11 @@
 		}
 		requireRouted(t, c, firstTown)
 	})
+}
+
+// TestApplyUnchangedFile checks files that hold the same routes as when they were last read. It guards against a
+// comparison with the confirmed version, where the file as it was last read is meant.
+func TestApplyUnchangedFile(t *testing.T) {
 	t.Run("an unchanged file leaves routes that were changed by hand since", func(t *testing.T) {
 		c := openController(t, newTestEnv(), nil, routesTo("town"))
 		applyByHand(t, c, 1, "hill")
