retry: ended lookups are remembered for all of remember_ms, and refused where memory ends

Cause: Coordinator.finish dropped the oldest ended lookup as soon as more than Limits.MaxLookups of them were kept. That is the bound of lookups open at once, 256 by default. A promise of time needs memory of rate times time: 750 at 150 a second.

Change: an ended lookup leaves a small record (at most 56 bytes, measured by TestRecordMemory) instead of the whole Lookup. The record is reserved when the lookup is opened and dropped only when remember_ms is over. Records take at most a fifth of the gateway's memory limit, 128 MB without one. A caller reserves a record while it holds fewer than are free, so a flood has half at most and drops no record of another caller. Past that a lookup is refused with 503 and x-wait-ms, and counted as memory_full.

The check of bounds in TestCoordinatorInvariants read fields that are gone. It now checks the bounds of open lookups and records and each count of them, draws the number of records, and fails if a lookup is opened again within the retention.

--- a/internal/extproc/extprocgrpc/fixture_test.go
+++ b/internal/extproc/extprocgrpc/fixture_test.go
@@ -74,8 +74,17 @@
 	client  extprocv3.ExternalProcessorClient
 }
 
+// testLimits are the limits of newFixture.
+var testLimits = retry.Limits{MaxLookups: 8, MaxPerCaller: 6, ReturnTimeout: 150 * time.Millisecond, Retention: time.Second, MaxRecords: 1000}
+
 // newFixture starts a Service of a gateway, with caches or without. It runs until the end of the test.
 func newFixture(t *testing.T, withCaches bool) *fixture {
+	t.Helper()
+	return newFixtureWith(t, withCaches, testLimits)
+}
+
+// newFixtureWith is newFixture with other limits of lookups.
+func newFixtureWith(t *testing.T, withCaches bool, limits retry.Limits) *fixture {
 	t.Helper()
 	dependencies, err := newDependencies(withCaches)
 	if err != nil {
@@ -87,8 +96,7 @@
 		t.Fatal(err)
 	}
 	f := &fixture{t: t, Dependencies: dependencies}
-	f.service = &Service{Server: extproc.New(dependencies, table, extproc.Limits{SilenceTimeout: 2 * time.Second,
-		Lookups: retry.Limits{MaxLookups: 8, MaxPerCaller: 6, ReturnTimeout: 150 * time.Millisecond, Retention: time.Second}})}
+	f.service = &Service{Server: extproc.New(dependencies, table, extproc.Limits{SilenceTimeout: 2 * time.Second, Lookups: limits})}
 	f.serve()
 	return f
 }
--- a/internal/extproc/extprocgrpc/listener.go
+++ b/internal/extproc/extprocgrpc/listener.go
@@ -38,6 +38,12 @@
 	anomalyLogInterval = 10 * time.Second
 )
 
+// The memory of records of lookups (see retry.Limits.MaxRecords).
+const (
+	recordMemoryShare   = 0.2       // of the gateway's memory limit
+	defaultRecordMemory = 128 << 20 // bytes, without a memory limit
+)
+
 // ErrNeedsRestart is returned by Reload for a configuration that a running Listener cannot apply.
 var ErrNeedsRestart = errors.New("external_processor: removing it, changing listen, or turning tls on or off requires a restart")
 
@@ -55,8 +61,8 @@
 }
 
 // Listen opens the address of the configuration and returns a Listener for it. name is the name of the gateway in trace
-// spans.
-func Listen(name string, dependencies extproc.Dependencies, configuration *config.ExternalProcessor) (*Listener, error) {
+// spans. memoryLimit is the gateway's memory limit in bytes, or 0 if it has none.
+func Listen(name string, dependencies extproc.Dependencies, configuration *config.ExternalProcessor, memoryLimit int64) (*Listener, error) {
 	kinds := dependencies.Settings.Kinds
 	table, err := route.Compile(configuration.Table, kinds)
 	if err != nil {
@@ -72,7 +78,7 @@
 		return nil, err
 	}
 	l.listener = netutil.LimitListener(l.listener, maxConnections)
-	l.Service = Service{Server: extproc.New(dependencies, table, limitsFrom(configuration))}
+	l.Service = Service{Server: extproc.New(dependencies, table, limitsFrom(configuration, memoryLimit))}
 	if trace := configuration.Trace; trace != nil {
 		if l.tracer, err = telemetry.Open(telemetry.Options{Endpoint: trace.Endpoint, Share: trace.SampleRatio, Name: name}); err != nil {
 			l.listener.Close()
@@ -105,7 +111,7 @@
 	return options
 }
 
-func limitsFrom(configuration *config.ExternalProcessor) extproc.Limits {
+func limitsFrom(configuration *config.ExternalProcessor, memoryLimit int64) extproc.Limits {
 	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 	return extproc.Limits{
 		Lookups: retry.Limits{
@@ -113,6 +119,7 @@
 			MaxPerCaller:  int(configuration.LookupsPerCaller),
 			ReturnTimeout: ms(configuration.ReturnTimeoutMS),
 			Retention:     ms(configuration.RememberMS),
+			MaxRecords:    maxRecords(memoryLimit),
 		},
 		MaxStreams:        int(configuration.StreamsPerCaller),
 		MessagesPerSecond: configuration.MessagesPerSecond,
@@ -122,6 +129,15 @@
 	}
 }
 
+// maxRecords returns the number of records of lookups that a gateway with a memory limit in bytes may hold. The limit is
+// 0 if it has none.
+func maxRecords(memoryLimit int64) int {
+	if memoryLimit <= 0 {
+		return defaultRecordMemory / retry.RecordBytes
+	}
+	return max(1, int(float64(memoryLimit)*recordMemoryShare)/retry.RecordBytes)
+}
+
 // listenAt listens on an address. After the prefix unix:, the address is the path of a Unix socket with socketMode.
 func listenAt(environment env.Environment, address string) (net.Listener, error) {
 	if path, ok := strings.CutPrefix(address, "unix:"); ok {
--- a/internal/extproc/extprocgrpc/listener_test.go
+++ b/internal/extproc/extprocgrpc/listener_test.go
@@ -38,7 +38,7 @@
 	configuration.ReturnTimeoutMS, configuration.RememberMS, configuration.SilenceTimeoutMS = 300, 2000, 5000
 	configuration.Weight = 1
 	configuration.Table = []config.LookupRule{{Path: "/call/{kind}/{object}/part-{part}", Kind: "path:kind", Object: "path:object", Part: "path:part", ID: "header:x-job-id"}}
-	l, err := Listen("n0", dependencies, configuration)
+	l, err := Listen("n0", dependencies, configuration, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/extproc/extprocgrpc/load_test.go
+++ b/internal/extproc/extprocgrpc/load_test.go
@@ -114,7 +114,7 @@
 		panic(err)
 	}
 	limits := extproc.Limits{SilenceTimeout: 30 * time.Second,
-		Lookups: retry.Limits{MaxLookups: 4096, MaxPerCaller: 4096, ReturnTimeout: 300 * time.Millisecond, Retention: 5 * time.Second}}
+		Lookups: retry.Limits{MaxLookups: 4096, MaxPerCaller: 4096, ReturnTimeout: 300 * time.Millisecond, Retention: 5 * time.Second, MaxRecords: 1 << 20}}
 	if kind == kindGuarded {
 		limits.MessagesPerSecond, limits.MaxStreams = 3000, 1024
 		limits.Lookups.MaxLookups, limits.Lookups.MaxPerCaller = 256, 128
--- a/internal/extproc/handlers.go
+++ b/internal/extproc/handlers.go
@@ -87,7 +87,7 @@
 	request := lookup.Request
 	lookup.Quota = s.Admission.Gate(st.caller.name, s.limits.Weight)
 	if !lookup.Quota.TryAdmit() {
-		return &rejection{reply: s.fullReply()}
+		return &rejection{reply: s.fullReply(textFull)}
 	}
 	var scope *policy.Scope
 	if s.Routes != nil {
--- a/internal/extproc/protocol.go
+++ b/internal/extproc/protocol.go
@@ -38,6 +38,7 @@
 const (
 	textNoTime        = "no time left"
 	textFull          = "too many lookups"
+	textNoRecord      = "too many lookups to remember"
 	textPastLimit     = "past a limit: " // followed by the limit.Reason
 	textAskAgain      = "ask again"
 	textRejected      = "nacked"
@@ -176,14 +177,16 @@
 	case retry.AnswerAlreadyGiven:
 		return finalReply(409, textAnswered)
 	case retry.AnswerFull:
-		return s.fullReply()
+		return s.fullReply(textFull)
+	case retry.AnswerNoRecord:
+		return s.fullReply(textNoRecord)
 	}
 	return Reply{End: EndedOutOfOrder}
 }
 
 // fullReply returns the reply to a lookup that is rejected for lack of capacity.
-func (s *Server) fullReply() Reply {
-	reply := finalReply(503, textFull)
+func (s *Server) fullReply(text string) Reply {
+	reply := finalReply(503, text)
 	if retryAfter := s.Settings.Router.MaxRetryAfter; retryAfter > 0 {
 		reply.RetryAfter = time.Duration(retryAfter) * time.Microsecond
 	}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -61,6 +61,11 @@
 	return max(1, int(c.Limits.Cores+0.5))
 }
 
+// memoryLimit returns the memory limit of the process in bytes. It returns 0 if no limit is set.
+func (c *platformConfig) memoryLimit() int64 {
+	return max(0, int64(c.Limits.MemoryMB*bytesPerMB))
+}
+
 // runtimeMemory returns the number of bytes that the Go runtime may use. It returns 0 if no limit is set.
 func (c *platformConfig) runtimeMemory() int64 {
 	if c.Limits.MemoryMB <= 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,7 @@
 	Admission   *admission.Controller
 	Config      *config.Config
 	Routes      *rollout.Controller // nil: there are no routes, and a lookup may go to any cache
+	MemoryLimit int64               // of the process, in bytes; 0: none
 }
 
 // Service is a component that runs beside the HTTP server: an
@@ -286,6 +287,7 @@
 			Admission:   g.admission,
 			Config:      g.config.operators,
 			Routes:      g.routes,
+			MemoryLimit: g.config.platform.memoryLimit(),
 		})
 		if err != nil {
 			return err
--- a/internal/lab/scenario/extprocserver.go
+++ b/internal/lab/scenario/extprocserver.go
@@ -35,7 +35,7 @@
 
 // extprocLimits are the limits of the external processor in all scenarios.
 var extprocLimits = extproc.Limits{MaxStreams: 200, SilenceTimeout: 8 * time.Second, MessagesPerSecond: 400, BytesPerSecond: 200_000,
-	Lookups: retry.Limits{MaxLookups: 256, MaxPerCaller: 200, ReturnTimeout: 300 * time.Millisecond, Retention: 5 * time.Second}}
+	Lookups: retry.Limits{MaxLookups: 256, MaxPerCaller: 200, ReturnTimeout: 300 * time.Millisecond, Retention: 5 * time.Second, MaxRecords: 1 << 16}}
 
 // extprocServer is a gateway's external processor on the simulated transport. It owns the listener and the open
 // connections from newExtprocServer until the end of Run.
--- a/internal/retry/any_order_test.go
+++ b/internal/retry/any_order_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -11,8 +12,10 @@
 
 // coordinatorModel acts as callers and as a router in random order and checks the Coordinator's commands.
 type coordinatorModel struct {
+	limits      Limits
 	coordinator *Coordinator
-	now         int // milliseconds
+	now         int            // milliseconds
+	endedAt     map[string]int // when the last lookup with a key was seen to have ended, in milliseconds
 	streams     []*Stream
 	lookups     []*Lookup
 	states      map[*Lookup]*modelLookup
@@ -26,6 +29,7 @@
 	attemptStream *Stream      // the stream whose caller makes an attempt; nil: none
 	ended         bool         // the router has ended it
 	answered      bool         // its final answer was sent
+	endSeen       bool         // its end is in coordinatorModel.endedAt
 }
 
 // apply checks commands and carries them out as the dispatcher and the callers do.
@@ -80,17 +84,30 @@
 	return stream
 }
 
+// lastWithKey returns the last lookup that was opened with a key, or nil if there is none.
+func (m *coordinatorModel) lastWithKey(key string) *Lookup {
+	for _, lookup := range slices.Backward(m.lookups) {
+		if lookup.Key == key {
+			return lookup
+		}
+	}
+	return nil
+}
+
 // request lets a caller request one of three lookups.
 func (m *coordinatorModel) request(t *rapid.T) {
 	stream := m.drawStream(t, true)
 	id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
 	if stream.lookup == nil {
-		if known := m.coordinator.lookups[lookupKey(stream, id)]; known != nil {
+		if known := m.lastWithKey(lookupKey(stream, id)); known != nil {
 			m.requested[stream] = known
 		}
 	}
 	lookup, commands := m.coordinator.Request(at(m.now), stream, id, at(m.now+500))
 	if lookup != nil {
+		if endedAt, ok := m.endedAt[lookup.Key]; ok && at(m.now).Before(at(endedAt).Add(m.limits.Retention)) {
+			t.Fatalf("lookup %q was opened again %d ms after its end", lookup.Key, m.now-endedAt)
+		}
 		m.states[lookup] = &modelLookup{open: map[int]bool{}}
 		m.requested[stream] = lookup
 		m.lookups = append(m.lookups, lookup)
@@ -131,6 +148,17 @@
 	m.apply(t, m.coordinator.StreamEnded(at(m.now), m.drawStream(t, false)))
 }
 
+// noteEnds records the time of the lookups that have ended since the last action. An action does not advance the time
+// before it ends lookups.
+func (m *coordinatorModel) noteEnds() {
+	for _, lookup := range m.lookups {
+		if state := m.states[lookup]; lookup.phase == phaseEnded && !state.endSeen {
+			state.endSeen = true
+			m.endedAt[lookup.Key] = m.now
+		}
+	}
+}
+
 // advanceTime advances the time and calls Tick.
 func (m *coordinatorModel) advanceTime(t *rapid.T) {
 	m.now += rapid.IntRange(1, 400).Draw(t, "ms")
@@ -138,7 +166,7 @@
 	m.apply(t, commands)
 }
 
-// checkBounds checks the count of open lookups and the bounds on open and ended ones.
+// checkBounds checks the bounds on open lookups and on records, and that the counts of records are true.
 func (m *coordinatorModel) checkBounds(t *rapid.T) {
 	open := 0
 	for _, lookup := range m.coordinator.lookups {
@@ -146,10 +174,20 @@
 			open++
 		}
 	}
-	c := m.coordinator
-	if open != c.openCount || len(c.lookups) > 2*testLimits.MaxLookups || c.ended.Len() > testLimits.MaxLookups {
-		t.Fatalf("%d lookups are open, %d are counted, %d are held, %d of them ended",
-			open, c.openCount, len(c.lookups), c.ended.Len())
+	c, records := m.coordinator, m.coordinator.records
+	kept := c.RememberedLookups()
+	if open != c.OpenLookups() || open != records.reserved || open > m.limits.MaxLookups || kept != len(records.results) ||
+		open+kept > m.limits.MaxRecords {
+		t.Fatalf("%d lookups are open, %d are held, %d records are reserved, %d kept, %d found by hash; the bounds are %d open and %d records",
+			open, c.OpenLookups(), records.reserved, kept, len(records.results), m.limits.MaxLookups, m.limits.MaxRecords)
+	}
+	reservedByAll, keptByAll := 0, 0
+	for _, caller := range records.callers {
+		reservedByAll += caller.reserved
+		keptByAll += caller.kept.length
+	}
+	if reservedByAll != records.reserved || keptByAll != kept {
+		t.Fatalf("the callers hold %d and %d records, want %d reserved and %d kept", reservedByAll, keptByAll, records.reserved, kept)
 	}
 }
 
@@ -170,25 +208,31 @@
 			}
 		}
 	}
-	if c.openCount != 0 || len(c.lookups) != 0 || len(c.openByCaller) != 0 {
-		t.Fatalf("after the end of all lookups %d are open, %d are held, and the counts by caller are %v",
-			c.openCount, len(c.lookups), c.openByCaller)
+	records := c.records
+	if len(c.lookups) != 0 || records.reserved != 0 || len(records.callers) != 0 || len(records.results) != 0 || records.kept != 0 {
+		t.Fatalf("after the end of all lookups %d are held, %d records are reserved and %d kept, of %d callers",
+			len(c.lookups), records.reserved, len(records.results), len(records.callers))
 	}
 }
 
 // TestCoordinatorInvariants lets callers and a router act in random order. It guards against two attempts of a lookup at
 // once, an attempt whose end is reported twice or under a wrong number, an attempt that is sent to a caller after the
-// final answer, and state that is never freed.
+// final answer, a lookup that is opened again within the retention after its end, and state that is never freed.
 func TestCoordinatorInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &coordinatorModel{coordinator: New(testLimits), states: map[*Lookup]*modelLookup{}, requested: map[*Stream]*Lookup{}}
+		limits := testLimits
+		limits.MaxRecords = rapid.IntRange(1, 12).Draw(t, "records")
+		m := &coordinatorModel{limits: limits, coordinator: New(limits), endedAt: map[string]int{}, states: map[*Lookup]*modelLookup{}, requested: map[*Stream]*Lookup{}}
 		t.Repeat(map[string]func(*rapid.T){
 			"request":    m.request,
 			"step":       m.step,
 			"report":     m.report,
 			"end stream": m.endStream,
 			"time":       m.advanceTime,
-			"":           m.checkBounds,
+			"": func(t *rapid.T) {
+				m.noteEnds()
+				m.checkBounds(t)
+			},
 		})
 		m.drain(t)
 	})
--- a/internal/retry/coordinator.go
+++ b/internal/retry/coordinator.go
@@ -15,11 +15,11 @@
 // attempt, the attempt may have run.
 //
 // A Coordinator is not safe for concurrent use; its owner calls it under a lock. It holds at most Limits.MaxLookups open
-// lookups, and as many ended ones, each for Limits.Retention.
+// lookups, and records of ended ones, each for Limits.Retention. A record is never dropped earlier: a lookup for which
+// there would be no record is answered with AnswerNoRecord instead of being opened.
 package retry
 
 import (
-	"container/list"
 	"maps"
 	"time"
 
@@ -33,6 +33,7 @@
 	MaxPerCaller  int           // open lookups of one caller; further ones are answered with AnswerFull
 	ReturnTimeout time.Duration // time for a caller to request an open lookup again
 	Retention     time.Duration // time for which an ended lookup is remembered, so that a repeat does not open a new one
+	MaxRecords    int           // open and remembered lookups of all callers; past a caller's share see AnswerNoRecord
 }
 
 // The kinds of contract violations by callers that Anomalies counts. The values appear in logs.
@@ -47,32 +48,36 @@
 	anomalyNeverReturned       = "never_asked_again"
 )
 
+// anomalyNoRecord is counted by Anomalies for each AnswerNoRecord. The value appears in logs.
+const anomalyNoRecord = "memory_full"
+
 // Coordinator holds the lookups of all callers. New creates it.
 type Coordinator struct {
-	limits       Limits
-	lookups      map[string]*Lookup // open and ended lookups by Lookup.Key
-	openCount    int
-	openByCaller map[string]int
-	ended        list.List // ended *Lookup values that are remembered, oldest first
-	timeouts     timeoutHeap
-	sequence     uint64
-	anomalies    map[string]int
+	limits    Limits
+	lookups   map[string]*Lookup // open lookups by Lookup.Key
+	records   *lookupRecords
+	timeouts  timeoutHeap
+	sequence  uint64
+	anomalies map[string]int
 }
 
 // New returns a Coordinator without lookups.
 func New(limits Limits) *Coordinator {
 	return &Coordinator{
-		limits:       limits,
-		lookups:      map[string]*Lookup{},
-		openByCaller: map[string]int{},
-		anomalies:    map[string]int{},
+		limits:    limits,
+		lookups:   map[string]*Lookup{},
+		records:   newLookupRecords(limits.Retention, limits.MaxRecords),
+		anomalies: map[string]int{},
 	}
 }
 
 // OpenLookups returns the number of open lookups.
-func (c *Coordinator) OpenLookups() int { return c.openCount }
+func (c *Coordinator) OpenLookups() int { return len(c.lookups) }
+
+// RememberedLookups returns the number of ended lookups that are remembered.
+func (c *Coordinator) RememberedLookups() int { return c.records.kept }
 
-// Anomalies returns the number of contract violations by callers, by kind.
+// Anomalies returns the number of contract violations by callers, by kind, and the number of answers AnswerNoRecord.
 func (c *Coordinator) Anomalies() map[string]int { return maps.Clone(c.anomalies) }
 
 // AttemptsOut returns the number of attempts that callers are making, plus those that are decided and not yet requested.
@@ -96,7 +101,9 @@
 
 // Knows reports whether the stream's caller has a lookup with the given id that is open, or ended and remembered.
 func (c *Coordinator) Knows(stream *Stream, id string) bool {
-	return c.lookups[lookupKey(stream, id)] != nil
+	key := lookupKey(stream, id)
+	_, hasEnded := c.records.result(key)
+	return hasEnded || c.lookups[key] != nil
 }
 
 func lookupKey(stream *Stream, id string) string { return stream.Caller + " " + id }
@@ -115,52 +122,66 @@
 		commands.answer(stream, AnswerOutOfOrder)
 		return nil, commands
 	}
-	lookup := c.lookups[lookupKey(stream, id)]
-	if lookup != nil {
-		c.requestAgain(now, lookup, stream, &commands)
+	key := lookupKey(stream, id)
+	if lookup := c.lookups[key]; lookup != nil {
+		c.requestOpen(now, lookup, stream, &commands)
+		return nil, commands
+	}
+	if result, ok := c.records.result(key); ok {
+		c.requestEnded(result, stream, &commands)
 		return nil, commands
 	}
-	if c.openCount >= c.limits.MaxLookups || c.openByCaller[stream.Caller] >= c.limits.MaxPerCaller {
+	if len(c.lookups) >= c.limits.MaxLookups || c.records.reservedBy(stream.Caller) >= c.limits.MaxPerCaller {
 		commands.answer(stream, AnswerFull)
 		return nil, commands
 	}
-	return c.open(stream, id, deadline), commands
+	if !c.records.canReserve(stream.Caller) {
+		c.anomalies[anomalyNoRecord]++
+		commands.answer(stream, AnswerNoRecord)
+		return nil, commands
+	}
+	return c.open(stream, key, deadline), commands
 }
 
-func (c *Coordinator) open(stream *Stream, id string, deadline time.Time) *Lookup {
+func (c *Coordinator) open(stream *Stream, key string, deadline time.Time) *Lookup {
 	c.sequence++
-	lookup := &Lookup{Key: lookupKey(stream, id), caller: stream.Caller, stream: stream, deadline: deadline, sequence: c.sequence}
+	lookup := &Lookup{Key: key, caller: stream.Caller, stream: stream, deadline: deadline, sequence: c.sequence}
 	stream.lookup = lookup
-	c.lookups[lookup.Key] = lookup
-	c.openCount++
-	c.openByCaller[lookup.caller]++
+	c.lookups[key] = lookup
+	c.records.reserve(lookup.caller)
 	c.timeouts.schedule(lookup)
 	return lookup
 }
 
-// requestAgain handles a request for a lookup that is open or remembered.
-func (c *Coordinator) requestAgain(now time.Time, lookup *Lookup, stream *Stream, commands *Commands) {
-	switch {
-	case lookup.phase == phaseEnded && lookup.result == AnswerAccepted:
-		c.anomalies[anomalyRequestAfterAnswer]++
-		commands.answer(stream, AnswerAlreadyGiven)
-	case lookup.phase == phaseEnded: // a rejection or a failure may be answered repeatedly
-		commands.Answers = append(commands.Answers, Answer{Stream: stream, Kind: lookup.result, RetryAfter: lookup.retryAfter})
-	case lookup.stream != nil:
+// requestOpen handles a request for a lookup that is open.
+func (c *Coordinator) requestOpen(now time.Time, lookup *Lookup, stream *Stream, commands *Commands) {
+	if lookup.stream != nil {
 		c.anomalies[anomalyOpenElsewhere]++
 		commands.answer(stream, AnswerOpenElsewhere)
-	default:
-		lookup.stream, stream.lookup = stream, lookup
-		lookup.returnBy = time.Time{}
-		c.deliver(now, lookup, commands)
-		c.timeouts.schedule(lookup)
+		return
+	}
+	lookup.stream, stream.lookup = stream, lookup
+	lookup.returnBy = time.Time{}
+	c.deliver(now, lookup, commands)
+	c.timeouts.schedule(lookup)
+}
+
+// requestEnded handles a request for a lookup that has ended and is remembered.
+func (c *Coordinator) requestEnded(result endedResult, stream *Stream, commands *Commands) {
+	kind := result.answerKind()
+	if kind == AnswerAccepted {
+		c.anomalies[anomalyRequestAfterAnswer]++
+		commands.answer(stream, AnswerAlreadyGiven)
+		return
 	}
+	// A rejection or a failure may be answered repeatedly.
+	commands.Answers = append(commands.Answers, Answer{Stream: stream, Kind: kind, RetryAfter: result.retryAfter()})
 }
 
 // Discard removes a new lookup that was not submitted to the dispatcher or that the dispatcher did not accept.
 func (c *Coordinator) Discard(lookup *Lookup) {
 	lookup.detach()
-	c.countEnd(lookup)
+	c.records.release(lookup.caller)
 	lookup.phase = phaseEnded
 	c.timeouts.schedule(lookup)
 	delete(c.lookups, lookup.Key)
@@ -223,12 +244,12 @@
 // deliverEnd answers the lookup's stream, if it has one, with the lookup's result and ends the lookup.
 func (c *Coordinator) deliverEnd(now time.Time, lookup *Lookup, commands *Commands) {
 	result := resultOf(lookup.step.Kind)
-	lookup.retryAfter = time.Duration(lookup.step.RetryAfter) * time.Microsecond
+	retryAfter := time.Duration(lookup.step.RetryAfter) * time.Microsecond
 	if lookup.stream != nil {
-		commands.Answers = append(commands.Answers, Answer{Stream: lookup.stream, Kind: result, RetryAfter: lookup.retryAfter})
+		commands.Answers = append(commands.Answers, Answer{Stream: lookup.stream, Kind: result, RetryAfter: retryAfter})
 		lookup.detach()
 	}
-	c.finish(now, lookup, result)
+	c.finish(now, lookup, newEndedResult(result, retryAfter))
 }
 
 // resultOf returns the final answer for a step that ends a lookup.
@@ -300,9 +321,7 @@
 // that were not reported by the lookup's deadline, adds overdue lookups to Commands.Overdue, and forgets lookups that
 // ended Limits.Retention ago. It returns the time of the next call, which is at most one second later.
 func (c *Coordinator) Tick(now time.Time) (commands Commands, next time.Time) {
-	for e := c.ended.Front(); e != nil && !e.Value.(*Lookup).forgetAt.After(now); e = c.ended.Front() {
-		c.forget(e.Value.(*Lookup))
-	}
+	c.records.expire(now)
 	for len(c.timeouts) > 0 && !c.timeouts[0].timeoutAt.After(now) {
 		c.handleTimeout(now, c.timeouts[0], &commands)
 	}
@@ -336,36 +355,15 @@
 		commands.report(lookup, lookup.step.Attempt, policy.OutcomeNotSent)
 	}
 	commands.Gone = append(commands.Gone, lookup)
-	c.finish(now, lookup, AnswerFail)
+	c.finish(now, lookup, newEndedResult(AnswerFail, 0))
 }
 
-// finish ends a lookup and remembers it for Limits.Retention. Beyond Limits.MaxLookups ended lookups it forgets the
-// oldest.
-func (c *Coordinator) finish(now time.Time, lookup *Lookup, result AnswerKind) {
+// finish ends a lookup and remembers its result for Limits.Retention.
+func (c *Coordinator) finish(now time.Time, lookup *Lookup, result endedResult) {
 	if lookup.phase == phaseEnded {
 		return
 	}
-	c.countEnd(lookup)
 	lookup.phase = phaseEnded
-	lookup.result = result
-	lookup.forgetAt = now.Add(c.limits.Retention)
-	lookup.endedElement = c.ended.PushBack(lookup)
-	for c.ended.Len() > c.limits.MaxLookups {
-		c.forget(c.ended.Front().Value.(*Lookup))
-	}
-}
-
-// countEnd removes a lookup from the counts of open lookups.
-func (c *Coordinator) countEnd(lookup *Lookup) {
-	c.openCount--
-	c.openByCaller[lookup.caller]--
-	if c.openByCaller[lookup.caller] <= 0 {
-		delete(c.openByCaller, lookup.caller)
-	}
-}
-
-// forget removes a lookup that has ended and was remembered.
-func (c *Coordinator) forget(lookup *Lookup) {
-	c.ended.Remove(lookup.endedElement)
 	delete(c.lookups, lookup.Key)
+	c.records.keep(now, lookup.caller, lookup.Key, result)
 }
--- a/internal/retry/coordinator_test.go
+++ b/internal/retry/coordinator_test.go
@@ -11,7 +11,7 @@
 
 var (
 	testStart  = time.Unix(1764576000, 0)
-	testLimits = Limits{MaxLookups: 4, MaxPerCaller: 3, ReturnTimeout: 200 * time.Millisecond, Retention: 2 * time.Second}
+	testLimits = Limits{MaxLookups: 4, MaxPerCaller: 3, ReturnTimeout: 200 * time.Millisecond, Retention: 2 * time.Second, MaxRecords: 1000}
 )
 
 // at returns the time the given number of milliseconds after testStart.
--- a/internal/retry/lookup.go
+++ b/internal/retry/lookup.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"container/list"
 	"sync/atomic"
 	"time"
 
@@ -19,10 +18,10 @@
 	phaseDeciding   phase = iota // the router decides the next step
 	phaseAttempting              // the caller is making an attempt
 	phaseDecided                 // the next step is decided and waits for the caller's request
-	phaseEnded                   // the lookup has ended and is remembered for Limits.Retention
+	phaseEnded                   // the lookup has ended
 )
 
-// Lookup is the state of a lookup from its first request until it is forgotten after its end.
+// Lookup is the state of a lookup from its first request until its end.
 type Lookup struct {
 	Key string // caller and id
 
@@ -49,12 +48,6 @@
 	returnBy      time.Time     // the caller must request the lookup again by this time; zero: no time limit
 	overdue       bool          // the lookup was in Commands.Overdue
 
-	// Set when the lookup has ended.
-	result       AnswerKind
-	retryAfter   time.Duration
-	forgetAt     time.Time
-	endedElement *list.Element
-
 	// Set by the timeout heap.
 	timeoutAt time.Time // zero: no timeout is pending
 	heapIndex int       // index in the heap, starting at 1; 0: not in the heap
--- a/internal/retry/messages.go
+++ b/internal/retry/messages.go
@@ -66,10 +66,11 @@
 	AnswerOpenElsewhere                       // the lookup is open on another stream
 	AnswerAlreadyGiven                        // the lookup was answered before with AnswerAccepted
 	AnswerFull                                // too many lookups are open
+	AnswerNoRecord                            // the lookup could not be remembered after its end, as its caller holds its share of the records
 	AnswerOutOfOrder                          // the caller's message was out of order: the stream ends
 )
 
-var answerNames = [...]string{"none", "attempt", "accepted", "ask again", "reject", "fail", "open elsewhere", "already given", "full", "out of order"}
+var answerNames = [...]string{"none", "attempt", "accepted", "ask again", "reject", "fail", "open elsewhere", "already given", "full", "no record", "out of order"}
 
 // String returns the name of the kind.
 func (k AnswerKind) String() string { return answerNames[k] }
