gateway: the flood test receives the cancellations of its stand-in caches

The stand-in cache reports each cancellation on a channel of 100 that this test never read, and its connection stops reading when the channel is full. Evidence: each cache's connection was closed as silent after exactly 100 strays (73 and 27, 81 and 19), then as silent again and again. On a slower machine fewer than 100 of the lookups that allow 2 ms are sent at all. The gateway was right: a cache that reads nothing is silent.

Change: the test receives the cancellations. Its checks are the same.

--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -74,6 +74,7 @@
 	g := startGatewayWith(t, floodDescriptors, nil, func(edge int, request standin.Request) {
 		time.AfterFunc(40*time.Millisecond, func() { answerHit(edge, request) })
 	})
+	discardCancellations(t, g.edges)
 	until := time.Now().Add(floodDuration)
 	var clients sync.WaitGroup
 	var refusals atomic.Int64
@@ -88,6 +89,24 @@
 	}
 }
 
+// discardCancellations receives the cancellations that caches report, until the end of the test. A stand-in whose
+// cancellations are not received reads nothing more once it has reported a hundred.
+func discardCancellations(t *testing.T, caches []*standin.Cache) {
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	for _, cache := range caches {
+		go func() {
+			for {
+				select {
+				case <-cache.Cancelled:
+				case <-ended:
+					return
+				}
+			}
+		}()
+	}
+}
+
 // pipelineRequests sends floodAhead requests, and a further one as soon as one is answered, until a time. It checks that
 // each of them is answered, and its status. It returns the number of answers.
 func pipelineRequests(t *testing.T, addr string, refused refusedRequest, firstID uint64, until time.Time) (answers int64) {
