store/endpoints: purges that don't fit the stored list aren't forgotten by a restart

Change: the list keeps the issue time of the newest purge that it dropped. A start within its retention counts all groups as purged then and logs stored_purges_incomplete.

--- a/internal/store/endpoints/apply.go
+++ b/internal/store/endpoints/apply.go
@@ -37,12 +37,22 @@
 		s.applyHealth(u)
 	}
 	s.Purges = append(s.Purges, u.Purges...)
-	if n := len(s.Purges); n > MaxPurges {
-		s.Purges = slices.Clone(s.Purges[n-MaxPurges:])
-	}
+	s.dropOldestPurges()
 	s.enforceLimits()
 }
 
+// dropOldestPurges drops the oldest purges above MaxPurges.
+func (s *State) dropOldestPurges() {
+	excess := len(s.Purges) - MaxPurges
+	if excess <= 0 {
+		return
+	}
+	for _, p := range s.Purges[:excess] {
+		s.DroppedPurgesAt = max(s.DroppedPurgesAt, p.IssuedAt)
+	}
+	s.Purges = slices.Clone(s.Purges[excess:])
+}
+
 // Import adds endpoints from an operator's file. It changes neither CurrentAsOf nor CacheHours, because the file does
 // not show until when the list was current.
 func (s *State) Import(u Update) {
--- a/internal/store/endpoints/endpoints.go
+++ b/internal/store/endpoints/endpoints.go
@@ -5,7 +5,8 @@
 //
 // A State is owned by the snapshotter, which also owns the files on disk. It is not safe for concurrent use.
 // MaxEndpoints, MaxTombstones and MaxPurges bound its size. Above a bound the oldest entries are dropped. An endpoint
-// that discovery reported is never dropped in favor of an imported one.
+// that discovery reported is never dropped in favor of an imported one. State.DroppedPurgesAt stands for the dropped
+// purges.
 package endpoints
 
 import (
@@ -83,6 +84,9 @@
 	CacheHours    float64 `cbor:"4,keyasint,omitempty"` // sum over the caches of the hours for which the list was watched
 	Departures    int     `cbor:"5,keyasint,omitempty"` // caches that left the list during CacheHours
 	CurrentAsOf   int64   `cbor:"6,keyasint,omitempty"` // time up to which discovery confirmed the list
+	// DroppedPurgesAt is the latest IssuedAt of the purges that were dropped from Purges. Copies of any object from
+	// before it may be out of date.
+	DroppedPurgesAt int64 `cbor:"7,keyasint,omitempty"`
 
 	Endpoints  map[string]Endpoint  `cbor:"-"` // by id
 	Tombstones map[string]Tombstone `cbor:"-"` // by id
--- a/internal/store/endpoints/endpoints_test.go
+++ b/internal/store/endpoints/endpoints_test.go
@@ -117,6 +117,9 @@
 		if len(s.Endpoints) != 0 || len(s.Tombstones) != MaxTombstones || len(s.Purges) != MaxPurges || s.Purges[0].IssuedAt != 10 {
 			t.Errorf("%d endpoints, %d tombstones, %d purges; want none, MaxTombstones and the newest MaxPurges", len(s.Endpoints), len(s.Tombstones), len(s.Purges))
 		}
+		if s.DroppedPurgesAt != 9 {
+			t.Errorf("DroppedPurgesAt %d, want 9, the issue of the last dropped purge", s.DroppedPurgesAt)
+		}
 	})
 }
 
--- a/internal/store/endpoints/frozen_test.go
+++ b/internal/store/endpoints/frozen_test.go
@@ -34,12 +34,23 @@
 	if err := decode(frozen.Read(t, "snapshot.bin"), &first); err != nil {
 		t.Fatal(err)
 	}
-	frozen.Complete(t, "snapshot.bin", first.State)
 	frozen.Complete(t, "snapshot.bin", first.Endpoints[0])
 	frozen.Complete(t, "snapshot.bin", first.Tombstones[1])
 	frozen.Complete(t, "snapshot.bin", first.Purges[0])
 }
 
+// Guards against a change of the stored form of DroppedPurgesAt, which the first builds did not write. The file is
+// snapshot.bin with that field, so it sets all fields of a State.
+func TestSnapshotWithDroppedPurgesKeepsItsForm(t *testing.T) {
+	const name = "dropped-purges-snapshot.bin"
+	frozen.Equal(t, name, rewrite(t, name))
+	var stored encodedState
+	if err := decode(frozen.Read(t, name), &stored); err != nil {
+		t.Fatal(err)
+	}
+	frozen.Complete(t, name, stored.State)
+}
+
 func TestASnapshotWithAKeyThatIsNoLongerWrittenIsRead(t *testing.T) {
 	frozen.Equal(t, "old-key-as-written-now.bin", rewrite(t, "old-key-snapshot.bin"))
 }
--- a/internal/warmstart/reconciler_test.go
+++ b/internal/warmstart/reconciler_test.go
@@ -133,6 +133,39 @@
 			t.Error(issuedAt)
 		}
 	})
+	t.Run("purges that did not fit the stored list make older copies of all objects out of date", func(t *testing.T) {
+		// 170 purges a second with a retention of 65 s are 11,050, more than the list holds.
+		const stored, perSecond = 11050, 170
+		now := time.Now()
+		update := endpoints.Update{LastEvent: 41}
+		for i := range stored {
+			issuedAt := now.Add(-time.Duration(stored-i) * time.Second / perSecond)
+			update.Purges = append(update.Purges, endpoints.Purge{Object: fmt.Sprint(i), Group: 3, IssuedAt: issuedAt.UnixMilli()})
+		}
+		f := newFixture(t, completeList, update)
+		f.purges.Retention = 65 * time.Second
+		f.reconciler.Start(f.purges)
+		for i, p := range update.Purges {
+			if inForce, _ := f.purges.InForce(p.Object, p.Group); inForce.UnixMilli() < p.IssuedAt {
+				t.Fatalf("purge %d, told before the restart, is not in force after it (%v)", i, inForce)
+			}
+		}
+		if !strings.Contains(f.log.String(), "event=stored_purges_incomplete stored=8192") {
+			t.Error(f.log.String())
+		}
+	})
+	t.Run("purges that did not fit are of no account when their retention is over", func(t *testing.T) {
+		now := time.Now()
+		update := endpoints.Update{LastEvent: 41, Purges: []endpoints.Purge{{Object: "first", IssuedAt: now.Add(-2 * time.Hour).UnixMilli()}}}
+		for i := range endpoints.MaxPurges {
+			update.Purges = append(update.Purges, endpoints.Purge{Object: fmt.Sprint(i), IssuedAt: now.UnixMilli()})
+		}
+		f := newFixture(t, completeList, update)
+		f.reconciler.Start(f.purges)
+		if issuedAt, _ := f.purges.InForce("other", 0); !issuedAt.IsZero() {
+			t.Errorf("copies from before %v are out of date, want none", issuedAt)
+		}
+	})
 	t.Run("hits confirm an endpoint, and the policy receives it as warm", func(t *testing.T) {
 		f := newFixture(t, completeList)
 		f.reconciler.Start(f.purges)
--- a/internal/warmstart/start.go
+++ b/internal/warmstart/start.go
@@ -11,6 +11,9 @@
 	"foldslip/internal/store/endpoints"
 )
 
+// groupCount is the number of groups of objects. A request names its group by a number of 8 bits.
+const groupCount = 256
+
 // Start passes the stored endpoints with their confidence to the dispatcher, and restores the purges that are still
 // within their retention. It returns the number of endpoints, which is 0 if there is no list to start from.
 func (r *Reconciler) Start(purges *purgelog.Log) int {
@@ -64,7 +67,8 @@
 	return tracker, stored
 }
 
-// restorePurges records the stored purges that are still within their retention. Discovery reports the later ones.
+// restorePurges records the stored purges that are still within their retention. Discovery reports the later ones. If
+// some of them were dropped from the list, it records a purge of all groups in their place.
 func (r *Reconciler) restorePurges(list *endpoints.State, purges *purgelog.Log, now time.Time) {
 	for _, p := range list.Purges {
 		issuedAt := time.UnixMilli(p.IssuedAt)
@@ -73,6 +77,21 @@
 			r.dispatcher.Tick(nil, false, []dispatch.Purge{{Object: p.Object, Group: p.Group, IssuedAt: issuedAt}})
 		}
 	}
+	droppedAt := time.UnixMilli(list.DroppedPurgesAt)
+	if purges.Retention > now.Sub(droppedAt) {
+		r.env.Log().Warn("stored_purges_incomplete", "stored", len(list.Purges), "all_purged_ms_ago", now.Sub(droppedAt).Milliseconds())
+		r.purgeAllGroups(purges, droppedAt)
+	}
+}
+
+// purgeAllGroups records a purge of each group.
+func (r *Reconciler) purgeAllGroups(purges *purgelog.Log, issuedAt time.Time) {
+	var all []dispatch.Purge
+	for group := range groupCount {
+		purges.Record("", group, issuedAt)
+		all = append(all, dispatch.Purge{Group: group, IssuedAt: issuedAt})
+	}
+	r.dispatcher.Tick(nil, false, all)
 }
 
 // assessedEndpoints returns the endpoints of the given assessments in the policy's form. The caller holds r.mu.
