purgelog, warmstart: a restart doesn't begin the grace of stored purges anew

Cause: restorePurges passed stored purges to Log.Record, which takes the present as the time of receipt. The stored time of receipt was never read.

Change: Log.Restore adds a purge with the time at which the earlier process received it; a time in the future counts as the present, one before the issue as the issue.

Result: TestStartFromStoredList failed before ("a purge that was received 2 s ago with a grace of 1 s is not in force") and passes.

--- a/internal/purgelog/purgelog.go
+++ b/internal/purgelog/purgelog.go
@@ -39,25 +39,42 @@
 	receivedAt time.Time
 }
 
-// Record adds a purge of an object, or of a group if object is empty.
+// Record adds a purge of an object, or of a group if object is empty, that is received now.
 func (l *Log) Record(object string, group int, issuedAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	l.add(object, group, entry{issuedAt, now}, now)
+}
+
+// Restore adds a purge that an earlier process received, so its grace and its retention began then. Restore is called
+// before Record, for the purges in the order in which they were received. A time of receipt in the future counts as now.
+func (l *Log) Restore(object string, group int, issuedAt, receivedAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	if receivedAt.After(now) {
+		receivedAt = now
+	}
+	l.add(object, group, entry{issuedAt, receivedAt}, now)
+}
+
+// add implements Record and Restore. The caller holds the lock.
+func (l *Log) add(object string, group int, purge entry, now time.Time) {
 	if l.objects == nil {
 		l.objects = map[string][]entry{}
 		l.groups = map[int][]entry{}
 	}
-	now := l.Clock.Now()
 	l.expire(now)
 	if object == "" {
-		l.groups[group] = l.merge(l.groups[group], issuedAt, now)
+		l.groups[group] = l.merge(l.groups[group], purge, now)
 		return
 	}
 	before := l.objects[object]
-	merged := l.merge(before, issuedAt, now)
+	merged := l.merge(before, purge, now)
 	l.objects[object] = merged
 	if len(before) == 0 || !last(merged).receivedAt.Equal(last(before).receivedAt) {
-		l.queue = append(l.queue, queuedObject{object, now})
+		l.queue = append(l.queue, queuedObject{object, last(merged).receivedAt})
 	}
 }
 
@@ -84,20 +101,20 @@
 // merge adds a purge to the entries of the same object or group and returns them. The entries are in ascending order of
 // issuedAt and of receivedAt. Each entry takes effect after its own grace period, so a later purge does not delay an
 // earlier one.
-func (l *Log) merge(entries []entry, issuedAt, now time.Time) []entry {
+func (l *Log) merge(entries []entry, purge entry, now time.Time) []entry {
 	// The first entry is dropped if the second one is in effect, because the second one is stricter.
 	for len(entries) > 1 && now.Sub(entries[1].receivedAt) > l.Grace {
 		entries = entries[1:]
 	}
 	n := len(entries)
 	switch {
-	case n > 0 && !issuedAt.After(entries[n-1].issuedAt):
+	case n > 0 && !purge.issuedAt.After(entries[n-1].issuedAt):
 		return entries
 	case n >= maxPending:
-		entries[n-1].issuedAt = issuedAt
+		entries[n-1].issuedAt = purge.issuedAt
 		return entries
 	}
-	return append(entries, entry{issuedAt, now})
+	return append(entries, purge)
 }
 
 // InForce returns the times at which the latest purge in effect for an object of a group was issued and received. Both
--- a/internal/purgelog/purgelog_test.go
+++ b/internal/purgelog/purgelog_test.go
@@ -72,6 +72,34 @@
 	})
 }
 
+// TestRestore guards against a grace that begins anew at a restart: a restored purge takes effect, and is dropped, as if
+// it had been recorded when the earlier process received it.
+func TestRestore(t *testing.T) {
+	clock := &adjustableClock{now: time.Unix(1764576000, 0)}
+	l := &Log{Retention: 10 * time.Second, Grace: time.Second, Clock: clock}
+	ago := func(d time.Duration) time.Time { return clock.now.Add(-d) }
+	l.Restore("over", 0, ago(3*time.Second), ago(2*time.Second))
+	l.Restore("", 7, ago(3*time.Second), ago(2*time.Second))
+	l.Restore("running", 0, ago(time.Second), ago(500*time.Millisecond))
+	l.Restore("future", 0, clock.now, clock.now.Add(time.Hour))
+	inForce := func(object string, group int) bool {
+		issuedAt, _ := l.InForce(object, group)
+		return !issuedAt.IsZero()
+	}
+	if !inForce("over", 0) || !inForce("any", 7) || inForce("running", 0) || inForce("future", 0) {
+		t.Error("at the restart: want the purges in force whose grace is over, and no others")
+	}
+	clock.now = clock.now.Add(501 * time.Millisecond)
+	if !inForce("running", 0) || inForce("future", 0) {
+		t.Error("0.5 s later: want the purge in force that was received 1 s ago, and not the one received at the restart")
+	}
+	clock.now = clock.now.Add(8 * time.Second)
+	l.Record("later", 0, clock.now)
+	if len(l.objects) != 3 || inForce("over", 0) || !inForce("running", 0) {
+		t.Errorf("10.5 s after its receipt a purge is still held; %d objects, want 3", len(l.objects))
+	}
+}
+
 // scanningLog is the reference implementation of expiry. It scans all objects held at each purge.
 type scanningLog struct{ Log }
 
@@ -87,9 +115,9 @@
 		}
 	}
 	if object == "" {
-		l.groups[group] = l.merge(l.groups[group], issuedAt, now)
+		l.groups[group] = l.merge(l.groups[group], entry{issuedAt, now}, now)
 	} else {
-		l.objects[object] = l.merge(l.objects[object], issuedAt, now)
+		l.objects[object] = l.merge(l.objects[object], entry{issuedAt, now}, now)
 	}
 }
 
--- a/internal/warmstart/reconciler_test.go
+++ b/internal/warmstart/reconciler_test.go
@@ -133,6 +133,25 @@
 			t.Error(issuedAt)
 		}
 	})
+	t.Run("a purge whose grace was over before the restart is in force at once", func(t *testing.T) {
+		now := time.Now()
+		receivedAt := now.Add(-2 * time.Second)
+		f := newFixture(t, completeList, endpoints.Update{Purges: []endpoints.Purge{
+			{Object: "earlier", IssuedAt: now.Add(-3 * time.Second).UnixMilli(), ReceivedAt: receivedAt.UnixMilli()},
+			{Object: "just now", IssuedAt: now.UnixMilli(), ReceivedAt: now.UnixMilli()},
+			{Object: "by a clock ahead", IssuedAt: now.UnixMilli(), ReceivedAt: now.Add(time.Minute).UnixMilli()},
+		}})
+		f.purges.Grace = time.Second
+		f.reconciler.Start(f.purges)
+		if issuedAt, _ := f.purges.InForce("earlier", 0); issuedAt.IsZero() {
+			t.Error("a purge that was received 2 s ago with a grace of 1 s is not in force")
+		}
+		for _, object := range []string{"just now", "by a clock ahead"} {
+			if issuedAt, _ := f.purges.InForce(object, 0); !issuedAt.IsZero() {
+				t.Errorf("the purge of %q is in force before its grace is over", object)
+			}
+		}
+	})
 	t.Run("purges that did not fit the stored list make older copies of all objects out of date", func(t *testing.T) {
 		// 170 purges a second with a retention of 65 s are 11,050, more than the list holds.
 		const stored, perSecond = 11050, 170
--- a/internal/warmstart/start.go
+++ b/internal/warmstart/start.go
@@ -73,7 +73,8 @@
 	for _, p := range list.Purges {
 		issuedAt := time.UnixMilli(p.IssuedAt)
 		if purges.Retention > now.Sub(issuedAt) {
-			purges.Record(p.Object, p.Group, issuedAt)
+			receivedAt := time.UnixMilli(max(p.IssuedAt, p.ReceivedAt))
+			purges.Restore(p.Object, p.Group, issuedAt, receivedAt)
 			r.dispatcher.Tick(nil, false, []dispatch.Purge{{Object: p.Object, Group: p.Group, IssuedAt: issuedAt}})
 		}
 	}
@@ -84,11 +85,11 @@
 	}
 }
 
-// purgeAllGroups records a purge of each group.
+// purgeAllGroups records a purge of each group whose grace is over.
 func (r *Reconciler) purgeAllGroups(purges *purgelog.Log, issuedAt time.Time) {
 	var all []dispatch.Purge
 	for group := range groupCount {
-		purges.Record("", group, issuedAt)
+		purges.Restore("", group, issuedAt, issuedAt)
 		all = append(all, dispatch.Purge{Group: group, IssuedAt: issuedAt})
 	}
 	r.dispatcher.Tick(nil, false, all)
