--- a/internal/extproc/extprocgrpc/load_test.go
+++ b/internal/extproc/extprocgrpc/load_test.go
@@ -25,6 +25,7 @@
 	"foldslip/internal/config"
 	"foldslip/internal/env"
 	"foldslip/internal/extproc"
+	"foldslip/internal/lab/cost"
 	"foldslip/internal/retry"
 	"foldslip/internal/route"
 )
@@ -69,6 +70,8 @@
 	kindNoop    = "noop"    // noopService
 	kindPlain   = "plain"   // a Service without limits on streams and rates
 	kindGuarded = "guarded" // a Service with the limits of the default configuration, except for the rate
+	kindDefault = "default" // a Service with the default configuration
+	kindLongest = "longest" // a Service with the default configuration and the longest remember_ms
 )
 
 // serveUnderLoad runs the process under load. It serves until its
@@ -113,12 +116,37 @@
 	if err != nil {
 		panic(err)
 	}
+	if kind == kindDefault || kind == kindLongest {
+		limits, err := defaultLimits(kind)
+		if err != nil {
+			panic(err)
+		}
+		return startLoadedServer(dependencies, table, limits)
+	}
 	limits := extproc.Limits{SilenceTimeout: 30 * time.Second,
 		Lookups: retry.Limits{MaxLookups: 4096, MaxPerCaller: 4096, ReturnTimeout: 300 * time.Millisecond, Retention: 5 * time.Second, MaxRecords: 1 << 20}}
 	if kind == kindGuarded {
 		limits.MessagesPerSecond, limits.MaxStreams = 3000, 1024
 		limits.Lookups.MaxLookups, limits.Lookups.MaxPerCaller = 256, 128
 	}
+	return startLoadedServer(dependencies, table, limits)
+}
+
+// defaultLimits returns the limits of kindDefault or kindLongest.
+func defaultLimits(kind string) (extproc.Limits, error) {
+	rememberMS := 0
+	if kind == kindLongest {
+		rememberMS = longestRememberMS
+	}
+	configuration, err := defaultConfiguration(rememberMS)
+	if err != nil {
+		return extproc.Limits{}, err
+	}
+	return limitsFrom(configuration, 0), nil
+}
+
+// startLoadedServer starts a Server with the given limits.
+func startLoadedServer(dependencies extproc.Dependencies, table *route.Table, limits extproc.Limits) *extproc.Server {
 	dependencies.Purges = nil
 	dependencies.Admission = admission.NewController(dependencies.Environment, limits.Lookups.MaxLookups, 1<<30)
 	server := extproc.New(dependencies, table, limits)
@@ -143,8 +171,8 @@
 	return pprof.StopCPUProfile
 }
 
-// printUsage prints one line for each line of input: allocations, allocated bytes,
-// resident memory in KB and goroutines, in the order of the fields of usage.
+// printUsage prints one line for each line of input: allocations, allocated bytes, resident memory
+// in KB, goroutines and processor time in microseconds, in the order of the fields of usage.
 func printUsage() {
 	var line [1]byte
 	for {
@@ -155,7 +183,7 @@
 		runtime.ReadMemStats(&m)
 		status, _ := os.ReadFile("/proc/self/status")
 		_, rss, _ := strings.Cut(string(status), "VmRSS:")
-		fmt.Println(m.Mallocs, m.TotalAlloc, strings.Fields(rss)[0], runtime.NumGoroutine())
+		fmt.Println(m.Mallocs, m.TotalAlloc, strings.Fields(rss)[0], runtime.NumGoroutine(), cost.ProcessorTime().Microseconds())
 	}
 }
 
@@ -200,13 +228,13 @@
 	p.cmd.Wait()
 }
 
-// usage is the resource usage of a process: allocations and allocated bytes since its start, resident memory in KB, and
-// goroutines.
-type usage struct{ mallocs, bytes, rss, goroutines uint64 }
+// usage is the resource usage of a process: allocations and allocated bytes since its start, resident memory in KB,
+// goroutines, and processor time since its start in microseconds.
+type usage struct{ mallocs, bytes, rss, goroutines, processorMicros uint64 }
 
 func (p *loadedProcess) usage() (u usage) {
 	p.in.Write([]byte{'\n'})
-	fmt.Fscanln(p.out, &u.mallocs, &u.bytes, &u.rss, &u.goroutines)
+	fmt.Fscanln(p.out, &u.mallocs, &u.bytes, &u.rss, &u.goroutines, &u.processorMicros)
 	return u
 }
 
--- a/internal/extproc/extprocgrpc/remember_test.go
+++ b/internal/extproc/extprocgrpc/remember_test.go
@@ -20,15 +20,14 @@
 )
 
 // defaultConfiguration returns the configuration with the default of each setting, but for remember_ms if that is set.
-func defaultConfiguration(t *testing.T, rememberMS int) *config.ExternalProcessor {
-	t.Helper()
+func defaultConfiguration(rememberMS int) (*config.ExternalProcessor, error) {
 	text := fmt.Sprintf(`{external_processor: {listen: '127.0.0.1:0', remember_ms: %d,
 		table: [{path: '/call/{kind}/{object}', kind: 'path:kind', object: 'path:object', id: 'header:x-job-id'}]}}`, rememberMS)
 	read, err := configfile.Read("defaults.jsonnet", func(string) ([]byte, error) { return []byte(text), nil })
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
-	return read.ExternalProcessor
+	return read.ExternalProcessor, nil
 }
 
 // repeatingCaller makes lookups at a steady rate on virtual time. It requests each of them a second time, just before the
@@ -91,7 +90,11 @@
 	} {
 		name := fmt.Sprintf("%d a second, remember_ms %d, %d MB, flood %v", test.perSecond, test.rememberMS, test.memoryLimit/mb, test.isFlooded)
 		t.Run(name, func(t *testing.T) {
-			limits := limitsFrom(defaultConfiguration(t, test.rememberMS), test.memoryLimit).Lookups
+			configuration, err := defaultConfiguration(test.rememberMS)
+			if err != nil {
+				t.Fatal(err)
+			}
+			limits := limitsFrom(configuration, test.memoryLimit).Lookups
 			coordinator := retry.New(limits)
 			usual := &repeatingCaller{name: "usual", coordinator: coordinator,
 				repeatAfter: int(limits.Retention*time.Duration(test.perSecond)/time.Second) - 1}
--- a/internal/retry/coordinator.go
+++ b/internal/retry/coordinator.go
@@ -48,8 +48,11 @@
 	anomalyNeverReturned       = "never_asked_again"
 )
 
-// anomalyNoRecord is counted by Anomalies for each AnswerNoRecord. The value appears in logs.
-const anomalyNoRecord = "memory_full"
+// The kinds of refusals at a limit that Anomalies counts. The values appear in logs.
+const (
+	anomalyFull     = "lookups_full" // AnswerFull
+	anomalyNoRecord = "memory_full"  // AnswerNoRecord
+)
 
 // Coordinator holds the lookups of all callers. New creates it.
 type Coordinator struct {
@@ -77,7 +80,7 @@
 // RememberedLookups returns the number of ended lookups that are remembered.
 func (c *Coordinator) RememberedLookups() int { return c.records.kept }
 
-// Anomalies returns the number of contract violations by callers, by kind, and the number of answers AnswerNoRecord.
+// Anomalies returns the number of contract violations by callers, and of refusals at a limit, by kind.
 func (c *Coordinator) Anomalies() map[string]int { return maps.Clone(c.anomalies) }
 
 // AttemptsOut returns the number of attempts that callers are making, plus those that are decided and not yet requested.
@@ -132,6 +135,7 @@
 		return nil, commands
 	}
 	if len(c.lookups) >= c.limits.MaxLookups || c.records.reservedBy(stream.Caller) >= c.limits.MaxPerCaller {
+		c.anomalies[anomalyFull]++
 		commands.answer(stream, AnswerFull)
 		return nil, commands
 	}
--- a/internal/retry/coordinator_test.go
+++ b/internal/retry/coordinator_test.go
@@ -125,6 +125,9 @@
 		}
 		_, commands = c.Request(at(0), &Stream{Caller: "third"}, "y", at(1000))
 		want(t, commands, "full;")
+		if got := c.Anomalies()[anomalyFull]; got != 2 {
+			t.Errorf("%d refusals are counted, want 2", got)
+		}
 	})
 }
 
