lab/scenario: one loop for the connection faults that act again and again

Need: resetCache, resetClient and closeCache each had the loop of a fault that acts at random times until its end, and two of them the same choice of a connection.

Change: repeat and pickCacheConn. The order of the draws is the same.

--- a/internal/lab/scenario/connectionfaults.go
+++ b/internal/lab/scenario/connectionfaults.go
@@ -50,64 +50,70 @@
 	}
 }
 
-// resetCache lets random connections to caches be reset after a random number of bytes, until the fault ends.
-func (s *Scenario) resetCache(f Fault) {
-	till := s.sim.Now() + f.duration()
+// repeat calls act at random times until the fault ends. The first call is immediate.
+func (s *Scenario) repeat(f Fault, act func()) {
+	until := s.sim.Now() + f.duration()
 	var next func()
 	next = func() {
-		if s.sim.Now() > till {
+		if s.sim.Now() > until {
 			return
 		}
-		if c := pick(s.caches, s.randN(1<<16)); len(c.conns) > 0 {
-			conn := pick(c.conns, s.randN(1<<16))
-			if s.randN(2) == 0 {
-				conn.end.ResetAfterIn = 1 + s.randN(9000)
-			} else {
-				conn.end.ResetAfterOut = 1 + s.randN(400)
-			}
-		}
+		act()
 		s.after(time.Duration(20+s.randN(300))*time.Millisecond, next)
 	}
 	next()
 }
 
+// resetCache lets random connections to caches be reset after a random number of bytes, until the fault ends.
+func (s *Scenario) resetCache(f Fault) {
+	s.repeat(f, func() {
+		conn := s.pickCacheConn()
+		if conn == nil {
+			return
+		}
+		if s.randN(2) == 0 {
+			conn.end.ResetAfterIn = 1 + s.randN(9000)
+		} else {
+			conn.end.ResetAfterOut = 1 + s.randN(400)
+		}
+	})
+}
+
 // resetClient lets random connections of clients be reset after a random number of bytes, until the fault ends.
 func (s *Scenario) resetClient(f Fault) {
-	till := s.sim.Now() + f.duration()
-	var next func()
-	next = func() {
-		if s.sim.Now() > till {
+	s.repeat(f, func() {
+		pool := s.clients.pool[pick(s.gateways, s.randN(1<<16))]
+		if len(pool) == 0 {
 			return
 		}
-		if pool := s.clients.pool[pick(s.gateways, s.randN(1<<16))]; len(pool) > 0 {
-			if c := pick(pool, s.randN(1<<16)); c.up && !c.closed {
-				c.misbehaves = true
-				if s.randN(2) == 0 {
-					c.end.ResetAfterIn = 1 + s.randN(300)
-				} else {
-					c.end.ResetAfterOut = 1 + s.randN(9000)
-				}
-			}
+		c := pick(pool, s.randN(1<<16))
+		if !c.up || c.closed {
+			return
 		}
-		s.after(time.Duration(20+s.randN(300))*time.Millisecond, next)
-	}
-	next()
+		c.misbehaves = true
+		if s.randN(2) == 0 {
+			c.end.ResetAfterIn = 1 + s.randN(300)
+		} else {
+			c.end.ResetAfterOut = 1 + s.randN(9000)
+		}
+	})
 }
 
 // closeCache closes random connections at the caches' side until the fault ends.
 func (s *Scenario) closeCache(f Fault) {
-	till := s.sim.Now() + f.duration()
-	var next func()
-	next = func() {
-		if s.sim.Now() > till {
-			return
-		}
-		if c := pick(s.caches, s.randN(1<<16)); len(c.conns) > 0 {
-			conn := pick(c.conns, s.randN(1<<16))
+	s.repeat(f, func() {
+		if conn := s.pickCacheConn(); conn != nil {
 			conn.end.Close()
 			conn.endAtCache(false)
 		}
-		s.after(time.Duration(20+s.randN(300))*time.Millisecond, next)
+	})
+}
+
+// pickCacheConn returns a random connection of a random cache, or nil if that cache has none.
+func (s *Scenario) pickCacheConn() *cacheConn {
+	cache := pick(s.caches, s.randN(1<<16))
+	if len(cache.conns) == 0 {
+		return nil
 	}
-	next()
+	return pick(cache.conns, s.randN(1<<16))
 }
