--- a/internal/discovery/unusable_test.go
+++ b/internal/discovery/unusable_test.go
@@ -116,3 +116,20 @@
 		}
 	})
 }
+
+// TestRejectedLinesPastTheirBound checks that a further line counts as repeated, so that a source whose invalid event
+// has another form each time does not hold up the events after it.
+func TestRejectedLinesPastTheirBound(t *testing.T) {
+	var lines unusableLines
+	for i := range maxRejectedLines {
+		if lines.add(fmt.Append(nil, "line ", i), 7) || lines.allowedGap(7) != 0 {
+			t.Fatalf("line %d counts as repeated, want %d different ones", i, maxRejectedLines)
+		}
+	}
+	if !lines.add([]byte("another"), 7) || lines.allowedGap(7) != 1 {
+		t.Error("a line past the bound does not count as repeated")
+	}
+	if lines.add([]byte("another"), 8) || lines.allowedGap(8) != 0 {
+		t.Error("the lines after one event count for the next one")
+	}
+}
