extprocgrpc: repeats beside more ended lookups than may be open, over gRPC

Need: the guards of the records ran below the listener; a listener that passed another bound to them would not have been noticed.

Change: TestRepeatsOverListener requests 120 lookups and each of them again at a listener that may have 100 open. Server.RememberedLookups, which nothing used, is gone.

--- a/internal/extproc/extprocgrpc/listener_test.go
+++ b/internal/extproc/extprocgrpc/listener_test.go
@@ -1,6 +1,7 @@
 package extprocgrpc
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -24,8 +25,8 @@
 	"foldslip/internal/env"
 )
 
-// startListener starts a Listener that runs until the end of the test. It sets the
-// limits and the table of the configuration; the caller of startListener sets the rest.
+// startListener starts a Listener that runs until the end of the test. It sets the limits and the table of the
+// configuration, but RememberMS only if it is 0; the caller of startListener sets the rest.
 func startListener(t *testing.T, configuration *config.ExternalProcessor) *Listener {
 	t.Helper()
 	dependencies, err := newDependencies(true)
@@ -35,7 +36,8 @@
 	dependencies.Admission = admission.NewController(dependencies.Environment, 100, 1<<20)
 	configuration.StreamsPerConnection, configuration.StreamsPerCaller = 100, 100
 	configuration.Lookups, configuration.LookupsPerCaller = 100, 100
-	configuration.ReturnTimeoutMS, configuration.RememberMS, configuration.SilenceTimeoutMS = 300, 2000, 5000
+	configuration.ReturnTimeoutMS, configuration.SilenceTimeoutMS = 300, 5000
+	configuration.RememberMS = cmp.Or(configuration.RememberMS, 2000)
 	configuration.Weight = 1
 	configuration.Table = []config.LookupRule{{Path: "/call/{kind}/{object}/part-{part}", Kind: "path:kind", Object: "path:object", Part: "path:part", ID: "header:x-job-id"}}
 	l, err := Listen("n0", dependencies, configuration, 0)
--- a/internal/extproc/extprocgrpc/remember_test.go
+++ b/internal/extproc/extprocgrpc/remember_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"net/http"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"google.golang.org/grpc/credentials/insecure"
+
+	"foldslip/client"
 	"foldslip/internal/config"
 	"foldslip/internal/config/configfile"
 	"foldslip/internal/dispatch"
@@ -120,6 +125,32 @@
 	}
 }
 
+// TestRepeatsOverListener guards against a second run of a repeated lookup at a Listener as it is configured: more ended
+// lookups are remembered than may be open at once.
+func TestRepeatsOverListener(t *testing.T) {
+	configuration := &config.ExternalProcessor{Listen: "unix:" + filepath.Join(t.TempDir(), "listener"), RememberMS: longestRememberMS}
+	startListener(t, configuration)
+	lookups := int(configuration.Lookups) + 20
+	for i := range lookups {
+		if result, err := lookUp(t, configuration.Listen, insecure.NewCredentials(), fmt.Sprint(i), "hit"); err != nil || result.Kind != client.Satisfied {
+			t.Fatalf("lookup %d: %+v, %v; want it satisfied", i, result, err)
+		}
+	}
+	reruns := 0
+	for i := range lookups {
+		result, err := lookUp(t, configuration.Listen, insecure.NewCredentials(), fmt.Sprint(i), "hit")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if result.Status != http.StatusConflict || len(result.Attempts) > 0 {
+			reruns++
+		}
+	}
+	if reruns > 0 {
+		t.Errorf("%d of %d lookups ran again when they were requested again within remember_ms", reruns, lookups)
+	}
+}
+
 // TestRefusedWithoutRecord checks that a lookup that could not be remembered is refused over gRPC with a time to come
 // back and counted, that no earlier lookup is forgotten for it, and that it is accepted after that time.
 func TestRefusedWithoutRecord(t *testing.T) {
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -119,13 +119,6 @@
 	return s.coordinator.OpenLookups()
 }
 
-// RememberedLookups returns the number of ended lookups that are remembered.
-func (s *Server) RememberedLookups() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.coordinator.RememberedLookups()
-}
-
 // AttemptsOut returns the number of attempts that callers are making,
 // and of those that are decided and wait for a request of their caller.
 func (s *Server) AttemptsOut() int {
