lab/scenario: the external processor's stand-in transport in short functions

Need: Run held the accept loop, the serving of a connection and the end in one function, with two bounds as bare numbers.

Change: closeAll, acceptAll and serve; the bounds have names.

--- a/internal/lab/scenario/extprocserver.go
+++ b/internal/lab/scenario/extprocserver.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -24,7 +25,11 @@
 // decisions are those of package extproc. Only the transport is simulated: plain text
 // instead of gRPC, because the gRPC library has timers and goroutines of its own.
 
-const extprocPort = "18200"
+const (
+	extprocPort      = "18200"
+	endNoticeTimeout = 100 * time.Millisecond // for writing to the caller why its stream ends
+	maxTextMessage   = 64 << 10               // bytes of a message on the plain text transport
+)
 
 // errTextMessage is returned for a message of the plain text transport whose phase is not a number.
 var errTextMessage = errors.New("invalid message: the phase is not a number")
@@ -80,50 +85,56 @@
 
 // Run serves connections until the lifetime ends, then closes them in the order in which they were accepted.
 func (p *extprocServer) Run(life *env.Lifetime) error {
-	defer life.OnEnd(func() {
-		p.listener.Close()
-		p.mu.Lock()
-		var all []net.Conn
-		for c := range p.conns {
-			all = append(all, c)
-		}
-		slices.SortFunc(all, func(a, b net.Conn) int { return p.conns[a] - p.conns[b] })
-		p.mu.Unlock()
-		for _, c := range all {
-			c.Close()
-		}
-	})()
-	p.group.Go("accept", func() error {
-		for {
-			c, err := p.listener.Accept()
-			if err != nil {
-				return nil
-			}
-			p.mu.Lock()
-			p.accepted++
-			p.conns[c] = p.accepted
-			p.mu.Unlock()
-			p.group.Go("serve", func() error {
-				host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-				w := &textStream{conn: c, in: bufio.NewReader(c), server: p}
-				err := p.Serve(w, host)
-				var reason extproc.EndReason
-				if errors.As(err, &reason) {
-					c.SetWriteDeadline(p.environment.Now().Add(100 * time.Millisecond))
-					fmt.Fprintf(c, "E%d\n\n", reason)
-				}
-				c.Close()
-				p.mu.Lock()
-				delete(p.conns, c)
-				p.mu.Unlock()
-				return nil
-			})
-		}
-	})
+	defer life.OnEnd(p.closeAll)()
+	p.group.Go("accept", p.acceptAll)
 	p.Server.Run(life)
 	return p.group.Wait()
 }
 
+// closeAll closes the listener and all open connections in the order in which they were accepted.
+func (p *extprocServer) closeAll() {
+	p.listener.Close()
+	p.mu.Lock()
+	conns := slices.SortedFunc(maps.Keys(p.conns), func(a, b net.Conn) int { return p.conns[a] - p.conns[b] })
+	p.mu.Unlock()
+	for _, conn := range conns {
+		conn.Close()
+	}
+}
+
+// acceptAll accepts and serves connections until the listener is closed.
+func (p *extprocServer) acceptAll() error {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return nil
+		}
+		p.mu.Lock()
+		p.accepted++
+		p.conns[conn] = p.accepted
+		p.mu.Unlock()
+		p.group.Go("serve", func() error {
+			p.serve(conn)
+			return nil
+		})
+	}
+}
+
+// serve serves one connection, which carries one stream. It tells the caller if the server ends the stream.
+func (p *extprocServer) serve(conn net.Conn) {
+	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	err := p.Serve(&textStream{conn: conn, in: bufio.NewReader(conn), server: p}, host)
+	var reason extproc.EndReason
+	if errors.As(err, &reason) {
+		conn.SetWriteDeadline(p.environment.Now().Add(endNoticeTimeout))
+		fmt.Fprintf(conn, "E%d\n\n", reason)
+	}
+	conn.Close()
+	p.mu.Lock()
+	delete(p.conns, conn)
+	p.mu.Unlock()
+}
+
 func (p *extprocServer) Reload(*config.Config) error { return nil }
 func (p *extprocServer) Drain()                      { p.listener.Close() }
 func (p *extprocServer) Wait() {
@@ -140,7 +151,7 @@
 	server *extprocServer
 }
 
-// Receive reads a message of at most 64 KiB.
+// Receive reads a message of at most maxTextMessage bytes.
 func (w *textStream) Receive() (extproc.Message, error) {
 	first, err := w.in.ReadString('\n')
 	if err != nil {
@@ -153,7 +164,7 @@
 	m, fields := extproc.Message{Phase: extproc.Phase(phase), Size: len(first)}, []string(nil)
 	for {
 		line, err := w.in.ReadString('\n')
-		if m.Size += len(line); err != nil || m.Size > 64<<10 {
+		if m.Size += len(line); err != nil || m.Size > maxTextMessage {
 			return m, io.ErrUnexpectedEOF
 		}
 		if line == "\n" {
