warmstart: a dropped purge from the future doesn't outdate copies from after the start

One purge of a discovery clock far ahead would have outdated all objects after a restart until that time; found by reading the change.

Change: at a start the time is bounded by the present.

--- a/internal/warmstart/reconciler_test.go
+++ b/internal/warmstart/reconciler_test.go
@@ -173,6 +173,18 @@
 			t.Error(f.log.String())
 		}
 	})
+	t.Run("a purge from far in the future that did not fit leaves copies from after the start in date", func(t *testing.T) {
+		now := time.Now()
+		update := endpoints.Update{LastEvent: 41, Purges: []endpoints.Purge{{Object: "first", IssuedAt: now.Add(24 * time.Hour).UnixMilli()}}}
+		for i := range endpoints.MaxPurges {
+			update.Purges = append(update.Purges, endpoints.Purge{Object: fmt.Sprint(i), IssuedAt: now.UnixMilli()})
+		}
+		f := newFixture(t, completeList, update)
+		f.reconciler.Start(f.purges)
+		if issuedAt, _ := f.purges.InForce("other", 0); issuedAt.After(time.Now()) {
+			t.Errorf("copies from before %v are out of date, want none from after the start", issuedAt)
+		}
+	})
 	t.Run("purges that did not fit are of no account when their retention is over", func(t *testing.T) {
 		now := time.Now()
 		update := endpoints.Update{LastEvent: 41, Purges: []endpoints.Purge{{Object: "first", IssuedAt: now.Add(-2 * time.Hour).UnixMilli()}}}
--- a/internal/warmstart/start.go
+++ b/internal/warmstart/start.go
@@ -78,7 +78,7 @@
 			r.dispatcher.Tick(nil, false, []dispatch.Purge{{Object: p.Object, Group: p.Group, IssuedAt: issuedAt}})
 		}
 	}
-	droppedAt := time.UnixMilli(list.DroppedPurgesAt)
+	droppedAt := time.UnixMilli(min(list.DroppedPurgesAt, now.UnixMilli())) // a clock ahead must not outdate later copies
 	if purges.Retention > now.Sub(droppedAt) {
 		r.env.Log().Warn("stored_purges_incomplete", "stored", len(list.Purges), "all_purged_ms_ago", now.Sub(droppedAt).Milliseconds())
 		r.purgeAllGroups(purges, droppedAt)
