--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -10,14 +10,6 @@
 	"foldslip/internal/store/endpoints"
 )
 
-// source is the origin of an event.
-type source int
-
-const (
-	fromSession source = iota
-	fromConfig         // the platform's configuration, whose event numbers are not checked
-)
-
 // LoadKnown applies the events in the platform's configuration. Call it before Run.
 func (w *Watch) LoadKnown(text json.RawMessage) error {
 	var known struct {
@@ -28,7 +20,7 @@
 		return fmt.Errorf("parse known events of the platform configuration: %w", err)
 	}
 	for _, event := range known.Events {
-		if err := w.handleLine(event, fromConfig); err != nil {
+		if err := w.handleLine(event, nil); err != nil {
 			return fmt.Errorf("apply known event of the platform configuration: %w", err)
 		}
 	}
@@ -36,10 +28,11 @@
 	return nil
 }
 
-// handleLine handles a line, which contains an event or only the number of discovery's last event.
-func (w *Watch) handleLine(line []byte, from source) error {
+// handleLine handles a line, which contains an event or only the number of discovery's last event. The session is nil for
+// an event of the platform's configuration, whose number is not checked.
+func (w *Watch) handleLine(line []byte, from *session) error {
 	if number, err := strconv.ParseInt(string(line), 10, 64); err == nil {
-		return w.handleNumber(number)
+		return w.handleNumber(number, from)
 	}
 	var e event
 	if err := json.Unmarshal(line, &e); err != nil {
@@ -49,39 +42,49 @@
 		return errNoNumber
 	}
 	if e.Endpoints == nil && e.Purge == nil {
-		if *e.Number > w.LastEvent && from == fromSession {
+		if *e.Number > w.LastEvent && from != nil {
 			return numberError(errGap, *e.Number, w.LastEvent)
 		}
 		return nil
 	}
-	if from == fromSession {
-		if isNext, err := e.checkNumber(w.LastEvent, w.unusable.allowedGap(w.LastEvent)); !isNext {
+	if from != nil {
+		if isNext, err := e.checkNumber(w.LastEvent, w.unusable.allowedGap(w.LastEvent, from)); !isNext {
+			from.advance(*e.Number)
 			return err
 		}
 	}
 	return w.apply(&e, from)
 }
 
-// handleNumber compares the number of discovery's last event with LastEvent.
-func (w *Watch) handleNumber(number int64) error {
-	if number > w.LastEvent+w.unusable.allowedGap(w.LastEvent) {
+// handleNumber compares the number of discovery's last event with LastEvent. The number is lower than LastEvent without
+// a restart of the numbers if another session is ahead of this one.
+func (w *Watch) handleNumber(number int64, from *session) error {
+	switch {
+	case number > w.LastEvent+w.unusable.allowedGap(w.LastEvent, from):
 		return numberError(errGap, number, w.LastEvent)
-	}
-	if number > w.LastEvent { // the events up to this number are invalid and were skipped
+	case number > w.LastEvent: // the events up to this number are invalid and were skipped
 		w.LastEvent = number
+		from.advance(number)
+		return nil
+	case number < w.LastEvent && number >= from.position:
+		from.advance(number)
 		return nil
 	}
 	if w.Reconciler.ObserveEventNumber(number, w.LastEvent) {
 		held := w.LastEvent
 		w.LastEvent = 0
+		w.endSessions("renumbered", func(other *session) bool { return other != from })
 		return numberError(errRenumbered, number, held)
 	}
+	if number == w.LastEvent {
+		w.caughtUp(from)
+	}
 	return nil
 }
 
 // apply applies an event to the purge log, the dispatcher, the registry and the stored list, and calls the callbacks.
 // If its purge or one of its endpoints is invalid, no part of the event is applied.
-func (w *Watch) apply(e *event, from source) error {
+func (w *Watch) apply(e *event, from *session) error {
 	var purges []dispatch.Purge
 	if e.Purge != nil {
 		parsed, err := e.Purge.parse()
@@ -106,13 +109,14 @@
 	w.dispatcher.Tick(list, e.isComplete(), purges)
 	w.forgetRemoved(e, removed)
 	w.LastEvent = *e.Number
+	from.advance(w.LastEvent)
 	if w.OnEvent != nil {
 		w.OnEvent(w.LastEvent, purges)
 	}
 	if w.Reconciler != nil {
 		w.Reconciler.Apply(w.storedUpdate(e))
 	}
-	if e.isComplete() && w.OnFirstList != nil && from == fromSession {
+	if e.isComplete() && w.OnFirstList != nil && from != nil {
 		w.OnFirstList()
 		w.OnFirstList = nil
 	}
@@ -165,7 +169,7 @@
 
 // storedUpdate converts an event to an update of the stored list.
 func (w *Watch) storedUpdate(e *event) endpoints.Update {
-	update := endpoints.Update{LastEvent: w.LastEvent, DiscoveryAddr: w.currentAddr()}
+	update := endpoints.Update{LastEvent: w.LastEvent, DiscoveryAddr: w.addr}
 	if e.Purge != nil {
 		update.Purges = append(update.Purges, e.Purge.stored(w.env.Now()))
 	}
--- a/internal/discovery/helpers_test.go
+++ b/internal/discovery/helpers_test.go
@@ -50,6 +50,11 @@
 	return w
 }
 
+// newTestSession returns a session that begins now after the last event.
+func newTestSession(w *Watch) *session {
+	return &session{lifetime: env.NewLifetime(nil), startedAt: w.env.Now(), after: w.LastEvent, position: w.LastEvent}
+}
+
 // endpointsEvent returns the line of an event with the given JSON endpoints.
 func endpointsEvent(number int64, isComplete bool, endpoints ...string) []byte {
 	return fmt.Appendf(nil, `{"no":%d,"roster":{"revision":%d,"complete":%v,"members":[%s]}}`, number, number, isComplete, strings.Join(endpoints, ","))
--- a/internal/discovery/partial.go
+++ b/internal/discovery/partial.go
@@ -20,7 +20,7 @@
 // endpoint that this gateway cannot use, for example of a machine type that its settings do not have, would keep it from
 // the purge and from the drains and removals of the same event. A cache that a complete list names only in an invalid
 // endpoint gets no further attempts. It does nothing if no part is valid or if the event is not the next one.
-func (w *Watch) applyUsableParts(line []byte) {
+func (w *Watch) applyUsableParts(line []byte, from *session) {
 	var raw rawEvent
 	if json.Unmarshal(line, &raw) != nil || raw.Number == nil {
 		return
@@ -29,11 +29,11 @@
 	if e.Endpoints == nil && e.Purge == nil {
 		return
 	}
-	others := w.unusable.allowedGap(w.LastEvent) - 1 // invalid events of this session before this one
+	others := w.unusable.allowedGap(w.LastEvent, from) - 1 // invalid events of this session before this one
 	if isNext, err := e.checkNumber(w.LastEvent, others); !isNext || err != nil {
 		return
 	}
-	if err := w.apply(e, fromSession); err != nil {
+	if err := w.apply(e, from); err != nil {
 		return
 	}
 	endpoints := 0
--- a/internal/discovery/unusable.go
+++ b/internal/discovery/unusable.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -14,32 +15,48 @@
 // delivers the event again. If an identical line is received again, it may be an event that is invalid at its source.
 // It is skipped but for its valid parts and its number may be missing, so that it does not block the events after it.
 type unusableLines struct {
-	after    int64    // number of the last applied event when the lines were received
-	rejected []uint64 // hashes of the lines that ended a session
-	repeated int      // number of repeated lines in this session
+	after    int64 // number of the last applied event when the lines were received
+	rejected []rejectedLine
 }
 
-// add records an invalid line and reports whether it was received before.
-func (u *unusableLines) add(line []byte, lastEvent int64) (seenBefore bool) {
+// rejectedLine is a line that ended a session.
+type rejectedLine struct {
+	hash uint64
+	at   time.Time
+}
+
+// repeatedLines counts the unusable lines that one session has received again after an event.
+type repeatedLines struct {
+	after int64 // number of the last applied event when the lines were received
+	count int
+}
+
+// add records an invalid line of a session and reports whether it was received before. A session that began before the
+// line was rejected does not receive it again: discovery may have written the line to several sessions at once.
+func (u *unusableLines) add(line []byte, lastEvent int64, from *session, now time.Time) (seenBefore bool) {
 	if u.after != lastEvent {
 		*u = unusableLines{after: lastEvent}
 	}
 	hash := xxhash.Sum64(line)
-	if len(u.rejected) < maxRejectedLines && !slices.Contains(u.rejected, hash) {
-		u.rejected = append(u.rejected, hash)
+	index := slices.IndexFunc(u.rejected, func(r rejectedLine) bool { return r.hash == hash })
+	if index < 0 && len(u.rejected) < maxRejectedLines {
+		u.rejected = append(u.rejected, rejectedLine{hash, now})
 		return false
 	}
-	u.repeated++
+	if index >= 0 && from.startedAt.Before(u.rejected[index].at) {
+		return false
+	}
+	if from.repeated.after != lastEvent {
+		from.repeated = repeatedLines{after: lastEvent}
+	}
+	from.repeated.count++
 	return true
 }
 
-// allowedGap returns how many event numbers may be missing after the last applied event.
-func (u *unusableLines) allowedGap(lastEvent int64) int64 {
-	if u.after != lastEvent {
+// allowedGap returns how many event numbers may be missing in a session after the last applied event.
+func (u *unusableLines) allowedGap(lastEvent int64, from *session) int64 {
+	if u.after != lastEvent || from.repeated.after != lastEvent {
 		return 0
 	}
-	return int64(u.repeated)
+	return int64(from.repeated.count)
 }
-
-// beginSession resets the number of repeated lines for a new session.
-func (u *unusableLines) beginSession() { u.repeated = 0 }
--- a/internal/gateway/descriptors.go
+++ b/internal/gateway/descriptors.go
@@ -6,14 +6,15 @@
 	"time"
 
 	"foldslip/internal/config"
+	"foldslip/internal/discovery"
 	"foldslip/internal/env"
 )
 
 const (
 	// processDescriptors is the number of descriptors that every gateway process uses itself: three standard
 	// streams, five of the Go runtime (its poller, its wake-up event and the control group's files), the listener,
-	// one connection that is being accepted or refused, the discovery watch, and one file that is being read.
-	processDescriptors = 12
+	// one connection that is being accepted or refused, the sessions of the discovery watch, and one file that is being read.
+	processDescriptors = 11 + discovery.MaxSessions
 	adminDescriptors   = 9  // for each admin socket: its listener and eight connections
 	storeDescriptors   = 4  // for each directory: its lock, a file being written, a file being read, the directory itself
 	fleetDescriptors   = 40 // for the fleet: two listeners, 32 accepted streams, and the streams that it opens
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,7 @@
 	pool       *upstream.Pool
 	server     *frontend.Server
 	routes     *rollout.Controller
+	watch      *discovery.Watch
 }
 
 // Routes returns the controller of the routes, or nil if there are no routes.
@@ -89,6 +90,7 @@
 	ConnAttempts   int // open attempts as counted by the connections to caches
 	CacheConns     int
 	ClientConns    int
+	Sessions       int // connections to discovery
 }
 
 // Load returns the present load. The counts are taken one after another,
@@ -98,6 +100,7 @@
 	l.OpenAttempts, l.QueuedAttempts = g.dispatcher.InFlight()
 	l.ConnAttempts, l.CacheConns = g.pool.Load()
 	l.ClientConns = g.server.ConnCount()
+	l.Sessions = g.watch.Sessions()
 	return l
 }
 
@@ -346,7 +349,7 @@
 	}
 	g.setReady()
 	if g.hooks.OnStarted != nil {
-		g.hooks.OnStarted(&Gateway{g.dispatcher, g.pool, g.server, g.routes})
+		g.hooks.OnStarted(&Gateway{g.dispatcher, g.pool, g.server, g.routes, g.watch})
 	}
 	start("drain", g.drainOnSignal)
 	err := group.Wait()
