--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -45,7 +45,7 @@
 		}
 	}
 	w.scheduleOpen(now)
-	if !w.openAt.IsZero() && !now.Before(w.openAt) {
+	if w.opensNow || !w.openAt.IsZero() && !now.Before(w.openAt) {
 		return w.open(lifetime, now), 0
 	}
 	return nil, w.nextStep().Sub(now)
@@ -126,6 +126,7 @@
 	}
 	w.sessions = append(w.sessions, s)
 	w.openAt = time.Time{}
+	w.opensNow = false
 	return s
 }
 
@@ -152,13 +153,16 @@
 	s.hasDelivered = true
 	s.isOverdue = false
 	s.partialBytes = 0
+	if s.hasMoved() {
+		return
+	}
 	w.silentSessions = 0
 	s.overdueAt = now.Add(w.silenceTimeout())
 	if wasOverdue {
 		w.env.Log().Info("discovery_recovered", "addr", s.addr, "last", w.LastEvent, "age_ms", now.Sub(s.startedAt).Milliseconds())
 		return
 	}
-	if len(w.sessions) > 1 && !s.hasMoved() {
+	if len(w.sessions) > 1 {
 		w.endSessions("superseded", func(other *session) bool { return other.startedAt.After(s.startedAt) && !other.hasDelivered })
 	}
 }
--- a/internal/discovery/session.go
+++ b/internal/discovery/session.go
@@ -17,7 +17,7 @@
 	startedAt    time.Time
 	activeAt     time.Time // when the session began, connected or last received a byte
 	overdueAt    time.Time // when its connection or its next line is overdue
-	expiresAt    time.Time // when a session that has moved ends at the latest; zero: it has not moved
+	expiresAt    time.Time // when a session that has moved ends at the latest; zero: its address is in use
 	after        int64     // number of the last applied event when the session began
 	position     int64     // number of the last event that the session has delivered; its request at first
 	repeated     repeatedLines
@@ -35,7 +35,7 @@
 	}
 }
 
-// hasMoved reports whether SetAddr was called after the session was connected.
+// hasMoved reports whether the address of discovery is another one now.
 func (s *session) hasMoved() bool { return !s.expiresAt.IsZero() }
 
 // advance records that the session has delivered an event, or that none up to its number is missing. It does nothing for
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -72,6 +72,7 @@
 	ended          []*session // sessions that ended while mu was held; see unlock
 	silentSessions int        // number of sessions in a row that became silent; a line resets it
 	openAt         time.Time  // when the next session begins; zero: when all sessions are overdue
+	opensNow       bool       // the next session begins at once, whatever the others do
 	retryDelay     time.Duration
 }
 
@@ -89,28 +90,26 @@
 	}
 }
 
-// SetAddr sets the address of discovery, which may be the current one, and begins a session there at once. Sessions that
-// are connected have until deliveryTimeout to deliver what was written to them before. A session that is still dialing
-// ends, or becomes the new one if the address is unchanged.
+// SetAddr sets the address of discovery and begins a session there at once, even if the address is the current one.
+// Sessions at another address that are connected have until deliveryTimeout to deliver what was written to them before,
+// and end earlier when the new session has caught up. A session that is dialing the new address serves as the new one.
 func (w *Watch) SetAddr(addr string) {
 	w.mu.Lock()
 	now := w.env.Now()
-	isDialing := false
+	w.addr = addr
+	w.retryDelay = minRetryDelay
+	w.opensNow = true
 	for _, s := range slices.Clone(w.sessions) {
 		switch {
+		case s.addr == addr:
+			s.expiresAt = time.Time{}
+			w.opensNow = w.opensNow && s.isConnected
 		case s.isConnected:
 			s.move(now)
-		case s.addr == addr:
-			isDialing = true
 		default:
 			w.endSession(s, "moved")
 		}
 	}
-	w.addr = addr
-	w.retryDelay = minRetryDelay
-	if !isDialing {
-		w.openAt = now
-	}
 	w.unlock()
 	w.wakeup.Notify()
 }
@@ -118,7 +117,7 @@
 // Run opens sessions with discovery until the lifetime ends, and ends them before it returns.
 func (w *Watch) Run(lifetime *env.Lifetime) error {
 	defer lifetime.OnEnd(w.wakeup.Notify)()
-	w.begin()
+	w.openFirst()
 	sessions := w.env.NewGroup()
 	for !lifetime.Ended() {
 		opened, wait := w.step(lifetime)
@@ -134,11 +133,11 @@
 	return sessions.Wait()
 }
 
-// begin makes the first session due at once.
-func (w *Watch) begin() {
+// openFirst makes the first session begin at once.
+func (w *Watch) openFirst() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.openAt = w.env.Now()
+	w.opensNow = true
 }
 
 // Sessions returns the number of open sessions.
