--- a/internal/lab/clients/caches.go
+++ b/internal/lab/clients/caches.go
@@ -20,21 +20,30 @@
 	done      chan struct{}
 	vanished  []*atomic.Bool // by server: its machine has vanished
 
-	mu    sync.Mutex             // guards the fields below
-	sends map[string][]time.Time // when each request came, by id
+	mu       sync.Mutex             // guards the fields below
+	sends    map[string][]time.Time // when each request came, by id
+	lastSend map[int]time.Time      // when the last request came, by server
 }
 
 // CacheBehavior is how the caches of a play respond.
 type CacheBehavior struct {
-	ServedIn  time.Duration
-	BodyBytes int
-	ShedAll   bool // respond that no capacity is left
+	ServedIn     time.Duration
+	BodyBytes    int
+	ShedAll      bool // respond that no capacity is left
+	HasOldCopies bool // respond with a copy from before the play, unless the request wants a newer one
 }
 
+// oldCopy is the body of a copy from before the play.
+const oldCopy = "old"
+
+// oldCopyAge is the age of such a copy.
+const oldCopyAge = time.Minute
+
 const edgeCount = 4
 
 func startCaches(behavior CacheBehavior) (*caches, error) {
-	c := &caches{behavior: behavior, body: strings.Repeat("x", behavior.BodyBytes), done: make(chan struct{}), sends: map[string][]time.Time{}}
+	c := &caches{behavior: behavior, body: strings.Repeat("x", behavior.BodyBytes), done: make(chan struct{}), sends: map[string][]time.Time{},
+		lastSend: map[int]time.Time{}}
 	for n := range edgeCount + 2 {
 		flavor, locality := "edge", "town"
 		if n >= edgeCount {
@@ -79,14 +88,25 @@
 // newResponder returns the handler of a new server.
 func (c *caches) newResponder() func(standin.Request) {
 	vanished := &atomic.Bool{}
+	server := len(c.vanished)
 	c.vanished = append(c.vanished, vanished)
 	return func(request standin.Request) {
+		c.mu.Lock()
+		c.lastSend[server] = time.Now()
+		c.mu.Unlock()
 		if !vanished.Load() {
 			c.respond(request)
 		}
 	}
 }
 
+// lastSendTo returns when the last request came to a server.
+func (c *caches) lastSendTo(server int) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastSend[server]
+}
+
 // replace puts a new process at the address of an edge, whose machine vanishes: its connections stay open, and nothing is
 // answered on them any more.
 func (c *caches) replace(edge int) error {
@@ -112,6 +132,10 @@
 		request.Respond("SHED", "-")
 		return
 	}
+	if c.behavior.HasOldCopies && request.Fields["oldest"] == "" {
+		request.Hit(time.Now().Add(-oldCopyAge), "hit", oldCopy)
+		return
+	}
 	request.Hit(time.Now(), "hit", c.body)
 }
 
--- a/internal/lab/clients/clients_test.go
+++ b/internal/lab/clients/clients_test.go
@@ -1,6 +1,7 @@
 package clients
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -39,11 +40,28 @@
 // hand (docs/CAPACITY.md).
 func TestPlays(t *testing.T) {
 	for _, p := range Plays() {
+		if p.IsSlow {
+			continue // TestSlowPlays
+		}
 		memory := littleMemory
 		if p.Processor {
 			memory = usualMemory
 		}
-		t.Run(p.Name, func(t *testing.T) { checkPlay(t, p.Name, memory) })
+		t.Run(p.Name, func(t *testing.T) { checkPlay(t, p.Name, memory, 1) })
+	}
+}
+
+// TestSlowPlays plays what a seed draws, for some seeds side by side. It guards against lookups at a cache that drains,
+// and answers older than a purge, past their limits while discovery is slow.
+func TestSlowPlays(t *testing.T) {
+	const seeds = 6
+	for _, p := range Plays() {
+		for seed := uint64(1); p.IsSlow && seed <= seeds; seed++ {
+			t.Run(fmt.Sprint(p.Name, " seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				checkPlay(t, p.Name, usualMemory, seed)
+			})
+		}
 	}
 }
 
@@ -51,14 +69,14 @@
 func TestProcessorPlaysWithLittleMemory(t *testing.T) {
 	for _, p := range Plays() {
 		if p.Processor {
-			t.Run(p.Name, func(t *testing.T) { checkPlay(t, p.Name, littleMemory) })
+			t.Run(p.Name, func(t *testing.T) { checkPlay(t, p.Name, littleMemory, 1) })
 		}
 	}
 }
 
-func checkPlay(t *testing.T, name string, memoryMB int) {
+func checkPlay(t *testing.T, name string, memoryMB int, seed uint64) {
 	t.Helper()
-	report, err := Run(name, Options{Program: program, MemoryMB: memoryMB, Duration: 2 * time.Second, Seed: 1})
+	report, err := Run(name, Options{Program: program, MemoryMB: memoryMB, Duration: 2 * time.Second, Seed: seed})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/clients/gateway.go
+++ b/internal/lab/clients/gateway.go
@@ -1,6 +1,7 @@
 package clients
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -31,6 +32,7 @@
 type gateway struct {
 	addr          string // of the HTTP server
 	processorAddr string // of the external processor; "": it runs none
+	configPath    string
 	cmd           *exec.Cmd
 	ended         chan struct{} // closed when the process has ended
 
@@ -45,7 +47,7 @@
 const platformSettings = `{"areas":["town","hub"],"az":0,"balancers":1,"discovery":"push","weights":"off",
 "machine_types":["edge","parent","origin"],"ceilings":{"cancelling":true,"connect_timeout":400000,"keepalive":30000000,
 "max_retry_after":2000000,"max_streams":100,"retry_after":true,"second_copies":true,"try_limit":6},
-"rules":{"cold":13000000,"cold_from":0.16,"fall":1000000,"fall_multiple":3.0},
+"rules":{"cold":13000000,"cold_from":0.16,"fall":1000000,"fall_multiple":3.0,"stop_sending_within":2000000},
 "classes":[{"name":"segment","aim":400000,"aim_stretch":1.6,"deadline":5000000,"effect":"idempotent","late_worth":0.15,"points":2.0},
 {"name":"order","aim":400000,"aim_stretch":1.6,"deadline":5000000,"effect":"at_most_once","late_worth":0.15,"points":2.0}],
 "specifics":{"cleared_within":6000000,"flow_kb_per_s":480000.0,"grace_for":[0,0],"max_age":[0,0],"merges_fills":true,"obey_after":300000,
@@ -75,6 +77,7 @@
 	if err := os.WriteFile(configPath, text, 0o600); err != nil {
 		return nil, err
 	}
+	g.configPath = configPath
 	arguments := []string{"serve"}
 	environment := append(os.Environ(), "ROUTER_CONFIG="+configPath, "ROUTER_NAME=n1", "ROUTER_LISTEN=")
 	if options.Processor {
@@ -170,6 +173,18 @@
 	return kilobytes * bytesPerKB
 }
 
+// moveDiscovery replaces the address of discovery in the gateway's configuration and makes it read the file again.
+func (g *gateway) moveDiscovery(from, to string) error {
+	text, err := os.ReadFile(g.configPath)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(g.configPath, bytes.ReplaceAll(text, []byte(from), []byte(to)), 0o600); err != nil {
+		return err
+	}
+	return g.cmd.Process.Signal(syscall.SIGHUP)
+}
+
 // stop kills the process and waits for its end.
 func (g *gateway) stop() {
 	g.cmd.Process.Kill()
--- a/internal/lab/clients/plays.go
+++ b/internal/lab/clients/plays.go
@@ -62,6 +62,8 @@
 		caches: CacheBehavior{ServedIn: 20 * time.Millisecond, BodyBytes: 100}, run: func(s *stage) { s.replaceCaches(false) }},
 	{name: "drain-sent-ahead", picture: "9", ends: true, help: "SIGTERM, and 50 clients that each send 4 requests at once 0.4 s later; caches take 0.3 s",
 		caches: CacheBehavior{ServedIn: 300 * time.Millisecond, BodyBytes: 100}, run: (*stage).drainSentAhead},
+	{name: "slow-discovery", picture: "8", isSlow: true, help: "discovery tells a drain or a purge while what it writes arrives 0.3 to 6.9 s late, as the seed draws it; 13 to 18 s",
+		caches: CacheBehavior{ServedIn: 20 * time.Millisecond, BodyBytes: 100, HasOldCopies: true}, run: (*stage).slowDiscovery},
 	{name: "processor-drain", picture: "9", ends: true, processor: true, help: "SIGTERM, while one attempt in four of the callers is reset after 0.55 s and the others take 0.6 s",
 		attempt: resetOneInFour(), run: (*stage).drain},
 	{name: "processor-half-messages", picture: "a", processor: true, help: "300 callers that stop half way through a message of 64 KB on each of 8 streams",
--- a/internal/lab/clients/run.go
+++ b/internal/lab/clients/run.go
@@ -38,9 +38,10 @@
 	Sound      SoundCounts   `json:"sound"`
 	P99        time.Duration `json:"p99_ns"` // of the sound lookups that were answered
 	Latest     time.Duration `json:"latest_ns"`
-	PeakRSS    int64         `json:"peak_rss"`   // bytes
-	PeakAnon   int64         `json:"peak_anon"`  // bytes
-	Duplicates int           `json:"duplicates"` // lookups with side effects that ran twice, or after their client had left
+	PeakRSS    int64         `json:"peak_rss"`             // bytes
+	PeakAnon   int64         `json:"peak_anon"`            // bytes
+	Duplicates int           `json:"duplicates"`           // lookups with side effects that ran twice, or after their client had left
+	ListBytes  int           `json:"list_bytes,omitempty"` // written by a slow discovery service
 	Violations []string      `json:"violations"`
 	IsSlow     bool          `json:"slow"` // the p99 is over its bound
 }
@@ -55,6 +56,7 @@
 	run       func(*stage)
 	attempt   attemptFunc // of sound callers of the external processor; nil: it succeeds after soundAttemptTime
 	ends      bool        // the play ends the gateway's process in good order
+	isSlow    bool        // discovery is slow as the seed draws it; the play takes as long as it needs at least
 }
 
 // stage is what a play acts on.
@@ -62,6 +64,7 @@
 	ctx      context.Context // ends with the play
 	gateway  *gateway
 	caches   *caches
+	relay    *slowRelay // between the gateway and a slow discovery service; nil: discovery is not slow
 	random   *rand.Rand
 	duration time.Duration
 	report   *Report
@@ -72,12 +75,13 @@
 type Play struct {
 	Name, Help, Picture string
 	Processor           bool
+	IsSlow              bool // it takes over ten seconds, and its seed draws what happens
 }
 
 // Plays returns all plays.
 func Plays() (all []Play) {
 	for _, p := range plays {
-		all = append(all, Play{p.name, p.help, p.picture, p.processor})
+		all = append(all, Play{p.name, p.help, p.picture, p.processor, p.isSlow})
 	}
 	return all
 }
@@ -100,7 +104,19 @@
 	if err != nil {
 		return nil, err
 	}
-	g, err := startGateway(options, dir, servers.endpoints, servers.discovery.Addr)
+	random := rand.New(rand.NewPCG(options.Seed, 2))
+	discoveryAddr := servers.discovery.Addr
+	var relay *slowRelay
+	if p.isSlow {
+		plan := drawSlowPlan(random)
+		options.Duration = max(options.Duration, plan.duration())
+		if relay, err = newSlowRelay(discoveryAddr, plan); err != nil {
+			return nil, err
+		}
+		defer relay.close()
+		discoveryAddr = relay.addrs[0]
+	}
+	g, err := startGateway(options, dir, servers.endpoints, discoveryAddr)
 	if g != nil && g.cmd.Process != nil {
 		defer g.stop()
 	}
@@ -126,7 +142,7 @@
 		}
 		sound.run(soundCtx, func() (lookFunc, func(), error) { return look, func() {}, err })
 	}()
-	p.run(&stage{ctx: ctx, gateway: g, caches: servers, random: rand.New(rand.NewPCG(options.Seed, 2)), duration: options.Duration, report: report,
+	p.run(&stage{ctx: ctx, gateway: g, caches: servers, relay: relay, random: random, duration: options.Duration, report: report,
 		endSound: endSound})
 	<-soundEnded
 	report.finish(g, sound, p)
