broadcast: reconciliation waits longer for a peer's answer after a session without one

A gateway that was cut off got none of the purges that it missed from its peers where an answer takes over 1.5 s: each session ended before its first answer arrived, and the next one began the same wait anew. The wait for an answer now doubles after such a session, up to 12 s, and halves after one that completes.

--- a/internal/fleet/broadcast/node.go
+++ b/internal/fleet/broadcast/node.go
@@ -51,6 +51,7 @@
 	session          *session // nil: none
 	differingSeconds int      // seconds of issue time in which purges may be missing
 	reconcileAt      int64
+	answerTimeout    int64 // of the next request
 
 	rate    tokenBucket
 	sweepAt int64
@@ -75,6 +76,7 @@
 		origins:          map[uint64]*origin{},
 		stored:           map[batchID]*storedBatch{},
 		rate:             tokenBucket{tokens: settings.RateLimit * microsPerSecond, filledAt: now},
+		answerTimeout:    minAnswerTimeout,
 		sweepAt:          now + sweepInterval,
 	}
 	n.lazyPushAt = now + rng.Int64N(max(1, settings.LazyPushInterval))
--- a/internal/fleet/broadcast/reconcile.go
+++ b/internal/fleet/broadcast/reconcile.go
@@ -9,19 +9,20 @@
 // requesting gateway receives purges, so reconciliation spends its rate. A peer answers (serve.go) as long as its own
 // rate allows.
 const (
-	maxOpenRequests        = 4         // requests in flight in a session
-	maxPendingRequests     = 8192      // requests of a session that wait to be sent
-	maxSessionRequests     = 16384     // requests sent in a session, after which a peer that does not finish is given up
-	maxRequestAttempts     = 2         // attempts of a request, after which the peer is given up
-	answerTimeout          = 1_500_000 // microseconds after which a request without an answer is repeated
-	shortReconcileInterval = 300_000   // microseconds, the minimum delay after a pass that delivered purges or was cut short
-	maxRequestedPurges     = 90        // purges that a pull is expected to return, by the difference of the sums
-	maxListedIDs           = 150       // own IDs that a pull is expected to list
-	maxSplitBits           = 12        // length of the ID prefixes by which a second is split when it is first pulled
-	requestReserveBytes    = 1200      // rate credit that each request in flight reserves for its answer
-	settleSeconds          = 5         // latest seconds of issue time, not compared because their purges may be in flight
-	maxSilenceSeconds      = 300       // seconds by which the compared span is extended at most while no newer purge arrives
-	horizonMargin          = 120       // seconds between the horizon and the start of the compared span
+	maxOpenRequests        = 4          // requests in flight in a session
+	maxPendingRequests     = 8192       // requests of a session that wait to be sent
+	maxSessionRequests     = 16384      // requests sent in a session, after which a peer that does not finish is given up
+	maxRequestAttempts     = 2          // attempts of a request, after which the peer is given up
+	minAnswerTimeout       = 1_500_000  // microseconds after which a request without an answer is repeated at first
+	maxAnswerTimeout       = 12_000_000 // doubled up to this after a session without an answer in time
+	shortReconcileInterval = 300_000    // microseconds, the minimum delay after a pass that delivered purges or was cut short
+	maxRequestedPurges     = 90         // purges that a pull is expected to return, by the difference of the sums
+	maxListedIDs           = 150        // own IDs that a pull is expected to list
+	maxSplitBits           = 12         // length of the ID prefixes by which a second is split when it is first pulled
+	requestReserveBytes    = 1200       // rate credit that each request in flight reserves for its answer
+	settleSeconds          = 5          // latest seconds of issue time, not compared because their purges may be in flight
+	maxSilenceSeconds      = 300        // seconds by which the compared span is extended at most while no newer purge arrives
+	horizonMargin          = 120        // seconds between the horizon and the start of the compared span
 )
 
 // sessionRequest requests the sums of a minute's seconds, or pulls purges of one second.
@@ -106,24 +107,32 @@
 		request := &s.open[overdue]
 		request.attempts++
 		if request.attempts >= maxRequestAttempts {
-			n.endSession(false, now)
+			n.endUnanswered(now)
 			return
 		}
 		s.pending = append(s.pending, *request)
 		s.open = slices.Delete(s.open, overdue, overdue+1)
 	}
-	if !s.isAnswered && now-s.startedAt >= answerTimeout {
-		n.endSession(false, now)
+	if !s.isAnswered && now-s.startedAt >= n.answerTimeout {
+		n.endUnanswered(now)
 		return
 	}
 	n.sendRequests(now)
 }
 
+// endUnanswered ends a session whose peer did not answer in time. Answers over a slow link may come later than that, so
+// the next session waits longer for them: otherwise none would ever be in time.
+func (n *Node) endUnanswered(now int64) {
+	n.answerTimeout = min(2*n.answerTimeout, maxAnswerTimeout)
+	n.endSession(false, now)
+}
+
 // endSession ends the session. After a complete session, this gateway has all purges that the peer had.
 func (n *Node) endSession(isComplete bool, now int64) {
 	s := n.session
 	n.session = nil
 	if isComplete {
+		n.answerTimeout = max(n.answerTimeout/2, minAnswerTimeout)
 		n.missingSince = 0
 		n.differingSeconds = 0
 	} else {
@@ -156,7 +165,7 @@
 
 func (n *Node) sendRequest(request sessionRequest, now int64) {
 	s := n.session
-	request.due = now + answerTimeout
+	request.due = now + n.answerTimeout
 	s.requested++
 	s.open = append(s.open, request)
 	if request.isOfMinute {
--- a/internal/fleet/broadcast/testfleet_test.go
+++ b/internal/fleet/broadcast/testfleet_test.go
@@ -20,6 +20,7 @@
 	receivedAt    []map[Purge]int64      // of each node: when it first received each purge
 	issued        map[Purge]int64        // when each purge was issued
 	loss          float64                // share of frames that are lost
+	extraLatency  int64                  // of each frame
 	isPartitioned func(a, b Member) bool // reports whether frames from a to b are dropped
 	dead          []bool
 	queue         eventQueue
@@ -116,7 +117,7 @@
 
 func (f *fleet) latency(a, b Member) int64 {
 	base := [...]int64{withinSite: 250, withinZone: 1000, withinRegion: 4000, acrossRegions: 60_000}[distance(a.Locality, b.Locality)]
-	return base + f.rng.Int64N(base/5+1)
+	return base + f.rng.Int64N(base/5+1) + f.extraLatency
 }
 
 // arm sends a node's messages and schedules its next step.
