--- a/internal/config/change/versions.go
+++ b/internal/config/change/versions.go
@@ -46,6 +46,20 @@
 	return v, Step{Version: 1, Stage: Confirmed, Author: author, Reason: first.reason, Text: slices.Clone(text)}
 }
 
+// Clone returns a copy. Changes of either do not affect the other.
+func (v *Versions) Clone() *Versions {
+	clone := *v
+	clone.versions = make([]*version, len(v.versions))
+	for i, original := range v.versions {
+		copied := *original
+		clone.versions[i] = &copied
+		if original == v.inProgress {
+			clone.inProgress = &copied
+		}
+	}
+	return &clone
+}
+
 // Active returns the active versions.
 func (v *Versions) Active() Active {
 	active := Active{Base: v.confirmed}
--- a/internal/route/rollout/controller.go
+++ b/internal/route/rollout/controller.go
@@ -5,8 +5,9 @@
 // Those packages do no I/O and make the decisions: which step a change may take next, which route
 // a lookup has, what a limit rejects. This package supplies the time, the endpoint list and the
 // disk. A lookup loads the active views from an atomic pointer, is decided under one version and
-// carries the number of that version. A step other than a rollback becomes active only after it
-// has been written to disk, so that a restart never loses a version that was active as confirmed.
+// carries the number of that version. A step is taken on a copy of the versions, which becomes visible as a whole, with
+// its routes, after the step has been written to disk, so that a restart never loses a version that was active as
+// confirmed. Only a rollback becomes visible even if it cannot be written.
 package rollout
 
 import (
@@ -46,7 +47,7 @@
 
 	stepMu sync.Mutex // serializes steps, held for a whole step including its write; locked before mu
 
-	mu        sync.Mutex // guards the fields below; held while a snapshot is written, but not while a step is appended
+	mu        sync.Mutex // guards the fields below, of which versions and tables change only while stepMu is held too
 	endpoints map[string]pools.Cache
 	versions  *change.Versions
 	lastFile  []byte                  // routes of the operators' file as it was last read and not refused
@@ -76,10 +77,12 @@
 	} else if err := c.openLog(directory, text); err != nil {
 		return nil, err
 	}
-	if err := c.activate(); err != nil {
+	tables, err := c.compileActive(c.versions)
+	if err != nil {
 		c.Close()
 		return nil, err
 	}
+	c.install(c.versions, tables)
 	if c.lastFile = c.versions.LastConfirmedBy(settingsAuthor, fileAuthor); c.lastFile == nil {
 		c.lastFile = text
 	}
@@ -109,7 +112,7 @@
 	}
 	if len(steps) == 0 {
 		c.versions, _ = change.New(first, settingsAuthor)
-		return c.writeSnapshot()
+		return c.writeSnapshot(c.versions)
 	}
 	versions, rolledBack, err := change.Recover(steps)
 	if err != nil {
@@ -119,7 +122,7 @@
 	for _, step := range rolledBack {
 		c.env.Log().Warn("route_change_rolled_back", "version", step.Version, "reason", step.Reason)
 	}
-	return c.writeSnapshot()
+	return c.writeSnapshot(versions)
 }
 
 func decodeSteps(contents wal.Contents) (steps []change.Step, err error) {
@@ -138,8 +141,8 @@
 	return steps, nil
 }
 
-func (c *Controller) writeSnapshot() error {
-	encoded, err := cbor.Marshal(c.versions.Snapshot())
+func (c *Controller) writeSnapshot(versions *change.Versions) error {
+	encoded, err := cbor.Marshal(versions.Snapshot())
 	if err != nil {
 		return err
 	}
@@ -201,31 +204,42 @@
 	c.active.Store(views)
 }
 
-// activate compiles the active versions, installs the limits of the base version and
-// publishes the views. The caller holds c.mu, or the controller is not shared yet.
-func (c *Controller) activate() error {
-	active := c.versions.Active()
+// compileActive returns the tables of the active versions, of which it compiles those that are not active yet. The caller
+// holds c.stepMu, or the controller is not shared yet.
+func (c *Controller) compileActive(versions *change.Versions) (map[uint64]*pools.Table, error) {
+	active := versions.Active()
+	tables := map[uint64]*pools.Table{}
 	for _, version := range []uint64{active.Base, active.Next} {
-		if version == 0 || c.tables[version] != nil {
+		if version == 0 {
 			continue
 		}
-		table, problems, err := c.compile(c.versions.Text(version))
+		if table := c.tables[version]; table != nil {
+			tables[version] = table
+			continue
+		}
+		table, problems, err := c.compile(versions.Text(version))
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if table == nil {
-			return &UnusableVersionError{Version: version, Problem: problems[0]}
+			return nil, &UnusableVersionError{Version: version, Problem: problems[0]}
 		}
-		c.tables[version] = table
+		tables[version] = table
 	}
-	maps.DeleteFunc(c.tables, func(version uint64, _ *pools.Table) bool { return version != active.Base && version != active.Next })
+	return tables, nil
+}
+
+// install makes versions visible with the tables of those that are active, installs the limits of the base version and
+// publishes the views. The caller holds c.mu, or the controller is not shared yet.
+func (c *Controller) install(versions *change.Versions, tables map[uint64]*pools.Table) {
+	c.versions, c.tables = versions, tables
+	active := versions.Active()
 	before := c.active.Load()
 	// Only a new base version brings new limits. A staged share of the objects stays under the earlier limits.
 	if c.limits == nil || before == nil || before.Base != active.Base {
 		c.activateLimits(c.tables[active.Base].Limits())
 	}
 	c.rebuildViews()
-	return nil
 }
 
 func (c *Controller) activateLimits(specs map[string]limit.Spec) {
--- a/internal/route/rollout/steps.go
+++ b/internal/route/rollout/steps.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return change.Step{}, err
 	}
-	step, err := c.runStep(func(time.Time) (change.Step, error) { return c.versions.Propose(parent, text, author, reason) })
+	step, err := c.runStep(func(d *draft) (change.Step, error) { return d.versions.Propose(parent, text, author, reason) })
 	if err != nil {
 		return step, err
 	}
@@ -31,7 +31,7 @@
 
 // ProposeEarlier proposes the configuration of an earlier version as a new change and checks it.
 func (c *Controller) ProposeEarlier(version uint64, author, reason string) (change.Step, error) {
-	step, err := c.runStep(func(time.Time) (change.Step, error) { return c.versions.ProposeEarlier(version, author, reason) })
+	step, err := c.runStep(func(d *draft) (change.Step, error) { return d.versions.ProposeEarlier(version, author, reason) })
 	if err != nil {
 		return step, err
 	}
@@ -40,82 +40,89 @@
 
 // Check checks the change in progress against the current endpoint list.
 func (c *Controller) Check(version uint64) (change.Step, error) {
-	return c.runStep(func(time.Time) (change.Step, error) { return c.versions.Check(version, c.findings(version)) })
+	return c.runStep(func(d *draft) (change.Step, error) { return d.versions.Check(version, c.findings(d, version)) })
 }
 
 // Stage makes the change active for a share of the objects. It first checks the change
 // again, because the endpoint list may have changed, and rolls the change back at an error.
 func (c *Controller) Stage(version uint64, share float64, timeout time.Duration) (change.Step, error) {
-	return c.runStep(func(now time.Time) (change.Step, error) {
-		if step, isRolledBack := c.recheck(version); isRolledBack {
+	return c.runStep(func(d *draft) (change.Step, error) {
+		if step, isRolledBack := c.recheck(d, version); isRolledBack {
 			return step, nil
 		}
-		return c.versions.Stage(now, version, share, timeout)
+		return d.versions.Stage(d.now, version, share, timeout)
 	})
 }
 
 // Apply makes the change active for all objects. It first checks the change again, as Stage does.
 func (c *Controller) Apply(version uint64, timeout time.Duration) (change.Step, error) {
-	return c.runStep(func(now time.Time) (change.Step, error) {
-		if step, isRolledBack := c.recheck(version); isRolledBack {
+	return c.runStep(func(d *draft) (change.Step, error) {
+		if step, isRolledBack := c.recheck(d, version); isRolledBack {
 			return step, nil
 		}
-		return c.versions.Apply(now, version, timeout)
+		return d.versions.Apply(d.now, version, timeout)
 	})
 }
 
 // Confirm makes an applied change the confirmed version.
 func (c *Controller) Confirm(version uint64) (change.Step, error) {
-	return c.runStep(func(now time.Time) (change.Step, error) { return c.versions.Confirm(now, version) })
+	return c.runStep(func(d *draft) (change.Step, error) { return d.versions.Confirm(d.now, version) })
 }
 
 // RollBack rolls the change in progress back.
 func (c *Controller) RollBack(version uint64, reason string) (change.Step, error) {
-	return c.runStep(func(time.Time) (change.Step, error) { return c.versions.RollBack(version, reason) })
+	return c.runStep(func(d *draft) (change.Step, error) { return d.versions.RollBack(version, reason) })
 }
 
-// runStep runs one step. It calls decide under c.mu, writes and syncs the returned step and then makes it active.
-func (c *Controller) runStep(decide func(now time.Time) (change.Step, error)) (change.Step, error) {
+// draft is what a step is decided on. Nobody else sees it until the step is committed.
+type draft struct {
+	now      time.Time
+	versions *change.Versions // a copy
+	caches   []pools.Cache    // sorted by name
+}
+
+// runStep runs one step: decide takes it on a draft, which is committed.
+func (c *Controller) runStep(decide func(*draft) (change.Step, error)) (change.Step, error) {
 	c.stepMu.Lock()
 	defer c.stepMu.Unlock()
 	c.mu.Lock()
-	before := c.versions.Snapshot()
-	step, err := decide(c.env.Now())
+	d := &draft{now: c.env.Now(), versions: c.versions.Clone(), caches: c.sortedCaches()}
 	c.mu.Unlock()
+	step, err := decide(d)
 	if err != nil {
 		return step, err
 	}
 	step.At = c.env.Now()
-	return step, c.commit(step, before)
+	return step, c.commit(step, d.versions)
 }
 
-// commit writes a step that c.versions has already applied, and makes it active. If the write fails, the versions
-// are restored from the snapshot before the step. A rollback takes effect even if its write fails: the log then
-// holds less than is active, but never more.
-func (c *Controller) commit(step change.Step, before []change.Step) error {
-	writeErr := c.writeStep(step)
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// commit writes and syncs a step that has been taken on a copy of the versions, and then makes the copy visible. If the
+// write fails, the step has no effect. A rollback takes effect even then: the log holds less than is active, but never
+// more. The caller holds c.stepMu.
+func (c *Controller) commit(step change.Step, versions *change.Versions) error {
+	tables, err := c.compileActive(versions)
+	if err != nil {
+		return err
+	}
+	writeErr := c.writeStep(step, versions)
 	if writeErr != nil {
 		c.env.Log().Warn("route_change_not_saved", "version", step.Version, "stage", string(step.Stage), "error", writeErr.Error())
 		if step.Stage != change.RolledBack {
-			if versions, _, err := change.Recover(before); err == nil {
-				c.versions = versions
-			}
-			c.activate()
 			return writeErr
 		}
 	}
-	if err := c.activate(); err != nil {
-		return err
-	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.install(versions, tables)
 	c.notifyGuard(step)
 	c.env.Log().Info("route_change_step", "version", step.Version, "stage", string(step.Stage), "share", step.Share, "author", step.Author,
 		"reason", step.Reason)
 	return writeErr
 }
 
-func (c *Controller) writeStep(step change.Step) error {
+// writeStep appends a step to the log. If that is not possible, it begins a new generation with the versions after the
+// step: the log accepts no step after a failed one, and a step that was lost would make later ones unreadable.
+func (c *Controller) writeStep(step change.Step, versions *change.Versions) error {
 	if c.log == nil {
 		return nil
 	}
@@ -124,12 +131,15 @@
 		return err
 	}
 	if err := c.log.Append(encoded); err != nil {
-		return err
+		if c.writeSnapshot(versions) != nil {
+			return err
+		}
+		return nil
 	}
 	if c.log.Size() > maxLogBytes {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		return c.writeSnapshot()
+		if err := c.writeSnapshot(versions); err != nil { // the step is written; the next one tries again
+			c.env.Log().Warn("route_log_not_shortened", "error", err.Error())
+		}
 	}
 	return nil
 }
@@ -146,14 +156,14 @@
 	}
 }
 
-// findings checks a version against the endpoint list and returns the findings. The caller holds c.mu.
-func (c *Controller) findings(version uint64) (findings []change.Finding) {
-	table, problems, err := c.compile(c.versions.Text(version))
+// findings checks a version against the endpoint list and returns the findings.
+func (c *Controller) findings(d *draft, version uint64) (findings []change.Finding) {
+	table, problems, err := c.compile(d.versions.Text(version))
 	if err != nil {
 		return []change.Finding{{IsError: true, Text: err.Error(), Remedy: "correct the configuration"}}
 	}
 	if table != nil {
-		problems = append(problems, table.Check(c.sortedCaches())...)
+		problems = append(problems, table.Check(d.caches)...)
 	}
 	for _, p := range problems {
 		findings = append(findings, change.Finding{IsError: p.IsError, Path: p.Path, Text: p.Text, Remedy: p.Remedy})
@@ -161,13 +171,13 @@
 	return findings
 }
 
-// recheck checks a change again before its next step and rolls it back at the first error. The caller holds c.mu.
-func (c *Controller) recheck(version uint64) (step change.Step, isRolledBack bool) {
-	for _, f := range c.findings(version) {
+// recheck checks a change again before its next step and rolls it back at the first error.
+func (c *Controller) recheck(d *draft, version uint64) (step change.Step, isRolledBack bool) {
+	for _, f := range c.findings(d, version) {
 		if !f.IsError {
 			continue
 		}
-		if step, err := c.versions.RollBack(version, f.Path+": "+f.Text); err == nil {
+		if step, err := d.versions.RollBack(version, f.Path+": "+f.Text); err == nil {
 			step.Findings = []change.Finding{f}
 			return step, true
 		}
@@ -218,34 +228,43 @@
 func (c *Controller) Tick() {
 	c.stepMu.Lock()
 	defer c.stepMu.Unlock()
-	c.mu.Lock()
 	now := c.env.Now()
-	steps, _ := c.versions.Tick(now)
-	if len(steps) == 0 {
-		steps = c.rollBackIfTripped()
-	}
-	c.mu.Unlock()
+	versions, steps := c.decideRollback(now)
 	for _, step := range steps {
 		step.At = now
-		c.commit(step, nil) // a rollback takes effect even if its write fails; commit logs that failure
+		c.commit(step, versions) // a rollback takes effect even if its write fails; commit logs that failure
+	}
+}
+
+// decideRollback returns the rollback that is due, if one is, and the versions after it. The caller holds c.stepMu.
+func (c *Controller) decideRollback(now time.Time) (versions *change.Versions, steps []change.Step) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.versions.InProgress() == nil {
+		return nil, nil
+	}
+	versions = c.versions.Clone()
+	if steps, _ = versions.Tick(now); len(steps) == 0 {
+		steps = c.rollBackIfTripped(versions)
 	}
+	return versions, steps
 }
 
 // rollBackIfTripped rolls a staged or applied change back if it trips the guard. The caller holds c.mu.
-func (c *Controller) rollBackIfTripped() []change.Step {
-	active := c.versions.Active()
+func (c *Controller) rollBackIfTripped(versions *change.Versions) []change.Step {
+	active := versions.Active()
 	watched := active.Base
 	if active.Next != 0 {
 		watched = active.Next
 	}
-	if watched == c.versions.Confirmed() {
+	if watched == versions.Confirmed() {
 		return nil
 	}
 	reason := c.guard.Tripped()
 	if reason == "" {
 		return nil
 	}
-	step, err := c.versions.RollBack(watched, reason)
+	step, err := versions.RollBack(watched, reason)
 	if err != nil {
 		return nil
 	}
