--- a/internal/extproc/extprocgrpc/fixture_test.go
+++ b/internal/extproc/extprocgrpc/fixture_test.go
@@ -29,8 +29,9 @@
 
 var testSettings = []byte(`{"areas":["town"],"machine_types":["edge","parent","origin"],"ceilings":{"cancelling":true,"try_limit":6,"retry_after":true,
 "max_retry_after":2000000},"classes":[{"name":"segment","aim":400000,"deadline":5000000,"points":1,"effect":"idempotent"},
-{"name":"order","aim":400000,"deadline":5000000,"points":1,"effect":"at_most_once"}],
-"specifics":{"parent_kind":1,"source_kind":2,"flow_kb_per_s":100000,"max_age":[0,0],"grace_for":[0,0],"pass_on":[false,true],"seats_by_zone":[1],"merges_fills":true}}`)
+{"name":"order","aim":400000,"deadline":5000000,"points":1,"effect":"at_most_once"},
+{"name":"payment","aim":400000,"deadline":5000000,"points":1,"effect":"deduplicated","group":"all","window":1000000}],
+"specifics":{"parent_kind":1,"source_kind":2,"flow_kb_per_s":100000,"max_age":[0,0,0],"grace_for":[0,0,0],"pass_on":[false,true,false],"seats_by_zone":[1],"merges_fills":true}}`)
 
 // newDependencies returns the dependencies of a gateway. With withCaches, its endpoint list has
 // four edge caches, two parents and an origin. Without, the gateway has no endpoint list yet.
--- a/internal/extproc/extprocgrpc/service_test.go
+++ b/internal/extproc/extprocgrpc/service_test.go
@@ -70,6 +70,46 @@
 	})
 }
 
+// TestRetryRequestedPastItsWindow guards against a deduplicated lookup that runs a second time: its caller was given an
+// attempt that had been decided within the deduplication window after the window had ended.
+func TestRetryRequestedPastItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		returnsIn time.Duration
+		attempt   bool // the caller is given the attempt
+	}{
+		{"within the window", 10 * time.Millisecond, true},
+		{"past the window", 500 * time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			limits := testLimits
+			limits.ReturnTimeout = time.Second
+			f := newFixtureWith(t, true, limits)
+			stream := f.openStream()
+			if got := stream.request("a1", "payment", "o"); got.headers["x-foldslip-cache"] == "" {
+				t.Fatalf("got %+v, expected a decision", got)
+			}
+			time.Sleep(600 * time.Millisecond) // of the window of 1 s
+			if again := stream.report("x-foldslip-end", "reset"); again.headers["x-foldslip-again"] != "1" {
+				t.Fatalf("reply to a reset: %+v, expected x-foldslip-again", again)
+			}
+			stream.stop()
+			time.Sleep(c.returnsIn)
+			stream = f.openStream()
+			got := stream.request("a1", "payment", "o")
+			if c.attempt && got.headers["x-foldslip-cache"] == "" || !c.attempt && got.status != 502 {
+				t.Errorf("got %+v, expected a decision: %v, otherwise status 502, as the lookup may have run", got, c.attempt)
+			}
+			if withdrawn := f.service.Anomalies()["withdrawn"]; (withdrawn == 1) == c.attempt {
+				t.Errorf("%d attempts counted as withdrawn", withdrawn)
+			}
+			stream.stop()
+			f.checkSettled()
+		})
+	}
+}
+
 // TestCallersThatGoAway checks that lookups end and that nothing stays open if a caller ends its stream early, does not
 // request the next attempt, or does not report an attempt.
 func TestCallersThatGoAway(t *testing.T) {
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -87,7 +87,7 @@
 	if limits.Weight <= 0 {
 		limits.Weight = 1
 	}
-	return &Server{
+	s := &Server{
 		Dependencies: dependencies,
 		limits:       limits,
 		tracer:       noTracer{},
@@ -98,6 +98,10 @@
 		callers:      map[string]*caller{},
 		anomalies:    map[string]int{},
 	}
+	s.coordinator.MaySend = func(lookup *retry.Lookup, step dispatch.Step) bool {
+		return dependencies.Dispatcher.MaySend(lookup.Dispatched, step)
+	}
+	return s
 }
 
 // SetTracer sets the tracer of lookups. It must be called before Run.
--- a/internal/retry/coordinator.go
+++ b/internal/retry/coordinator.go
@@ -6,7 +6,8 @@
 // id for the next attempt.
 //
 // The Coordinator does no I/O and makes no routing decisions. Its input is requests, steps of the dispatcher, reports,
-// ends of streams and the time. Its output is Commands.
+// ends of streams and the time. Its output is Commands. It asks the owner whether an attempt that was decided earlier may
+// still start when it hands the attempt out.
 //
 // The following holds whatever a caller does. A lookup has one result. If that is a rejection or a failure, a repeated
 // request is answered with it again. No attempt is sent to a caller after the result, and a caller never has two
@@ -54,8 +55,14 @@
 	anomalyNoRecord = "memory_full"  // AnswerNoRecord
 )
 
+// anomalyWithdrawn counts attempts that could no longer start when their callers requested them. The value appears in logs.
+const anomalyWithdrawn = "withdrawn"
+
 // Coordinator holds the lookups of all callers. New creates it.
 type Coordinator struct {
+	// MaySend reports whether an attempt that was decided earlier may still start. It is nil if all may.
+	MaySend func(lookup *Lookup, step dispatch.Step) bool
+
 	limits    Limits
 	lookups   map[string]*Lookup // open lookups by Lookup.Key
 	records   *lookupRecords
@@ -181,10 +188,21 @@
 	lookup.stream, stream.lookup = stream, lookup
 	lookup.returnBy = time.Time{}
 	c.endAwaitingReturn(lookup)
+	if lookup.hasDecidedAttempt() && c.MaySend != nil && !c.MaySend(lookup, lookup.step) {
+		c.withdraw(lookup, commands)
+	}
 	c.deliver(now, lookup, commands)
 	c.timeouts.schedule(lookup)
 }
 
+// withdraw reports a decided attempt that may no longer start, for example because the deduplication window of its lookup
+// has ended. The lookup's stream waits for what the router decides instead.
+func (c *Coordinator) withdraw(lookup *Lookup, commands *Commands) {
+	c.anomalies[anomalyWithdrawn]++
+	lookup.phase = phaseDeciding
+	commands.report(lookup, lookup.step.Attempt, policy.OutcomeNotSent)
+}
+
 // requestEnded handles a request for a lookup that has ended and is remembered.
 func (c *Coordinator) requestEnded(result endedResult, stream *Stream, commands *Commands) {
 	kind := result.answerKind()
