--- a/internal/store/endpoints/apply.go
+++ b/internal/store/endpoints/apply.go
@@ -100,7 +100,7 @@
 		s.Departures = max(0, s.Departures-1)
 	}
 	if e.Phase == Draining {
-		s.Tombstones[e.ID] = Tombstone{ID: e.ID, At: at}
+		s.Tombstones[e.ID] = Tombstone{ID: e.ID, At: drainedAt(e, tombstone, at)}
 	} else {
 		delete(s.Tombstones, e.ID)
 	}
@@ -116,6 +116,15 @@
 	s.Endpoints[e.ID] = e
 }
 
+// drainedAt returns when a cache that is draining now began to drain. A cache that was reported before as draining or
+// removed has done so since then, unless it has started again.
+func drainedAt(e Endpoint, before Tombstone, at int64) int64 {
+	if before.ID != "" && e.StartedAt <= before.At {
+		return before.At
+	}
+	return at
+}
+
 // claimAddr assigns an address to the endpoint that was listed with it last. A draining endpoint that had the address
 // is removed.
 func (s *State) claimAddr(e Endpoint, addrBefore string) {
--- a/internal/warmstart/discovery.go
+++ b/internal/warmstart/discovery.go
@@ -65,20 +65,27 @@
 }
 
 // Apply passes an update from discovery to the snapshotter. The caller calls it after it has passed the update to the
-// dispatcher.
+// dispatcher. The endpoints that KeepDraining has set back to draining are stored as draining, so that their drains
+// outlive a further restart. Apply changes them in the update.
 func (r *Reconciler) Apply(update endpoints.Update) {
 	if r == nil {
 		return
 	}
 	r.mu.Lock()
 	r.regressions = 0
+	for i, e := range update.Endpoints {
+		if drain := r.knownDrains[e.ID]; drain != nil && drain.latest != nil && e.Phase == endpoints.Up {
+			drain.reported = e
+			update.Endpoints[i].Phase = endpoints.Draining
+		}
+	}
 	r.mu.Unlock()
 	r.snapshotter.Apply(update)
 }
 
 // ObserveEventNumber compares the number that discovery reports for its last event with the last number known to the
 // gateway. It reports whether the discovery service has restarted its event numbers. The caller must then read the
-// events again from the first one.
+// events again from the first one. The drains that this process was told of hold against them, as after a restart.
 func (r *Reconciler) ObserveEventNumber(reported, known int64) (hasRestarted bool) {
 	if r == nil {
 		return false
@@ -87,6 +94,9 @@
 	if reported == known {
 		r.snapshotter.MarkCurrent()
 	}
+	if hasRestarted {
+		r.readKnownDrains()
+	}
 	return hasRestarted
 }
 
--- a/internal/warmstart/reconciler.go
+++ b/internal/warmstart/reconciler.go
@@ -31,8 +31,8 @@
 	// bear only a low load for longer than other caches, and it is affected most if every gateway reserves one large
 	// fill at the same time.
 	parentStartDelay = 2 * time.Second
-	// For this long after the start, a drain in the stored list takes precedence over what discovery reports. After that,
-	// discovery takes precedence.
+	// For this long after the start, or after discovery has restarted its event numbers, a drain in the stored list takes
+	// precedence over what discovery reports. After that, discovery takes precedence.
 	drainHold = 10 * time.Minute
 	// After this many consecutive event numbers below the last known one, the discovery service is assumed to have
 	// restarted its event numbers.
@@ -56,26 +56,37 @@
 	tracker     *freshness.Tracker
 	stored      map[string]policy.Endpoint // by id; nil, like tracker, after discovery has reported a complete list
 	knownDrains map[string]*knownDrain     // by id
-	lastEvent   int64                      // number of the last discovery event in the stored list
+	drainsSince time.Time                  // when knownDrains was read from the stored list
+	lastEvent   int64                      // number of the last discovery event in the stored list then
 	regressions int                        // consecutive event numbers below the last known one
 }
 
 // knownDrain is a cache that the stored list records as draining or removed.
 type knownDrain struct {
 	tombstone endpoints.Tombstone
-	latest    *policy.Endpoint // what discovery reported last while the drain was in effect; nil if nothing
+	latest    *policy.Endpoint   // what discovery reported last while the drain was in effect; nil if nothing
+	reported  endpoints.Endpoint // the same for the stored list
 }
 
 // New returns a reconciler for an open list.
 func New(e env.Environment, s *settings.Settings, dispatcher *dispatch.Dispatcher, caches *cacheregistry.Registry, snapshotter *snapshot.Snapshotter) *Reconciler {
-	r := &Reconciler{env: e, settings: s, dispatcher: dispatcher, caches: caches, snapshotter: snapshotter, startedAt: e.Now(),
-		knownDrains: map[string]*knownDrain{}}
-	list := snapshotter.State()
+	r := &Reconciler{env: e, settings: s, dispatcher: dispatcher, caches: caches, snapshotter: snapshotter, startedAt: e.Now()}
+	r.readKnownDrains()
+	return r
+}
+
+// readKnownDrains reads the drains and removals of the stored list. They take precedence over what discovery reports from
+// now on, as far as KeepDraining says.
+func (r *Reconciler) readKnownDrains() {
+	list := r.snapshotter.State()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drainsSince = r.env.Now()
 	r.lastEvent = list.LastEvent
+	r.knownDrains = map[string]*knownDrain{}
 	for _, t := range list.SortedTombstones() {
 		r.knownDrains[t.ID] = &knownDrain{tombstone: t}
 	}
-	return r
 }
 
 // Run works until the lifetime ends. It passes changes in the confidence of the stored endpoints to the dispatcher,
@@ -120,15 +131,19 @@
 }
 
 // releaseDrains ends the known drains after drainHold. It passes the endpoints that were set back to draining to the
-// dispatcher, as discovery reported them last.
+// dispatcher and to the stored list, as discovery reported them last.
 func (r *Reconciler) releaseDrains() {
 	r.mu.Lock()
 	var released []policy.Endpoint
+	var reported []endpoints.Endpoint
 	if r.drainsExpired() {
 		for _, drain := range r.knownDrains {
 			if drain.latest != nil {
 				released = append(released, *drain.latest)
 			}
+			if drain.reported.ID != "" {
+				reported = append(reported, drain.reported)
+			}
 		}
 		r.knownDrains = nil
 	}
@@ -137,6 +152,9 @@
 		slices.SortFunc(released, func(a, b policy.Endpoint) int { return cmp.Compare(a.Cache.Name, b.Cache.Name) })
 		r.dispatcher.Tick(released, false, nil)
 	}
+	if len(reported) > 0 {
+		r.snapshotter.Apply(endpoints.Update{Endpoints: reported})
+	}
 }
 
-func (r *Reconciler) drainsExpired() bool { return r.env.Now().Sub(r.startedAt) >= drainHold }
+func (r *Reconciler) drainsExpired() bool { return r.env.Now().Sub(r.drainsSince) >= drainHold }
--- a/internal/warmstart/reconciler_test.go
+++ b/internal/warmstart/reconciler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"log/slog"
 	"strings"
@@ -241,11 +242,72 @@
 		f := newFixture(t, completeList)
 		f.reconciler.knownDrains["c"].tombstone.At -= 24 * time.Hour.Milliseconds()
 		requireState(t, f.stateOfC(3, 0), policy.Draining)
-		f.reconciler.startedAt = f.reconciler.startedAt.Add(-drainHold)
+		f.reconciler.drainsSince = f.reconciler.drainsSince.Add(-drainHold)
 		requireState(t, f.stateOfC(3, 0), policy.Ready)
 	})
 }
 
+// listBehind is what a discovery service that is behind the stored list reports first after a restart.
+func listBehind() endpoints.Update {
+	return endpoints.Update{LastEvent: 1, Complete: true, Endpoints: []endpoints.Endpoint{edge("a", endpoints.Up), edge("b", endpoints.Up), edge("c", endpoints.Up)}}
+}
+
+// TestKnownDrainsOutliveRestarts guards against a drain that is forgotten at the second restart: a discovery service that
+// was behind at the first one had reported the cache as ready, and that was stored.
+func TestKnownDrainsOutliveRestarts(t *testing.T) {
+	stored := []endpoints.Update{completeList}
+	drainedAt := int64(0)
+	for restart := range 3 {
+		f := newFixture(t, stored...)
+		tombstone := f.snapshotter.State().Tombstones["c"]
+		if drainedAt = cmp.Or(drainedAt, tombstone.At); tombstone.ID == "" || restart > 0 && tombstone.At < drainedAt {
+			t.Fatalf("restart %d: the stored list has the drain %+v, want one since %d", restart, tombstone, drainedAt)
+		}
+		list := make([]policy.Endpoint, 3)
+		if f.reconciler.KeepDraining(1, true, []string{"a", "b", "c"}, list); list[2].State != policy.Draining || list[0].State != policy.Ready {
+			t.Fatalf("restart %d: states %v and %v of c and a, want draining and ready", restart, list[2].State, list[0].State)
+		}
+		update := listBehind()
+		f.reconciler.Apply(update) // changes the update
+		stored = append(stored, update)
+	}
+	t.Run("until a later event", func(t *testing.T) {
+		f := newFixture(t, stored...)
+		if state := f.stateOfC(2, 0); state != policy.Ready {
+			t.Errorf("state %v, want ready", state)
+		}
+		f.reconciler.Apply(endpoints.Update{LastEvent: 2, Endpoints: []endpoints.Endpoint{edge("c", endpoints.Up)}})
+		if tombstone := f.snapshotter.State().Tombstones["c"]; tombstone.ID != "" {
+			t.Errorf("the stored list still has the drain %+v", tombstone)
+		}
+	})
+	t.Run("until drainHold is over", func(t *testing.T) {
+		f := newFixture(t, stored...)
+		f.stateOfC(1, 0)
+		f.reconciler.Apply(listBehind())
+		f.reconciler.drainsSince = f.reconciler.drainsSince.Add(-drainHold)
+		f.reconciler.releaseDrains()
+		if tombstone := f.snapshotter.State().Tombstones["c"]; tombstone.ID != "" {
+			t.Errorf("the stored list still has the drain %+v", tombstone)
+		}
+	})
+}
+
+// TestDrainsHoldAgainstRestartedNumbers guards against a drain that this process was told of and that a discovery service
+// undoes whose numbers began again, as after a reload that moves to a service that is behind.
+func TestDrainsHoldAgainstRestartedNumbers(t *testing.T) {
+	f := newFixture(t, completeList)
+	f.reconciler.Apply(endpoints.Update{LastEvent: 41, Endpoints: []endpoints.Endpoint{edge("a", endpoints.Draining)}})
+	for range maxRegressions {
+		f.reconciler.ObserveEventNumber(3, 41)
+	}
+	list := make([]policy.Endpoint, 3)
+	f.reconciler.KeepDraining(1, true, []string{"a", "b", "c"}, list)
+	if list[0].State != policy.Draining || list[1].State != policy.Ready {
+		t.Errorf("states %v and %v of a and b, want draining and ready", list[0].State, list[1].State)
+	}
+}
+
 func TestDiscoveryRecovery(t *testing.T) {
 	t.Run("a complete list ends the use of the stored list, and that is logged", func(t *testing.T) {
 		f := newFixture(t, completeList)
