discovery: the watch wakes early when its silence timeout becomes shorter; no log lines under its lock

Found by reading the change again, before any landing. Run sleeps until a line is overdue. A line can make the next one due earlier than that: the first list ends the 5 s of a gateway without caches, a line ends the doubled timeout. A connection that died right after was then left up to 3.5 s later than by. A dial that succeeds in the moment in which a reload ends its session no longer ends the dial to the new address. Log lines are written, and connections closed, after the watch's lock is released.

--- a/internal/discovery/partial.go
+++ b/internal/discovery/partial.go
@@ -1,6 +1,9 @@
 package discovery
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"log/slog"
+)
 
 // rawEvent is an event whose parts are decoded one by one, so that an invalid part leaves the others usable.
 type rawEvent struct {
@@ -40,7 +43,7 @@
 	if e.Endpoints != nil {
 		endpoints = len(e.Endpoints.Endpoints)
 	}
-	w.env.Log().Warn("discovery_event_partly_applied", "last", w.LastEvent, "endpoints", endpoints, "purge", e.Purge != nil)
+	w.logLater(slog.LevelWarn, "discovery_event_partly_applied", "last", w.LastEvent, "endpoints", endpoints, "purge", e.Purge != nil)
 }
 
 // usableEndpoints decodes an endpoint list without its invalid endpoints. It returns nil if no endpoint is valid.
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"log/slog"
 	"slices"
 	"time"
 
@@ -48,7 +49,8 @@
 	if w.opensNow || !w.openAt.IsZero() && !now.Before(w.openAt) {
 		return w.open(lifetime, now), 0
 	}
-	return nil, w.nextStep().Sub(now)
+	w.wakesAt = w.nextStep()
+	return nil, max(0, w.wakesAt.Sub(now))
 }
 
 // scheduleOpen sets openAt, after a backoff, when all sessions are overdue or there is none. It clears openAt if a
@@ -97,7 +99,7 @@
 		w.silentSessions++
 	}
 	w.noteProgress(s, now)
-	w.env.Log().Info("discovery_overdue", "addr", s.addr, "connected", s.isConnected, "last", w.LastEvent,
+	w.logLater(slog.LevelInfo, "discovery_overdue", "addr", s.addr, "connected", s.isConnected, "last", w.LastEvent,
 		"age_ms", now.Sub(s.startedAt).Milliseconds(), "sessions", len(w.sessions))
 }
 
@@ -158,8 +160,11 @@
 	}
 	w.silentSessions = 0
 	s.overdueAt = now.Add(w.silenceTimeout())
+	if s.overdueAt.Before(w.wakesAt) { // the silence timeout has become shorter
+		w.wakeup.Notify()
+	}
 	if wasOverdue {
-		w.env.Log().Info("discovery_recovered", "addr", s.addr, "last", w.LastEvent, "age_ms", now.Sub(s.startedAt).Milliseconds())
+		w.logLater(slog.LevelInfo, "discovery_recovered", "addr", s.addr, "last", w.LastEvent, "age_ms", now.Sub(s.startedAt).Milliseconds())
 		return
 	}
 	if len(w.sessions) > 1 {
@@ -193,11 +198,11 @@
 	now := w.env.Now()
 	s.hasEnded = true
 	w.sessions = slices.DeleteFunc(w.sessions, func(other *session) bool { return other == s })
-	w.ended = append(w.ended, s)
 	if !s.isOverdue {
 		w.noteProgress(s, now)
 	}
-	w.env.Log().Info("discovery_closed", "addr", s.addr, "reason", reason, "last", w.LastEvent, "age_ms", now.Sub(s.startedAt).Milliseconds())
+	w.deferred = append(w.deferred, s.lifetime.End)
+	w.logLater(slog.LevelInfo, "discovery_closed", "addr", s.addr, "reason", reason, "last", w.LastEvent, "age_ms", now.Sub(s.startedAt).Milliseconds())
 }
 
 // silenceTimeout returns the time after which a line is overdue and another session begins. A drain grace may start while
--- a/internal/discovery/session.go
+++ b/internal/discovery/session.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"log/slog"
 	"time"
 
 	"foldslip/internal/env"
@@ -100,6 +101,9 @@
 func (w *Watch) connected(s *session) (after int64) {
 	w.mu.Lock()
 	defer w.unlock()
+	if s.hasEnded {
+		return w.LastEvent
+	}
 	now := w.env.Now()
 	s.isConnected = true
 	s.activeAt = now
@@ -129,7 +133,7 @@
 		return "superseded"
 	}
 	if err := w.handleLine(line, s); err != nil {
-		w.env.Log().Warn("discovery_event_invalid", "error", err.Error(), "last", w.LastEvent)
+		w.logLater(slog.LevelWarn, "discovery_event_invalid", "error", err.Error(), "last", w.LastEvent)
 		switch {
 		case errors.Is(err, errGap):
 			return "gap"
--- a/internal/discovery/slow_test.go
+++ b/internal/discovery/slow_test.go
@@ -173,22 +173,26 @@
 func TestDeadDiscoveryIsLeftEarly(t *testing.T) {
 	const isDead = slowdiscovery.Never
 	for _, c := range []struct {
-		name         string
-		deadSessions int           // sessions after the first one that are dead as well; -1: all of them
-		dialTakes    time.Duration // of connections after the first one
-		reconnectWithin,
-		hearWithin time.Duration // after the last line; negative: it is never heard
-		maxConnections int
+		name            string
+		isFresh         bool          // the gateway knows no list; the last line is the first one, and brings it
+		lastLineAt      time.Duration // of the first connection
+		deadSessions    int           // sessions after the first one that are dead as well; -1: all of them
+		reconnectWithin time.Duration // after the last line
+		hearWithin      time.Duration // after the last line; negative: it is never heard
+		maxConnections  int
 	}{
-		{"the first connection dies", 0, 0, 1600 * time.Millisecond, 1600 * time.Millisecond, 2},
-		{"the next one is dead as well", 1, 0, 1600 * time.Millisecond, 3200 * time.Millisecond, 3},
-		{"the next two are dead as well", 2, 0, 1600 * time.Millisecond, 6400 * time.Millisecond, 4},
-		{"all are dead", -1, 0, 1600 * time.Millisecond, -1, 15},
+		{"the first connection dies", false, becomesSlowAt, 0, 1600 * time.Millisecond, 1600 * time.Millisecond, 2},
+		{"the first connection dies after a late first list", true, 900 * time.Millisecond, 0, 1600 * time.Millisecond, 1600 * time.Millisecond, 2},
+		{"the next one is dead as well", false, becomesSlowAt, 1, 1600 * time.Millisecond, 3200 * time.Millisecond, 3},
+		{"the next two are dead as well", false, becomesSlowAt, 2, 1600 * time.Millisecond, 6400 * time.Millisecond, 4},
+		{"all are dead", false, becomesSlowAt, -1, 1600 * time.Millisecond, -1, 14},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := newSlowWatch(t, false, 0)
-			s.Run(becomesSlowAt + 10*time.Millisecond)
-			lastLineAt := becomesSlowAt
+			s := newSlowWatch(t, c.isFresh, 0)
+			if c.isFresh {
+				s.service.DelayOf = func(int) time.Duration { return c.lastLineAt }
+			}
+			s.Run(c.lastLineAt + 10*time.Millisecond)
 			s.service.DelayOf = func(conn int) time.Duration {
 				if conn == 0 || c.deadSessions < 0 || conn <= c.deadSessions {
 					return isDead
@@ -197,7 +201,7 @@
 			}
 			heardAfter := s.drain(60 * time.Second)
 			t.Logf("heard after %v, connections opened at %v, open at once %d", heardAfter, s.service.OpenedAt, s.process.PeakDescriptors())
-			if again := s.service.OpenedAt[1] - lastLineAt; again > c.reconnectWithin {
+			if again := s.service.OpenedAt[1] - c.lastLineAt; again > c.reconnectWithin {
 				t.Errorf("connected again %v after the last line, expected within %v", again, c.reconnectWithin)
 			}
 			if c.hearWithin >= 0 && (heardAfter < 0 || heardAfter > c.hearWithin) || c.hearWithin < 0 && heardAfter >= 0 {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -11,6 +11,8 @@
 package discovery
 
 import (
+	"context"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -69,10 +71,11 @@
 	addr           string
 	unusable       unusableLines
 	sessions       []*session // open sessions, oldest first
-	ended          []*session // sessions that ended while mu was held; see unlock
+	deferred       []func()   // called by unlock
 	silentSessions int        // number of sessions in a row that became silent; a line resets it
 	openAt         time.Time  // when the next session begins; zero: when all sessions are overdue
 	opensNow       bool       // the next session begins at once, whatever the others do
+	wakesAt        time.Time  // when Run takes its next step, unless it is notified before
 	retryDelay     time.Duration
 }
 
@@ -156,13 +159,17 @@
 	w.wakeup.Notify()
 }
 
-// unlock releases mu and ends the lifetimes of the sessions that ended while it was held, which closes their
-// connections.
+// unlock releases mu and then does what was deferred while it was held: it closes connections and writes to the log.
 func (w *Watch) unlock() {
-	ended := w.ended
-	w.ended = nil
+	deferred := w.deferred
+	w.deferred = nil
 	w.mu.Unlock()
-	for _, s := range ended {
-		s.lifetime.End()
+	for _, call := range deferred {
+		call()
 	}
 }
+
+// logLater writes to the log when mu is released.
+func (w *Watch) logLater(level slog.Level, event string, keysAndValues ...any) {
+	w.deferred = append(w.deferred, func() { w.env.Log().Log(context.Background(), level, event, keysAndValues...) })
+}
