discovery, lab/clients: names of the field for what a watch receives

heard, told and quiet are withdrawn words: lineReceived, notifiedWithin, warmUpTime; TestSlowDiscoveryIsHeard is TestSlowDiscoveryIsReceived, TestSlowDiscoveryIsHeardOverMoves is TestSlowDiscoveryOverMoves.

--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -146,10 +146,10 @@
 	return next
 }
 
-// heard records that a session has delivered a line. A session that delivers lines in time makes newer sessions
+// lineReceived records that a session has delivered a line. A session that delivers lines in time makes newer sessions
 // unnecessary that have delivered none. One that was overdue must first deliver another line in time: the line may be
 // the last one of a dead connection.
-func (w *Watch) heard(s *session) {
+func (w *Watch) lineReceived(s *session) {
 	now := w.env.Now()
 	wasOverdue := s.isOverdue
 	s.hasDelivered = true
--- a/internal/discovery/session.go
+++ b/internal/discovery/session.go
@@ -86,7 +86,7 @@
 			if err := input.Fill(conn, maxEventBytes); err != nil {
 				return readFailed(err, s)
 			}
-			w.received(s, len(input.Bytes()))
+			w.bytesReceived(s, len(input.Bytes()))
 			continue
 		}
 		if reason := w.handleSessionLine(s, bytes.TrimSpace(line)); reason != "" {
@@ -114,8 +114,8 @@
 	return w.LastEvent
 }
 
-// received records that bytes have arrived in a session, and how many of them are not handled yet.
-func (w *Watch) received(s *session, unhandled int) {
+// bytesReceived records that bytes have arrived in a session, and how many of them are not handled yet.
+func (w *Watch) bytesReceived(s *session, unhandled int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s.activeAt = w.env.Now()
@@ -144,7 +144,7 @@
 		}
 		w.applyUsableParts(line, s)
 	}
-	w.heard(s)
+	w.lineReceived(s)
 	return ""
 }
 
--- a/internal/discovery/slow_test.go
+++ b/internal/discovery/slow_test.go
@@ -42,20 +42,20 @@
 	return d.Environment.Dial(lifetime, addr, timeout-d.takes)
 }
 
-// slowWatch is a watch of a slow discovery service, and what it has heard.
+// slowWatch is a watch of a slow discovery service, and what it has received.
 type slowWatch struct {
 	*simenv.Simulation
-	service *slowdiscovery.Server
-	process *simenv.Process
-	watch   *Watch
-	dialer  *slowDialer
-	heardAt map[int64]time.Duration // by event number
+	service    *slowdiscovery.Server
+	process    *simenv.Process
+	watch      *Watch
+	dialer     *slowDialer
+	receivedAt map[int64]time.Duration // by event number
 }
 
 // newSlowWatch starts a gateway's watch. A watch that is not fresh knows the first event from its configuration.
 func newSlowWatch(t *testing.T, isFresh bool, dialTakes time.Duration) *slowWatch {
 	t.Helper()
-	s := &slowWatch{Simulation: simenv.New(1), heardAt: map[int64]time.Duration{}}
+	s := &slowWatch{Simulation: simenv.New(1), receivedAt: map[int64]time.Duration{}}
 	t.Cleanup(s.Close)
 	s.OnCrash = func(_ *simenv.Process, text string) { t.Error(text) }
 	s.service = slowdiscovery.New(s.Simulation, slowServiceList)
@@ -68,10 +68,10 @@
 		s.watch = newWatchWith(s.dialer, parsed, &purgelog.Log{Retention: time.Minute, Clock: system})
 		s.watch.addr = slowdiscovery.Addr
 		s.watch.OnEvent = func(number int64, _ []dispatch.Purge) {
-			if _, isHeard := s.heardAt[number]; isHeard {
+			if _, isReceived := s.receivedAt[number]; isReceived {
 				t.Errorf("event %d was applied twice", number)
 			}
-			s.heardAt[number] = s.Now()
+			s.receivedAt[number] = s.Now()
 		}
 		if !isFresh {
 			if err := s.watch.LoadKnown(fmt.Appendf(nil, `{"no":1,"items":[%s]}`, slowServiceList)); err != nil {
@@ -83,18 +83,18 @@
 	return s
 }
 
-// drain announces that the cache drains, and returns how long the watch takes to hear of it. Without an answer within
+// drain announces that the cache drains, and returns how long the watch takes to receive it. Without an answer within
 // limit it returns a negative time.
 func (s *slowWatch) drain(limit time.Duration) time.Duration {
 	announcedAt := s.Now()
 	s.service.Announce(strings.NewReplacer(`"up"`, `"draining"`, `"complete":true`, `"complete":false`).Replace(`{` + slowServiceList[len(`{"no":1,`):]))
 	number := int64(len(s.service.Lines))
 	s.Run(announcedAt + limit)
-	heardAt, isHeard := s.heardAt[number]
-	if !isHeard {
+	receivedAt, isReceived := s.receivedAt[number]
+	if !isReceived {
 		return -1
 	}
-	return heardAt - announcedAt
+	return receivedAt - announcedAt
 }
 
 const (
@@ -104,10 +104,10 @@
 	announcedAfter = 200 * time.Millisecond // after it has become slow
 )
 
-// TestSlowDiscoveryIsHeard guards against drains and purges that are never heard from a slow discovery service: the watch
+// TestSlowDiscoveryIsReceived guards against drains and purges that are never received from a slow discovery service: the watch
 // gave up each connection before its first line arrived, and began the wait anew. Whatever arrives within the delivery
-// timeout must be heard then, on whatever connection, and with no more connections than a service costs that is silent.
-func TestSlowDiscoveryIsHeard(t *testing.T) {
+// timeout must be received then, on whatever connection, and with no more connections than a service costs that is silent.
+func TestSlowDiscoveryIsReceived(t *testing.T) {
 	const silent = slowdiscovery.Never
 	type slowness struct{ old, fresh time.Duration } // of connections that were open when the service became slow, and of new ones
 	for _, c := range []struct {
@@ -117,7 +117,7 @@
 		fromStart      bool // the service is slow from before the gateway's start
 		isFresh        bool // the gateway knows no list
 		dialTakes      time.Duration
-		limit          time.Duration // within which the drain must be heard
+		limit          time.Duration // within which the drain must be received
 		maxConnections int
 	}{
 		{name: "0.5 s late", delay: slowness{seconds / 2, seconds / 2}, limit: seconds / 2, maxConnections: 2},
@@ -156,10 +156,10 @@
 				return c.delay.fresh
 			}
 			s.Run(slowAt + announcedAfter)
-			heardAfter := s.drain(playTime)
-			t.Logf("heard after %v, connections %d, open at once %d, %d bytes written", heardAfter, len(s.service.OpenedAt), s.process.PeakDescriptors(), s.service.WrittenBytes)
-			if heardAfter < 0 || heardAfter > c.limit+slowServiceSlack {
-				t.Errorf("heard after %v, expected within %v", heardAfter, c.limit)
+			receivedAfter := s.drain(playTime)
+			t.Logf("received after %v, connections %d, open at once %d, %d bytes written", receivedAfter, len(s.service.OpenedAt), s.process.PeakDescriptors(), s.service.WrittenBytes)
+			if receivedAfter < 0 || receivedAfter > c.limit+slowServiceSlack {
+				t.Errorf("received after %v, expected within %v", receivedAfter, c.limit)
 			}
 			if len(s.service.OpenedAt) > c.maxConnections || s.process.PeakDescriptors() > MaxSessions {
 				t.Errorf("%d connections, %d at once, expected at most %d and %d", len(s.service.OpenedAt), s.process.PeakDescriptors(), c.maxConnections, MaxSessions)
@@ -178,7 +178,7 @@
 		lastLineAt      time.Duration // of the first connection
 		deadSessions    int           // sessions after the first one that are dead as well; -1: all of them
 		reconnectWithin time.Duration // after the last line
-		hearWithin      time.Duration // after the last line; negative: it is never heard
+		receiveWithin   time.Duration // after the last line; negative: it is never received
 		maxConnections  int
 	}{
 		{"the first connection dies", false, becomesSlowAt, 0, 1600 * time.Millisecond, 1600 * time.Millisecond, 2},
@@ -199,13 +199,13 @@
 				}
 				return 0
 			}
-			heardAfter := s.drain(60 * time.Second)
-			t.Logf("heard after %v, connections opened at %v, open at once %d", heardAfter, s.service.OpenedAt, s.process.PeakDescriptors())
+			receivedAfter := s.drain(60 * time.Second)
+			t.Logf("received after %v, connections opened at %v, open at once %d", receivedAfter, s.service.OpenedAt, s.process.PeakDescriptors())
 			if again := s.service.OpenedAt[1] - c.lastLineAt; again > c.reconnectWithin {
 				t.Errorf("connected again %v after the last line, expected within %v", again, c.reconnectWithin)
 			}
-			if c.hearWithin >= 0 && (heardAfter < 0 || heardAfter > c.hearWithin) || c.hearWithin < 0 && heardAfter >= 0 {
-				t.Errorf("heard after %v, expected within %v", heardAfter, c.hearWithin)
+			if c.receiveWithin >= 0 && (receivedAfter < 0 || receivedAfter > c.receiveWithin) || c.receiveWithin < 0 && receivedAfter >= 0 {
+				t.Errorf("received after %v, expected within %v", receivedAfter, c.receiveWithin)
 			}
 			if len(s.service.OpenedAt) > c.maxConnections || s.process.PeakDescriptors() > MaxSessions {
 				t.Errorf("%d connections, %d at once, expected at most %d and %d", len(s.service.OpenedAt), s.process.PeakDescriptors(), c.maxConnections, MaxSessions)
@@ -243,11 +243,11 @@
 			startedAt := s.Now()
 			limit := time.Duration(listBytes/c.bytesPerSecond+1) * time.Second
 			s.Run(startedAt + 60*time.Second)
-			heardAt, isHeard := s.heardAt[number]
-			t.Logf("heard %v after %v, connections opened at %v, open at once %d, %d bytes written", isHeard, heardAt-startedAt, s.service.OpenedAt, s.process.PeakDescriptors(),
+			receivedAt, isReceived := s.receivedAt[number]
+			t.Logf("received %v after %v, connections opened at %v, open at once %d, %d bytes written", isReceived, receivedAt-startedAt, s.service.OpenedAt, s.process.PeakDescriptors(),
 				s.service.WrittenBytes)
-			if !isHeard || heardAt-startedAt > limit {
-				t.Errorf("heard %v, after %v, expected within %v", isHeard, heardAt-startedAt, limit)
+			if !isReceived || receivedAt-startedAt > limit {
+				t.Errorf("received %v, after %v, expected within %v", isReceived, receivedAt-startedAt, limit)
 			}
 			if len(s.service.OpenedAt) > c.maxConnections {
 				t.Errorf("%d connections, expected at most %d", len(s.service.OpenedAt), c.maxConnections)
@@ -256,9 +256,9 @@
 	}
 }
 
-// TestSlowDiscoveryIsHeardOverMoves guards against drains that are never heard because each reload, of the same address
+// TestSlowDiscoveryOverMoves guards against drains that are never received because each reload, of the same address
 // or another one, begins the wait for a slow discovery service anew.
-func TestSlowDiscoveryIsHeardOverMoves(t *testing.T) {
+func TestSlowDiscoveryOverMoves(t *testing.T) {
 	const delay = 5500 * time.Millisecond
 	s := newSlowWatch(t, false, 0)
 	s.Run(becomesSlowAt)
@@ -270,11 +270,11 @@
 	}
 	s.After(time.Second, reload)
 	s.Run(becomesSlowAt + announcedAfter)
-	if heardAfter := s.drain(playTime); heardAfter < 0 || heardAfter > delay+slowServiceSlack {
-		t.Errorf("the first drain was heard after %v, expected after %v", heardAfter, delay)
+	if receivedAfter := s.drain(playTime); receivedAfter < 0 || receivedAfter > delay+slowServiceSlack {
+		t.Errorf("the first drain was received after %v, expected after %v", receivedAfter, delay)
 	}
-	if heardAfter := s.drain(playTime); heardAfter < 0 || heardAfter > deliveryTimeout+2*time.Second {
-		t.Errorf("the second drain was heard after %v, expected within %v and the time between two reloads", heardAfter, deliveryTimeout)
+	if receivedAfter := s.drain(playTime); receivedAfter < 0 || receivedAfter > deliveryTimeout+2*time.Second {
+		t.Errorf("the second drain was received after %v, expected within %v and the time between two reloads", receivedAfter, deliveryTimeout)
 	}
 	if s.process.PeakDescriptors() > MaxSessions {
 		t.Errorf("%d connections at once, expected at most %d", s.process.PeakDescriptors(), MaxSessions)
@@ -294,8 +294,8 @@
 		}
 		return freshDelay
 	}
-	if heardAfter := s.drain(playTime); heardAfter < 0 || heardAfter > 1600*time.Millisecond+freshDelay {
-		t.Errorf("heard after %v, expected on the first new connection, after %v at most", heardAfter, 1600*time.Millisecond+freshDelay)
+	if receivedAfter := s.drain(playTime); receivedAfter < 0 || receivedAfter > 1600*time.Millisecond+freshDelay {
+		t.Errorf("received after %v, expected on the first new connection, after %v at most", receivedAfter, 1600*time.Millisecond+freshDelay)
 	}
 }
 
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,7 +1,7 @@
 // Package discovery receives the events of the discovery service: numbered changes of the endpoint list and purges.
 // They arrive over a session, which is one connection. Missing events or an invalid event end it, and another session
 // begins. Beside a session that is silent another one begins as well, but the silent one stays open for as long as
-// discovery may take to deliver a line: a slow service would otherwise never be heard. Each event is applied once, by
+// discovery may take to deliver a line: a slow service would otherwise never be received. Each event is applied once, by
 // the first session that delivers it, to the dispatcher, the registry of caches, the purge log and the stored endpoint
 // list.
 //
--- a/internal/lab/clients/slowdiscovery.go
+++ b/internal/lab/clients/slowdiscovery.go
@@ -12,13 +12,13 @@
 	"foldslip/example/standin"
 )
 
-// The rules that the play judges by: the time within which what discovery tells counts as told, the graces of
+// The rules that the play judges by: the time within which what discovery tells counts as notified, the graces of
 // platformSettings, and the slack of all limits of the protocol.
 const (
-	toldWithin = 7 * time.Second
-	drainGrace = 2 * time.Second
-	purgeGrace = 6 * time.Second
-	limitSlack = 50 * time.Millisecond
+	notifiedWithin = 7 * time.Second
+	drainGrace     = 2 * time.Second
+	purgeGrace     = 6 * time.Second
+	limitSlack     = 50 * time.Millisecond
 )
 
 const (
@@ -26,7 +26,7 @@
 	maxSlowDelay   = 6900 * time.Millisecond
 	maxSlowPieces  = 8
 	maxReloads     = 3
-	quietTime      = time.Second            // before the service becomes slow
+	warmUpTime     = time.Second            // before the service becomes slow
 	announcedAfter = 200 * time.Millisecond // after it has become slow
 	watchedFor     = 3 * time.Second        // after the limit
 	purgedObject   = "purged"
@@ -54,7 +54,7 @@
 	plan.isOpenSilent = !plan.isFromStart && random.IntN(3) == 0
 	if random.IntN(2) == 0 {
 		for range 1 + random.IntN(maxReloads) {
-			plan.reloads = append(plan.reloads, time.Duration(random.Int64N(int64(toldWithin))))
+			plan.reloads = append(plan.reloads, time.Duration(random.Int64N(int64(notifiedWithin))))
 		}
 		slices.Sort(plan.reloads)
 		plan.isMoved = random.IntN(2) == 0
@@ -65,21 +65,21 @@
 // limit returns how long after the event its rule binds.
 func (p slowPlan) limit() time.Duration {
 	if p.isPurge {
-		return toldWithin + purgeGrace + limitSlack
+		return notifiedWithin + purgeGrace + limitSlack
 	}
-	return toldWithin + drainGrace + limitSlack
+	return notifiedWithin + drainGrace + limitSlack
 }
 
 // duration returns how long the play takes.
 func (p slowPlan) duration() time.Duration {
-	return quietTime + announcedAfter + p.limit() + watchedFor
+	return warmUpTime + announcedAfter + p.limit() + watchedFor
 }
 
 // slowDiscovery lets discovery tell a purge or a drain while what it writes arrives late, and checks that the rule on it
 // holds from its limit on.
 func (s *stage) slowDiscovery() {
 	plan := s.relay.plan
-	time.Sleep(quietTime)
+	time.Sleep(warmUpTime)
 	s.relay.becomeSlow()
 	time.Sleep(announcedAfter)
 	announcedAt := time.Now()
